--- /dev/null
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/cli/Main.java
@@ -0,0 +1,107 @@
+package org.carobstage.testbed.cli;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import io.servicetalk.concurrent.api.Executor;
+import io.servicetalk.concurrent.api.Executors;
+import java.sql.SQLException;
+import java.util.concurrent.CountDownLatch;
+import org.carobstage.model.Address;
+import org.carobstage.model.InstanceId;
+import org.carobstage.testbed.database.DatabaseInstance;
+import org.carobstage.testbed.database.InstanceServer;
+import org.carobstage.testbed.database.InstanceSettings;
+import org.carobstage.testbed.platform.PlatformServer;
+import org.carobstage.testbed.platform.PlatformStore;
+
+/** Starts the programs of the testbed. */
+public final class Main {
+    private static final int EXIT_USAGE = 2;
+
+    private Main() {}
+
+    /**
+     * Runs a command.
+     *
+     * @param args the command line
+     * @throws InterruptedException if the program is interrupted
+     * @throws SQLException if the SQL store can't be opened
+     */
+    public static void main(String[] args) throws InterruptedException, SQLException {
+        PlatformCommand platform = new PlatformCommand();
+        InstanceCommand instance = new InstanceCommand();
+        JCommander commander =
+                JCommander.newBuilder()
+                        .programName("testbed")
+                        .addCommand("platform", platform)
+                        .addCommand("instance", instance)
+                        .build();
+        try {
+            commander.parse(args);
+        } catch (ParameterException e) {
+            System.err.println(e.getMessage());
+            System.exit(EXIT_USAGE);
+        }
+        if ("platform".equals(commander.getParsedCommand())) {
+            listening(platform.start());
+        } else if ("instance".equals(commander.getParsedCommand())) {
+            listening(instance.start());
+        } else {
+            commander.usage();
+        }
+    }
+
+    private static void listening(Address address) throws InterruptedException {
+        System.out.println("listening " + address);
+        new CountDownLatch(1).await();
+    }
+
+    private static final class PlatformCommand {
+        @Parameter(names = "--listen", description = "host:port")
+        private String listen = "127.0.0.1:0";
+
+        Address start() {
+            Executor executor = Executors.newCachedThreadExecutor();
+            PlatformStore store = PlatformStore.empty(System::currentTimeMillis);
+            return PlatformServer.of(store, Address.parse(listen), executor).address();
+        }
+    }
+
+    private static final class InstanceCommand {
+        @Parameter(names = "--listen", description = "host:port")
+        private String listen = "127.0.0.1:0";
+
+        @Parameter(names = "--id", required = true, description = "name of the instance")
+        private String id;
+
+        @Parameter(names = "--slots", description = "statements at once")
+        private int slots = 3;
+
+        @Parameter(names = "--connections", description = "connections at once")
+        private int connections = 20;
+
+        @Parameter(names = "--open-ms", description = "time to open a connection, in ms")
+        private long openMillis = 10;
+
+        @Parameter(names = "--lag-ms", description = "replication lag, in ms")
+        private long lagMillis = 0;
+
+        @Parameter(names = "--service-ms", description = "added time of a statement, in ms")
+        private long serviceMillis = 0;
+
+        Address start() throws SQLException {
+            Executor executor = Executors.newCachedThreadExecutor();
+            InstanceSettings settings =
+                    new InstanceSettings(
+                            InstanceId.of(id),
+                            slots,
+                            connections,
+                            openMillis,
+                            lagMillis,
+                            serviceMillis);
+            DatabaseInstance instance = DatabaseInstance.of(settings, System::currentTimeMillis);
+            return InstanceServer.of(instance, Address.parse(listen), executor).address();
+        }
+    }
+}
--- /dev/null
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of the testbed. */
+package org.carobstage.testbed.cli;
--- /dev/null
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
@@ -0,0 +1,426 @@
+package org.carobstage.testbed.database;
+
+import java.sql.Connection;
+import java.sql.SQLException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
+import org.carobstage.backend.Answer;
+import org.carobstage.backend.BackendMessages.Execute;
+import org.carobstage.backend.BackendMessages.Reply;
+import org.carobstage.backend.Refusal;
+import org.carobstage.backend.Standing;
+import org.carobstage.model.LogPosition;
+import org.carobstage.model.Term;
+import org.carobstage.testbed.database.LogEntry.Change;
+
+/**
+ * One instance of a database group: sessions, terms and the log. It knows no network; a server or a
+ * test calls it and moves its log.
+ */
+public final class DatabaseInstance implements AutoCloseable {
+    /** How many log entries go to a replica at once. */
+    public static final int LOG_BATCH = 500;
+
+    private static final long UNKNOWN_LAG = -1;
+
+    private final InstanceSettings settings;
+    private final LongSupplier millis;
+    private final SqlStore store;
+    private final ReplicatedLog log = new ReplicatedLog();
+    private final AtomicInteger busySlots = new AtomicInteger();
+    private final AtomicInteger openSessions = new AtomicInteger();
+    private Term promised = Term.ZERO;
+    private boolean primary;
+    private long freshMillis = UNKNOWN_LAG;
+
+    private DatabaseInstance(InstanceSettings settings, LongSupplier millis, SqlStore store) {
+        this.settings = settings;
+        this.millis = millis;
+        this.store = store;
+    }
+
+    /**
+     * Creates an instance with an empty log.
+     *
+     * @param settings its limits and delays
+     * @param millis the time of day in ms
+     * @return the instance
+     * @throws SQLException if the SQL store can't be opened
+     */
+    public static DatabaseInstance of(InstanceSettings settings, LongSupplier millis)
+            throws SQLException {
+        return new DatabaseInstance(settings, millis, SqlStore.empty());
+    }
+
+    /**
+     * Returns the limits and delays.
+     *
+     * @return the settings
+     */
+    public InstanceSettings settings() {
+        return settings;
+    }
+
+    /**
+     * Opens a session if the limit of connections allows.
+     *
+     * @return the session, or empty at the limit
+     * @throws SQLException if the SQL store fails
+     */
+    public Optional<Session> open() throws SQLException {
+        if (openSessions.incrementAndGet() > settings.connections()) {
+            openSessions.decrementAndGet();
+            return Optional.empty();
+        }
+        return Optional.of(new Session(store.connect()));
+    }
+
+    /**
+     * Takes a slot.
+     *
+     * @return false if all slots are busy
+     */
+    public boolean takeSlot() {
+        if (busySlots.incrementAndGet() > settings.slots()) {
+            busySlots.decrementAndGet();
+            return false;
+        }
+        return true;
+    }
+
+    /** Gives a slot back. */
+    public void freeSlot() {
+        busySlots.decrementAndGet();
+    }
+
+    /**
+     * Returns how many sessions are open.
+     *
+     * @return the number of open sessions
+     */
+    public int openSessions() {
+        return openSessions.get();
+    }
+
+    /**
+     * Returns the standing.
+     *
+     * @return the standing now
+     */
+    public synchronized Standing standing() {
+        long lag = primary ? 0 : UNKNOWN_LAG;
+        if (!primary && freshMillis != UNKNOWN_LAG) {
+            lag = millis.getAsLong() - freshMillis;
+        }
+        return new Standing(settings.id(), promised, primary, log.last(), lag);
+    }
+
+    /**
+     * Promises a term; a lower or equal one changes nothing.
+     *
+     * @param term the term
+     * @return the standing afterwards
+     */
+    public synchronized Standing promise(Term term) {
+        if (term.isAfter(promised)) {
+            promised = term;
+            primary = false;
+        }
+        return standing();
+    }
+
+    /**
+     * Becomes primary of the promised term.
+     *
+     * @param term the term, which must be the promised one
+     * @return the standing afterwards
+     */
+    public synchronized Standing promote(Term term) {
+        if (term.equals(promised) && !primary) {
+            primary = true;
+            log.append(LogEntry.empty(term.number(), millis.getAsLong()));
+        }
+        return standing();
+    }
+
+    /**
+     * Reads the log for a replica.
+     *
+     * @param request where the replica's log ends
+     * @return the entries that follow
+     */
+    public synchronized LogMessages.Batch read(LogMessages.Read request) {
+        LogPosition from = LogPosition.of(request.lastTerm(), request.lastOffset());
+        long last = log.last().offset();
+        if (!primary || promised.number() != request.term()) {
+            return new LogMessages.Batch(LogMessages.Status.REFUSED, List.of(), last);
+        }
+        if (!log.matches(from)) {
+            return new LogMessages.Batch(LogMessages.Status.MISMATCH, List.of(), last);
+        }
+        long until = millis.getAsLong() - request.lagMillis();
+        List<LogEntry> entries = log.after(from.offset(), until, LOG_BATCH);
+        return new LogMessages.Batch(LogMessages.Status.ENTRIES, entries, last);
+    }
+
+    /**
+     * Takes over a batch of the primary's log.
+     *
+     * @param request the request that the batch answers
+     * @param batch the batch
+     * @param askedMillis when the request was sent, in ms
+     * @throws SQLException if the entries can't be applied
+     */
+    public synchronized void take(
+            LogMessages.Read request, LogMessages.Batch batch, long askedMillis)
+            throws SQLException {
+        LogPosition from = LogPosition.of(request.lastTerm(), request.lastOffset());
+        boolean current = promised.number() == request.term() && log.last().equals(from);
+        if (primary || !current || batch.status() == LogMessages.Status.REFUSED) {
+            return;
+        }
+        if (batch.status() == LogMessages.Status.MISMATCH) {
+            log.dropLastTerm();
+            store.rebuild(log.all());
+            freshMillis = UNKNOWN_LAG;
+            return;
+        }
+        store.apply(batch.entries());
+        batch.entries().forEach(log::append);
+        if (log.last().offset() == batch.primaryOffset()) {
+            freshMillis = askedMillis;
+        }
+    }
+
+    /**
+     * Tells what is recorded for a key.
+     *
+     * @param term the term whose primary must answer
+     * @param key the key
+     * @return the recorded answer or a refusal
+     */
+    public synchronized Answer lookup(Term term, String key) {
+        if (!primary || !term.equals(promised)) {
+            return termRefusal();
+        }
+        return log.findKey(key)
+                .map(entry -> replay(entry))
+                .orElseGet(() -> new Answer.Refused(Refusal.KEY_UNKNOWN, "no outcome recorded"));
+    }
+
+    @Override
+    public void close() throws SQLException {
+        store.close();
+    }
+
+    private Answer termRefusal() {
+        return new Answer.Refused(Refusal.TERM, "stands at term " + promised + ", " + primary);
+    }
+
+    private Answer replay(LogEntry entry) {
+        Answer.Done done = (Answer.Done) entry.reply().toAnswer();
+        return new Answer.Done(done.columns(), done.rows(), done.changed(), true, standing());
+    }
+
+    private synchronized Optional<Answer> check(Term term, boolean needsPrimary) {
+        boolean fits = term.equals(promised) && (primary || !needsPrimary);
+        return fits ? Optional.empty() : Optional.of(termRefusal());
+    }
+
+    /** Commits under the instance's lock, so that no promise comes between check and commit. */
+    private synchronized Answer commit(
+            Connection sql, Term term, List<Change> changes, String key, SqlStore.Result result)
+            throws SQLException {
+        Optional<Answer> refusal = check(term, true);
+        Optional<LogEntry> earlier = log.findKey(key);
+        if (refusal.isPresent() || earlier.isPresent()) {
+            sql.rollback();
+            return refusal.orElseGet(() -> replayIfSame(earlier.get(), changes));
+        }
+        sql.commit();
+        LogPosition next = LogPosition.of(term.number(), log.last().offset() + 1);
+        Standing standing = new Standing(settings.id(), promised, true, next, 0);
+        Answer.Done done =
+                new Answer.Done(result.columns(), result.rows(), result.changed(), false, standing);
+        Reply reply = key == null ? null : Reply.of(done);
+        log.append(new LogEntry(term.number(), millis.getAsLong(), changes, key, reply));
+        return done;
+    }
+
+    private Answer replayIfSame(LogEntry earlier, List<Change> changes) {
+        return earlier.changes().equals(changes)
+                ? replay(earlier)
+                : new Answer.Refused(Refusal.KEY_REUSED, "key was used for another statement");
+    }
+
+    /** One connection's state: at most one open transaction. */
+    public final class Session implements AutoCloseable {
+        private final Connection sql;
+        private final List<Change> changes = new ArrayList<>();
+        private Term transaction;
+        private boolean closed;
+
+        private Session(Connection sql) {
+            this.sql = sql;
+        }
+
+        /**
+         * Runs a statement; without an open transaction it commits at once.
+         *
+         * @param request the statement
+         * @return the answer
+         */
+        public synchronized Answer execute(Execute request) {
+            Term term = Term.of(request.term());
+            Optional<Answer> refusal = check(term, !request.readOnly());
+            if (refusal.isPresent()) {
+                return refusal.get();
+            }
+            LogPosition atLeast = LogPosition.of(request.atLeastTerm(), request.atLeastOffset());
+            Standing before = standing();
+            if (!before.last().covers(atLeast)) {
+                return new Answer.Refused(Refusal.BEHIND, "log ends at " + before.last());
+            }
+            boolean reads = isRead(request.sql());
+            if (request.readOnly() && !reads) {
+                return new Answer.Refused(Refusal.STATEMENT, "only queries are allowed here");
+            }
+            try {
+                return reads ? query(request, before) : change(request, term);
+            } catch (SQLException e) {
+                return refused(e);
+            }
+        }
+
+        /**
+         * Opens a transaction.
+         *
+         * @param term the term
+         * @return the answer
+         */
+        public synchronized Answer begin(Term term) {
+            Optional<Answer> refusal = check(term, true);
+            if (refusal.isPresent()) {
+                return refusal.get();
+            }
+            if (transaction != null) {
+                return new Answer.Refused(Refusal.TRANSACTION, "a transaction is open");
+            }
+            transaction = term;
+            return done();
+        }
+
+        /**
+         * Commits the open transaction.
+         *
+         * @param key the key to record, or null
+         * @return the answer
+         */
+        public synchronized Answer commit(String key) {
+            if (transaction == null) {
+                return new Answer.Refused(Refusal.TRANSACTION, "no transaction is open");
+            }
+            try {
+                Term term = transaction;
+                List<Change> all = List.copyOf(changes);
+                end();
+                SqlStore.Result none = new SqlStore.Result(List.of(), List.of(), all.size());
+                return DatabaseInstance.this.commit(sql, term, all, key, none);
+            } catch (SQLException e) {
+                return refused(e);
+            }
+        }
+
+        /**
+         * Rolls the open transaction back, if there is one.
+         *
+         * @return the answer
+         */
+        public synchronized Answer rollback() {
+            try {
+                end();
+                sql.rollback();
+                return done();
+            } catch (SQLException e) {
+                return refused(e);
+            }
+        }
+
+        /** Rolls back and closes. */
+        @Override
+        public synchronized void close() throws SQLException {
+            if (!closed) {
+                closed = true;
+                openSessions.decrementAndGet();
+                sql.rollback();
+                sql.close();
+            }
+        }
+
+        private Answer query(Execute request, Standing before) throws SQLException {
+            SqlStore.Result result = SqlStore.run(sql, request.sql(), request.parameters());
+            if (transaction == null) {
+                sql.commit();
+            }
+            Standing after = standing();
+            Standing seen =
+                    new Standing(
+                            after.instance(),
+                            after.promised(),
+                            after.primary(),
+                            after.last(),
+                            before.lagMillis());
+            return new Answer.Done(result.columns(), result.rows(), 0, false, seen);
+        }
+
+        private Answer change(Execute request, Term term) throws SQLException {
+            Change change = new Change(request.sql(), request.parameters());
+            if (transaction != null) {
+                SqlStore.Result result = SqlStore.run(sql, request.sql(), request.parameters());
+                changes.add(change);
+                return new Answer.Done(List.of(), List.of(), result.changed(), false, standing());
+            }
+            List<Change> all = List.of(change);
+            Optional<LogEntry> earlier = earlier(request.key());
+            if (earlier.isPresent()) {
+                return replayIfSame(earlier.get(), all);
+            }
+            SqlStore.Result result = SqlStore.run(sql, request.sql(), request.parameters());
+            return DatabaseInstance.this.commit(sql, term, all, request.key(), result);
+        }
+
+        private Optional<LogEntry> earlier(String key) {
+            synchronized (DatabaseInstance.this) {
+                return log.findKey(key);
+            }
+        }
+
+        private Answer done() {
+            return new Answer.Done(List.of(), List.of(), 0, false, standing());
+        }
+
+        private void end() {
+            transaction = null;
+            changes.clear();
+        }
+
+        private Answer refused(SQLException e) {
+            try {
+                end();
+                sql.rollback();
+            } catch (SQLException again) {
+                e.addSuppressed(again);
+            }
+            return new Answer.Refused(Refusal.STATEMENT, e.getMessage());
+        }
+
+        private static boolean isRead(String text) {
+            String start = text.stripLeading().toUpperCase(Locale.ROOT);
+            return start.startsWith("SELECT") || start.startsWith("VALUES");
+        }
+    }
+}
--- /dev/null
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/LogFollower.java
@@ -0,0 +1,95 @@
+package org.carobstage.testbed.database;
+
+import io.servicetalk.concurrent.api.Executor;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.sql.SQLException;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.carobstage.backend.Standing;
+import org.carobstage.http.JsonClient;
+import org.carobstage.model.Address;
+import org.carobstage.model.Term;
+
+/** Reads the primary's log in rounds and hands it to the instance. */
+final class LogFollower implements AutoCloseable {
+    private static final Logger LOGGER = System.getLogger(LogFollower.class.getName());
+    private static final Duration INTERVAL = Duration.ofMillis(1);
+    private static final Duration TIMEOUT = Duration.ofMillis(500);
+
+    private final DatabaseInstance instance;
+    private final Executor executor;
+    private final BooleanSupplier cut;
+    private Term term = Term.ZERO;
+    private JsonClient primary;
+
+    private LogFollower(DatabaseInstance instance, Executor executor, BooleanSupplier cut) {
+        this.instance = instance;
+        this.executor = executor;
+        this.cut = cut;
+    }
+
+    static LogFollower of(DatabaseInstance instance, Executor executor, BooleanSupplier cut) {
+        return new LogFollower(instance, executor, cut);
+    }
+
+    /** Follows the primary of a term in place of the one of a lower term. */
+    synchronized void follow(Term newTerm, Address address) {
+        if (!newTerm.isAfter(term)) {
+            return;
+        }
+        closePrimary();
+        term = newTerm;
+        primary = JsonClient.of(address);
+        round(newTerm);
+    }
+
+    @Override
+    public synchronized void close() {
+        term = Term.of(Long.MAX_VALUE);
+        closePrimary();
+    }
+
+    private void closePrimary() {
+        if (primary != null) {
+            primary.close();
+            primary = null;
+        }
+    }
+
+    private synchronized void round(Term roundTerm) {
+        if (!roundTerm.equals(term)) {
+            return;
+        }
+        if (cut.getAsBoolean()) {
+            again(roundTerm);
+            return;
+        }
+        Standing standing = instance.standing();
+        LogMessages.Read read =
+                new LogMessages.Read(
+                        roundTerm.number(),
+                        standing.last().term().number(),
+                        standing.last().offset(),
+                        instance.settings().lagMillis());
+        long asked = executor.currentTime(TimeUnit.MILLISECONDS);
+        primary.post("/log", read, LogMessages.Batch.class, TIMEOUT)
+                .afterFinally(() -> again(roundTerm))
+                .subscribe(batch -> take(read, batch, asked));
+    }
+
+    private void again(Term roundTerm) {
+        executor.schedule(() -> round(roundTerm), INTERVAL);
+    }
+
+    private void take(LogMessages.Read read, LogMessages.Batch batch, long asked) {
+        try {
+            if (!cut.getAsBoolean()) {
+                instance.take(read, batch, asked);
+            }
+        } catch (SQLException e) {
+            LOGGER.log(Level.ERROR, "log entry could not be applied", e);
+        }
+    }
+}
--- /dev/null
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/ReplicatedLog.java
@@ -0,0 +1,61 @@
+package org.carobstage.testbed.database;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.carobstage.model.LogPosition;
+
+/** The log of one instance; callers hold the instance's lock. */
+final class ReplicatedLog {
+    private final List<LogEntry> entries = new ArrayList<>();
+    private final Map<String, LogEntry> byKey = new HashMap<>();
+
+    LogPosition last() {
+        return positionAt(entries.size());
+    }
+
+    /** Tells whether this log has an entry of the given term at the given offset. */
+    boolean matches(LogPosition position) {
+        return position.offset() <= entries.size()
+                && positionAt((int) position.offset()).equals(position);
+    }
+
+    void append(LogEntry entry) {
+        entries.add(entry);
+        if (entry.key() != null) {
+            byKey.put(entry.key(), entry);
+        }
+    }
+
+    Optional<LogEntry> findKey(String key) {
+        return Optional.ofNullable(key).map(byKey::get);
+    }
+
+    /** Returns the entries after an offset that were committed no later than a moment. */
+    List<LogEntry> after(long offset, long untilMillis, int limit) {
+        return entries.subList((int) offset, entries.size()).stream()
+                .takeWhile(entry -> entry.committedMillis() <= untilMillis)
+                .limit(limit)
+                .toList();
+    }
+
+    /** Drops the entries of the last term. */
+    void dropLastTerm() {
+        long term = last().term().number();
+        while (!entries.isEmpty() && entries.get(entries.size() - 1).term() == term) {
+            LogEntry dropped = entries.remove(entries.size() - 1);
+            Optional.ofNullable(dropped.key()).ifPresent(byKey::remove);
+        }
+    }
+
+    List<LogEntry> all() {
+        return List.copyOf(entries);
+    }
+
+    private LogPosition positionAt(int offset) {
+        long term = offset == 0 ? 0 : entries.get(offset - 1).term();
+        return LogPosition.of(term, offset);
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/backend/BackendMessages.java
@@ -0,0 +1,168 @@
+package org.carobstage.backend;
+
+import java.util.List;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
+import org.carobstage.model.Term;
+
+/** The JSON messages between an entry VM and an instance. */
+public final class BackendMessages {
+    private BackendMessages() {}
+
+    /**
+     * Runs a statement.
+     *
+     * @param term the term under which it may run
+     * @param sql the text
+     * @param parameters the values of the placeholders
+     * @param readOnly true if a change of data must be refused
+     * @param atLeastTerm the term of the position that the log must cover
+     * @param atLeastOffset the offset of the position that the log must cover
+     * @param key the idempotency key, or null
+     */
+    public record Execute(
+            long term,
+            String sql,
+            List<Object> parameters,
+            boolean readOnly,
+            long atLeastTerm,
+            long atLeastOffset,
+            String key) {}
+
+    /**
+     * Names a term and perhaps a key: begin, commit, lookup, promise, promote.
+     *
+     * @param term the term
+     * @param key the idempotency key, or null
+     */
+    public record Termed(long term, String key) {}
+
+    /**
+     * Asks for the standing.
+     *
+     * @param term the term of the position to wait for
+     * @param offset the offset of the position to wait for
+     * @param waitMillis the longest wait in ms
+     */
+    public record Ask(long term, long offset, long waitMillis) {}
+
+    /**
+     * Makes an instance follow a primary.
+     *
+     * @param term the term
+     * @param primary the primary's name
+     * @param address the primary's address
+     */
+    public record Follow(long term, String primary, String address) {}
+
+    /**
+     * A standing on the wire.
+     *
+     * @param instance the instance
+     * @param promised the promised term
+     * @param primary true if it is the primary of that term
+     * @param lastTerm the term of the last log entry
+     * @param lastOffset the offset of the last log entry
+     * @param lagMillis the staleness in ms, negative if unknown
+     */
+    public record StandingMessage(
+            String instance,
+            long promised,
+            boolean primary,
+            long lastTerm,
+            long lastOffset,
+            long lagMillis) {
+        /**
+         * Writes a standing.
+         *
+         * @param standing the standing
+         * @return its message
+         */
+        public static StandingMessage of(Standing standing) {
+            return new StandingMessage(
+                    standing.instance().value(),
+                    standing.promised().number(),
+                    standing.primary(),
+                    standing.last().term().number(),
+                    standing.last().offset(),
+                    standing.lagMillis());
+        }
+
+        /**
+         * Reads the standing.
+         *
+         * @return the standing
+         */
+        public Standing toStanding() {
+            return new Standing(
+                    InstanceId.of(instance),
+                    Term.of(promised),
+                    primary,
+                    LogPosition.of(lastTerm, lastOffset),
+                    lagMillis);
+        }
+    }
+
+    /**
+     * An answer on the wire; a missing end mark means that it was cut short.
+     *
+     * @param refusal why nothing ran, or null
+     * @param detail what the instance says of a refusal
+     * @param columns the names of the columns
+     * @param rows the rows
+     * @param changed how many rows changed
+     * @param replayed true if the key had been recorded before
+     * @param standing the standing after the request
+     * @param end the end mark: the number of rows
+     */
+    public record Reply(
+            Refusal refusal,
+            String detail,
+            List<String> columns,
+            List<List<Object>> rows,
+            long changed,
+            boolean replayed,
+            StandingMessage standing,
+            Long end) {
+        /**
+         * Writes an answer.
+         *
+         * @param answer a finished or refused statement
+         * @return its message
+         */
+        public static Reply of(Answer answer) {
+            if (answer instanceof Answer.Done done) {
+                StandingMessage standing = StandingMessage.of(done.standing());
+                long end = done.rows().size();
+                return new Reply(
+                        null,
+                        null,
+                        done.columns(),
+                        done.rows(),
+                        done.changed(),
+                        done.replayed(),
+                        standing,
+                        end);
+            }
+            Answer.Refused refused = (Answer.Refused) answer;
+            return new Reply(
+                    refused.reason(), refused.detail(), List.of(), List.of(), 0, false, null, 0L);
+        }
+
+        /**
+         * Reads the answer.
+         *
+         * @return the answer, {@link Answer.Lost} if it was cut short
+         */
+        public Answer toAnswer() {
+            if (refusal != null) {
+                return new Answer.Refused(refusal, detail == null ? "" : detail);
+            }
+            boolean whole = end != null && rows != null && end == rows.size() && standing != null;
+            if (!whole) {
+                return new Answer.Lost(true, "answer without its end mark");
+            }
+            return new Answer.Done(columns, rows, changed, replayed, standing.toStanding());
+        }
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/backend/Standing.java
@@ -0,0 +1,48 @@
+package org.carobstage.backend;
+
+import static java.util.Objects.requireNonNull;
+
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
+import org.carobstage.model.Term;
+
+/**
+ * What an instance says of itself at one moment.
+ *
+ * @param instance the instance
+ * @param promised the highest term it has promised; it refuses every lower one
+ * @param primary true if it is the primary of the promised term
+ * @param last the position of the last entry in its log
+ * @param lagMillis how long ago, in ms, it last held all that its primary then had; negative if
+ *     unknown
+ */
+public record Standing(
+        InstanceId instance, Term promised, boolean primary, LogPosition last, long lagMillis) {
+    /** Checks the standing. */
+    public Standing {
+        requireNonNull(instance, "instance is null");
+        requireNonNull(promised, "promised is null");
+        requireNonNull(last, "last is null");
+    }
+
+    /**
+     * Tells whether this standing proves that the instance holds an entry under its term.
+     *
+     * @param position the position of the entry
+     * @return true if the instance stands at the entry's term and its log covers the entry
+     */
+    public boolean confirms(LogPosition position) {
+        return promised.equals(position.term())
+                && last.term().equals(promised)
+                && last.covers(position);
+    }
+
+    /**
+     * Tells whether the end of the log belongs to the promised term.
+     *
+     * @return true if nothing in the log can be dropped unless a majority lacks it
+     */
+    public boolean isSettled() {
+        return last.term().equals(promised);
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/backend/Statement.java
@@ -0,0 +1,36 @@
+package org.carobstage.backend;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import java.util.Optional;
+import org.carobstage.model.IdempotencyKey;
+import org.carobstage.model.LogPosition;
+import org.carobstage.model.Term;
+
+/**
+ * One SQL statement as it goes to an instance.
+ *
+ * @param term the term under which it may run
+ * @param sql the text
+ * @param parameters the values of its placeholders: strings, numbers, booleans or null
+ * @param readOnly true if the instance must refuse a change of data
+ * @param atLeast what the instance's log must cover before the statement runs
+ * @param key the key recorded in the same transaction as the change
+ */
+public record Statement(
+        Term term,
+        String sql,
+        List<Object> parameters,
+        boolean readOnly,
+        LogPosition atLeast,
+        Optional<IdempotencyKey> key) {
+    /** Checks the statement. */
+    public Statement {
+        requireNonNull(term, "term is null");
+        requireNonNull(sql, "sql is null");
+        requireNonNull(parameters, "parameters is null");
+        requireNonNull(atLeast, "atLeast is null");
+        requireNonNull(key, "key is null");
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/caller/CallerMessages.java
@@ -0,0 +1,61 @@
+package org.carobstage.caller;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import java.util.List;
+
+/** The JSON messages between a caller and an entry VM. */
+public final class CallerMessages {
+    private CallerMessages() {}
+
+    /**
+     * A statement from a caller.
+     *
+     * @param group the database group
+     * @param sql the text
+     * @param parameters the values of the placeholders, or null
+     */
+    public record StatementMessage(String group, String sql, List<Object> parameters) {}
+
+    /**
+     * The answer to a statement that ran; the end mark comes last.
+     *
+     * @param columns the names of the columns
+     * @param rows the rows
+     * @param changed how many rows changed
+     * @param replayed true if an earlier run with the same key is answered
+     * @param instance the instance that ran it
+     * @param replica true if that instance is a replica
+     * @param outcome always {@code done}
+     * @param end the end mark: the number of rows
+     */
+    public record DoneMessage(
+            List<String> columns,
+            List<List<Object>> rows,
+            long changed,
+            boolean replayed,
+            String instance,
+            boolean replica,
+            String outcome,
+            long end) {}
+
+    /**
+     * An error as {@code application/problem+json}.
+     *
+     * @param type the kind of problem, as a URI reference
+     * @param title the name of the code
+     * @param status the HTTP status
+     * @param code the code
+     * @param outcome {@code not-run} or {@code unknown}
+     * @param detail what was seen
+     * @param retryAfterMillis when a new try may help, in ms, or null
+     */
+    @JsonInclude(JsonInclude.Include.NON_NULL)
+    public record Problem(
+            String type,
+            String title,
+            int status,
+            String code,
+            String outcome,
+            String detail,
+            Long retryAfterMillis) {}
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interface to callers. */
+package org.carobstage.caller;
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package org.carobstage.cli;
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/config/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration in force: team documents and database groups. */
+package org.carobstage.config;
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/document/package-info.java
@@ -0,0 +1,2 @@
+/** A team's document: staleness, patience and idempotence by request class. */
+package org.carobstage.document;
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/error/package-info.java
@@ -0,0 +1,2 @@
+/** Error codes and the unchecked exceptions that carry them. */
+package org.carobstage.error;
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -0,0 +1,39 @@
+package org.carobstage.event;
+
+import java.lang.System.Logger.Level;
+
+/** The numbers of all events; docs/EVENTS.md lists them. */
+public enum EventCode {
+    /** The process has started. */
+    PROCESS_STARTED(1001, Level.INFO),
+    /** The process has begun a graceful shutdown. */
+    SHUTDOWN_STARTED(1002, Level.INFO),
+    /** A configuration is in force. */
+    CONFIGURATION_APPLIED(2001, Level.INFO);
+
+    private final int number;
+    private final Level level;
+
+    EventCode(int number, Level level) {
+        this.number = number;
+        this.level = level;
+    }
+
+    /**
+     * Returns the number.
+     *
+     * @return the number
+     */
+    public int number() {
+        return number;
+    }
+
+    /**
+     * Returns the level at which the event is logged.
+     *
+     * @return the level
+     */
+    public Level level() {
+        return level;
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/event/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered events with a hybrid logical clock: the time line. */
+package org.carobstage.event;
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/group/GroupView.java
@@ -0,0 +1,90 @@
+package org.carobstage.group;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.carobstage.backend.Standing;
+import org.carobstage.model.GroupSpec;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.Term;
+
+/**
+ * The last known standing of each instance of a group.
+ *
+ * @param spec the group
+ * @param observed the last observation of each instance that ever answered
+ */
+public record GroupView(GroupSpec spec, Map<InstanceId, Observation> observed) {
+    /** Checks the view. */
+    public GroupView {
+        requireNonNull(spec, "spec is null");
+        observed = Map.copyOf(observed);
+    }
+
+    /**
+     * Creates the view of a group of which nothing is known yet.
+     *
+     * @param spec the group
+     * @return the view
+     */
+    public static GroupView of(GroupSpec spec) {
+        return new GroupView(spec, Map.of());
+    }
+
+    /**
+     * Takes a new standing in.
+     *
+     * @param standing the standing
+     * @param nanos when the request that it answers was sent, in ns of the runtime's clock
+     * @return the new view; the same if a later standing is known
+     */
+    public GroupView observe(Standing standing, long nanos) {
+        Observation known = observed.get(standing.instance());
+        if (known != null && known.isNewerThan(standing, nanos)) {
+            return this;
+        }
+        Map<InstanceId, Observation> next = new HashMap<>(observed);
+        next.put(standing.instance(), new Observation(standing, nanos));
+        return new GroupView(spec, next);
+    }
+
+    /**
+     * Returns the highest term that any instance has promised.
+     *
+     * @return the term
+     */
+    public Term term() {
+        return observed.values().stream()
+                .map(o -> o.standing().promised())
+                .max(Comparator.naturalOrder())
+                .orElse(Term.ZERO);
+    }
+
+    /**
+     * Returns the primary of the highest term that has one.
+     *
+     * @return the standing of the primary, or empty if none is known
+     */
+    public Optional<Standing> primary() {
+        return observed.values().stream()
+                .map(Observation::standing)
+                .filter(Standing::primary)
+                .max(Comparator.comparing(Standing::promised));
+    }
+
+    /**
+     * A standing and when it was asked for.
+     *
+     * @param standing the standing
+     * @param nanos when the request was sent, in ns of the runtime's clock
+     */
+    public record Observation(Standing standing, long nanos) {
+        private boolean isNewerThan(Standing other, long otherNanos) {
+            int byTerm = standing.promised().compareTo(other.promised());
+            return byTerm > 0 || byTerm == 0 && nanos - otherNanos > 0;
+        }
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/http/package-info.java
@@ -0,0 +1,2 @@
+/** Small helpers around ServiceTalk's HTTP and Jackson. */
+package org.carobstage.http;
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/model/Address.java
@@ -0,0 +1,73 @@
+package org.carobstage.model;
+
+import static java.util.Objects.requireNonNull;
+
+import java.net.InetSocketAddress;
+
+/**
+ * An IP number and a TCP port.
+ *
+ * @param host the IP number
+ * @param port the port, 0 to 65535
+ */
+public record Address(String host, int port) {
+    private static final int MAX_PORT = 65_535;
+
+    /**
+     * Checks the address.
+     *
+     * @throws IllegalArgumentException if the port is out of range
+     */
+    public Address {
+        requireNonNull(host, "host is null");
+        if (port < 0 || port > MAX_PORT) {
+            throw new IllegalArgumentException("port is out of range: " + port);
+        }
+    }
+
+    /**
+     * Creates an address.
+     *
+     * @param host the IP number
+     * @param port the port
+     * @return the address
+     * @throws IllegalArgumentException if the port is out of range
+     */
+    public static Address of(String host, int port) {
+        return new Address(host, port);
+    }
+
+    /**
+     * Reads an address in the form {@code host:port}.
+     *
+     * @param text the text to read
+     * @return the address
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static Address parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("not host:port: " + text);
+        }
+        String port = text.substring(colon + 1).trim();
+        try {
+            return new Address(text.substring(0, colon).trim(), Integer.parseInt(port));
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("not a port: " + port, e);
+        }
+    }
+
+    /**
+     * Returns this address as a socket address.
+     *
+     * @return the socket address
+     */
+    public InetSocketAddress toSocketAddress() {
+        return new InetSocketAddress(host, port);
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/model/FailureDomain.java
@@ -0,0 +1,43 @@
+package org.carobstage.model;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Names a failure domain: a set of VMs that may fail together.
+ *
+ * @param value the text of the identifier, not blank
+ */
+public record FailureDomain(String value) implements Comparable<FailureDomain> {
+    /**
+     * Checks the identifier.
+     *
+     * @throws IllegalArgumentException if {@code value} is blank
+     */
+    public FailureDomain {
+        requireNonNull(value, "value is null");
+        if (value.isBlank()) {
+            throw new IllegalArgumentException("value is blank");
+        }
+    }
+
+    /**
+     * Creates an identifier.
+     *
+     * @param value the text of the identifier
+     * @return the identifier
+     * @throws IllegalArgumentException if {@code value} is blank
+     */
+    public static FailureDomain of(String value) {
+        return new FailureDomain(value);
+    }
+
+    @Override
+    public int compareTo(FailureDomain other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/model/GroupId.java
@@ -0,0 +1,43 @@
+package org.carobstage.model;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Names a database group.
+ *
+ * @param value the text of the identifier, not blank
+ */
+public record GroupId(String value) implements Comparable<GroupId> {
+    /**
+     * Checks the identifier.
+     *
+     * @throws IllegalArgumentException if {@code value} is blank
+     */
+    public GroupId {
+        requireNonNull(value, "value is null");
+        if (value.isBlank()) {
+            throw new IllegalArgumentException("value is blank");
+        }
+    }
+
+    /**
+     * Creates an identifier.
+     *
+     * @param value the text of the identifier
+     * @return the identifier
+     * @throws IllegalArgumentException if {@code value} is blank
+     */
+    public static GroupId of(String value) {
+        return new GroupId(value);
+    }
+
+    @Override
+    public int compareTo(GroupId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/model/GroupSpec.java
@@ -0,0 +1,37 @@
+package org.carobstage.model;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+
+/**
+ * Describes a database group and the limits of each of its instances.
+ *
+ * @param id the group
+ * @param slots how many statements an instance runs at once
+ * @param connections how many connections an instance accepts
+ * @param instances the instances
+ */
+public record GroupSpec(GroupId id, int slots, int connections, List<InstanceSpec> instances) {
+    /**
+     * Checks the description.
+     *
+     * @throws IllegalArgumentException if there is no instance or a limit is not positive
+     */
+    public GroupSpec {
+        requireNonNull(id, "id is null");
+        instances = List.copyOf(instances);
+        if (slots < 1 || connections < 1 || instances.isEmpty()) {
+            throw new IllegalArgumentException("group needs instances, slots and connections");
+        }
+    }
+
+    /**
+     * Returns how many instances make a majority.
+     *
+     * @return the size of the smallest majority
+     */
+    public int majority() {
+        return instances.size() / 2 + 1;
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/model/InstanceId.java
@@ -0,0 +1,43 @@
+package org.carobstage.model;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Names an instance of a database group, unique within its group.
+ *
+ * @param value the text of the identifier, not blank
+ */
+public record InstanceId(String value) implements Comparable<InstanceId> {
+    /**
+     * Checks the identifier.
+     *
+     * @throws IllegalArgumentException if {@code value} is blank
+     */
+    public InstanceId {
+        requireNonNull(value, "value is null");
+        if (value.isBlank()) {
+            throw new IllegalArgumentException("value is blank");
+        }
+    }
+
+    /**
+     * Creates an identifier.
+     *
+     * @param value the text of the identifier
+     * @return the identifier
+     * @throws IllegalArgumentException if {@code value} is blank
+     */
+    public static InstanceId of(String value) {
+        return new InstanceId(value);
+    }
+
+    @Override
+    public int compareTo(InstanceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/model/InstanceSpec.java
@@ -0,0 +1,19 @@
+package org.carobstage.model;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Describes an instance of a database group.
+ *
+ * @param id the instance
+ * @param address where it listens
+ * @param domain the failure domain it runs in
+ */
+public record InstanceSpec(InstanceId id, Address address, FailureDomain domain) {
+    /** Checks the description. */
+    public InstanceSpec {
+        requireNonNull(id, "id is null");
+        requireNonNull(address, "address is null");
+        requireNonNull(domain, "domain is null");
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/model/LogPosition.java
@@ -0,0 +1,80 @@
+package org.carobstage.model;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Comparator;
+
+/**
+ * A place in the log of a database group, ordered by term and then by offset.
+ *
+ * @param term the term whose primary wrote the entry
+ * @param offset the number of entries up to and including this one
+ */
+public record LogPosition(Term term, long offset) implements Comparable<LogPosition> {
+    private static final Comparator<LogPosition> ORDER =
+            Comparator.comparing(LogPosition::term).thenComparingLong(LogPosition::offset);
+    private static final LogPosition EMPTY = new LogPosition(Term.ZERO, 0);
+
+    /**
+     * Checks the position.
+     *
+     * @throws IllegalArgumentException if {@code offset} is negative
+     */
+    public LogPosition {
+        requireNonNull(term, "term is null");
+        if (offset < 0) {
+            throw new IllegalArgumentException("offset is negative: " + offset);
+        }
+    }
+
+    /**
+     * Creates a position.
+     *
+     * @param term the number of the term
+     * @param offset the number of entries up to and including this one
+     * @return the position
+     * @throws IllegalArgumentException if a number is negative
+     */
+    public static LogPosition of(long term, long offset) {
+        return new LogPosition(Term.of(term), offset);
+    }
+
+    /**
+     * Returns the position of an empty log.
+     *
+     * @return the lowest position
+     */
+    public static LogPosition empty() {
+        return EMPTY;
+    }
+
+    /**
+     * Tells whether a log that ends here holds everything up to another position.
+     *
+     * @param other the position to cover
+     * @return true if this position is not before {@code other}
+     */
+    public boolean covers(LogPosition other) {
+        return compareTo(other) >= 0;
+    }
+
+    /**
+     * Returns the later of two positions.
+     *
+     * @param other the other position
+     * @return the higher one
+     */
+    public LogPosition max(LogPosition other) {
+        return covers(other) ? this : other;
+    }
+
+    @Override
+    public int compareTo(LogPosition other) {
+        return ORDER.compare(this, other);
+    }
+
+    @Override
+    public String toString() {
+        return term + ":" + offset;
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/model/ServiceName.java
@@ -0,0 +1,43 @@
+package org.carobstage.model;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Names a team's service, and thereby its document.
+ *
+ * @param value the text of the identifier, not blank
+ */
+public record ServiceName(String value) implements Comparable<ServiceName> {
+    /**
+     * Checks the identifier.
+     *
+     * @throws IllegalArgumentException if {@code value} is blank
+     */
+    public ServiceName {
+        requireNonNull(value, "value is null");
+        if (value.isBlank()) {
+            throw new IllegalArgumentException("value is blank");
+        }
+    }
+
+    /**
+     * Creates an identifier.
+     *
+     * @param value the text of the identifier
+     * @return the identifier
+     * @throws IllegalArgumentException if {@code value} is blank
+     */
+    public static ServiceName of(String value) {
+        return new ServiceName(value);
+    }
+
+    @Override
+    public int compareTo(ServiceName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/model/VmId.java
@@ -0,0 +1,43 @@
+package org.carobstage.model;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Names an entry VM; two processes that run one after the other on a VM share it.
+ *
+ * @param value the text of the identifier, not blank
+ */
+public record VmId(String value) implements Comparable<VmId> {
+    /**
+     * Checks the identifier.
+     *
+     * @throws IllegalArgumentException if {@code value} is blank
+     */
+    public VmId {
+        requireNonNull(value, "value is null");
+        if (value.isBlank()) {
+            throw new IllegalArgumentException("value is blank");
+        }
+    }
+
+    /**
+     * Creates an identifier.
+     *
+     * @param value the text of the identifier
+     * @return the identifier
+     * @throws IllegalArgumentException if {@code value} is blank
+     */
+    public static VmId of(String value) {
+        return new VmId(value);
+    }
+
+    @Override
+    public int compareTo(VmId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/model/package-info.java
@@ -0,0 +1,2 @@
+/** Value types that name and describe what the system talks about. */
+package org.carobstage.model;
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/node/package-info.java
@@ -0,0 +1,2 @@
+/** The process of an entry VM, put together from its parts. */
+package org.carobstage.node;
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/platform/HttpPlatform.java
@@ -0,0 +1,100 @@
+package org.carobstage.platform;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.carobstage.http.JsonClient;
+import org.carobstage.model.Address;
+import org.carobstage.platform.PlatformMessages.Granted;
+import org.carobstage.platform.PlatformMessages.Key;
+import org.carobstage.platform.PlatformMessages.Lease;
+import org.carobstage.platform.PlatformMessages.Swap;
+import org.carobstage.platform.PlatformMessages.Swapped;
+import org.carobstage.platform.PlatformMessages.Vm;
+import org.carobstage.platform.PlatformMessages.Vms;
+import org.carobstage.platform.PlatformMessages.Watch;
+
+/** The platform reached over HTTP with JSON. */
+public final class HttpPlatform implements Platform {
+    private static final Duration TIMEOUT = Duration.ofMillis(1_000);
+
+    private final JsonClient client;
+
+    private HttpPlatform(JsonClient client) {
+        this.client = client;
+    }
+
+    /**
+     * Creates the client of the platform; it connects when first used.
+     *
+     * @param address the platform's address
+     * @return the client
+     */
+    public static HttpPlatform of(Address address) {
+        return new HttpPlatform(JsonClient.of(requireNonNull(address, "address is null")));
+    }
+
+    @Override
+    public CompletionStage<Optional<Entry>> get(String key) {
+        return client.post("/get", new Key(key), Entry.class, TIMEOUT)
+                .map(Optional::of)
+                .onErrorReturn(e -> Optional.empty())
+                .toCompletionStage();
+    }
+
+    @Override
+    public CompletionStage<CasResult> compareAndSwap(
+            String key, long expectedVersion, String value) {
+        Swap swap = new Swap(key, expectedVersion, value);
+        return client.post("/swap", swap, Swapped.class, TIMEOUT)
+                .map(HttpPlatform::toResult)
+                .onErrorReturn(e -> new CasResult.Unanswered(e.toString()))
+                .toCompletionStage();
+    }
+
+    @Override
+    public CompletionStage<Optional<Changes>> watch(
+            String prefix, long afterRevision, Duration wait) {
+        Watch watch = new Watch(prefix, afterRevision, wait.toMillis());
+        return client.post("/watch", watch, Changes.class, wait.plus(TIMEOUT))
+                .map(Optional::of)
+                .onErrorReturn(e -> Optional.empty())
+                .toCompletionStage();
+    }
+
+    @Override
+    public CompletionStage<Optional<Boolean>> lease(String key, String holder, Duration ttl) {
+        Lease lease = new Lease(key, holder, ttl.toMillis());
+        return client.post("/lease", lease, Granted.class, TIMEOUT)
+                .map(granted -> Optional.of(granted.granted()))
+                .onErrorReturn(e -> Optional.empty())
+                .toCompletionStage();
+    }
+
+    @Override
+    public CompletionStage<Optional<List<ListedVm>>> vms() {
+        return client.post("/vms", new Key(""), Vms.class, TIMEOUT)
+                .map(vms -> Optional.of(vms.vms().stream().map(HttpPlatform::toVm).toList()))
+                .onErrorReturn(e -> Optional.empty())
+                .toCompletionStage();
+    }
+
+    @Override
+    public void close() {
+        client.close();
+    }
+
+    private static CasResult toResult(Swapped swapped) {
+        return swapped.swapped()
+                ? new CasResult.Swapped(swapped.entry())
+                : new CasResult.Conflict(swapped.entry());
+    }
+
+    private static ListedVm toVm(Vm vm) {
+        Address peer = Optional.ofNullable(vm.peer()).map(Address::parse).orElse(null);
+        return new ListedVm(vm.name(), vm.leaving(), peer);
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/platform/PlatformMessages.java
@@ -0,0 +1,73 @@
+package org.carobstage.platform;
+
+import java.util.List;
+
+/** The JSON messages between an entry VM and the platform. */
+public final class PlatformMessages {
+    private PlatformMessages() {}
+
+    /**
+     * Names a key.
+     *
+     * @param key the key
+     */
+    public record Key(String key) {}
+
+    /**
+     * Changes a key.
+     *
+     * @param key the key
+     * @param expectedVersion the version that must stand
+     * @param value the new value
+     */
+    public record Swap(String key, long expectedVersion, String value) {}
+
+    /**
+     * Answers a change.
+     *
+     * @param swapped true if it took effect
+     * @param entry the entry that stands now
+     */
+    public record Swapped(boolean swapped, Entry entry) {}
+
+    /**
+     * Watches keys.
+     *
+     * @param prefix the prefix of the keys
+     * @param afterRevision the last revision seen
+     * @param waitMillis the longest wait in ms
+     */
+    public record Watch(String prefix, long afterRevision, long waitMillis) {}
+
+    /**
+     * Takes a lease.
+     *
+     * @param key the key
+     * @param holder the holder
+     * @param ttlMillis how long it lasts in ms
+     */
+    public record Lease(String key, String holder, long ttlMillis) {}
+
+    /**
+     * Answers a request for a lease.
+     *
+     * @param granted true if granted
+     */
+    public record Granted(boolean granted) {}
+
+    /**
+     * A VM in the list.
+     *
+     * @param name its name
+     * @param leaving true if it is about to leave
+     * @param peer its peer address, or null
+     */
+    public record Vm(String name, boolean leaving, String peer) {}
+
+    /**
+     * The list of VMs.
+     *
+     * @param vms the VMs
+     */
+    public record Vms(List<Vm> vms) {}
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's key-value service and its list of VMs. */
+package org.carobstage.platform;
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/pool/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to instances and the slots in which statements run. */
+package org.carobstage.pool;
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/read/ReplicaChoice.java
@@ -0,0 +1,50 @@
+package org.carobstage.read;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.function.ToLongFunction;
+import org.carobstage.backend.Standing;
+import org.carobstage.group.GroupView;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
+import org.carobstage.model.Term;
+
+/** Chooses a replica that is fresh enough for a read. */
+public final class ReplicaChoice {
+    private ReplicaChoice() {}
+
+    /**
+     * Chooses the cheapest replica of the current term that covers a position and is inside the
+     * allowed staleness.
+     *
+     * @param view what is known of the group
+     * @param atLeast what the read must cover
+     * @param staleness how old the data may be
+     * @param nowNanos the time now, in ns of the runtime's clock
+     * @param cost the cost of a read at an instance; the lowest wins
+     * @return the replica, or empty if none is known to fit
+     */
+    public static Optional<InstanceId> choose(
+            GroupView view,
+            LogPosition atLeast,
+            Duration staleness,
+            long nowNanos,
+            ToLongFunction<InstanceId> cost) {
+        Term term = view.primary().map(Standing::promised).orElse(Term.ZERO);
+        return view.observed().values().stream()
+                .filter(o -> !o.standing().primary())
+                .filter(o -> o.standing().promised().equals(term) && o.standing().isSettled())
+                .filter(o -> o.standing().last().covers(atLeast))
+                .filter(o -> isFresh(o, staleness, nowNanos))
+                .map(o -> o.standing().instance())
+                .min(Comparator.comparingLong(cost).thenComparing(Comparator.naturalOrder()));
+    }
+
+    private static boolean isFresh(
+            GroupView.Observation observation, Duration staleness, long nowNanos) {
+        long lag = observation.standing().lagMillis();
+        long age = Duration.ofNanos(nowNanos - observation.nanos()).toMillis();
+        return lag >= 0 && lag + age <= staleness.toMillis();
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/read/package-info.java
@@ -0,0 +1,2 @@
+/** The choice of the instance that serves a read. */
+package org.carobstage.read;
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/runtime/PausedClock.java
@@ -0,0 +1,73 @@
+package org.carobstage.runtime;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** A clock that stands still until it is advanced; timers run on the thread that advances it. */
+public final class PausedClock implements Clock {
+    private static final Comparator<Scheduled> ORDER =
+            Comparator.comparingLong(Scheduled::dueNanos).thenComparingLong(Scheduled::number);
+
+    private final PriorityQueue<Scheduled> timers = new PriorityQueue<>(ORDER);
+    private Instant instant;
+    private long nanos;
+    private long numbers;
+
+    private PausedClock(Instant instant) {
+        this.instant = instant;
+    }
+
+    /**
+     * Creates a clock.
+     *
+     * @param instant the time of day at which it stands
+     * @return the clock
+     */
+    public static PausedClock of(Instant instant) {
+        return new PausedClock(requireNonNull(instant, "instant is null"));
+    }
+
+    @Override
+    public long nanoTime() {
+        return nanos;
+    }
+
+    @Override
+    public Instant instant() {
+        return instant;
+    }
+
+    @Override
+    public Timer schedule(Runnable task, Duration delay) {
+        requireNonNull(task, "task is null");
+        Scheduled timer = new Scheduled(nanos + delay.toNanos(), numbers++, task);
+        timers.add(timer);
+        return () -> timers.remove(timer);
+    }
+
+    /**
+     * Advances the clock and runs the timers that become due, each at its own time.
+     *
+     * @param step how far to advance
+     */
+    public void advance(Duration step) {
+        long end = nanos + step.toNanos();
+        while (!timers.isEmpty() && timers.peek().dueNanos() - end <= 0) {
+            Scheduled timer = timers.poll();
+            moveTo(Math.max(timer.dueNanos(), nanos));
+            timer.task().run();
+        }
+        moveTo(end);
+    }
+
+    private void moveTo(long newNanos) {
+        instant = instant.plusNanos(newNanos - nanos);
+        nanos = newNanos;
+    }
+
+    private record Scheduled(long dueNanos, long number, Runnable task) {}
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/session/TokenCodec.java
@@ -0,0 +1,121 @@
+package org.carobstage.session;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+import org.carobstage.error.CodedException;
+import org.carobstage.error.ErrorCode;
+import org.carobstage.model.GroupId;
+import org.carobstage.model.LogPosition;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/** Writes and reads opaque session tokens that can't be altered without the key. */
+public final class TokenCodec {
+    private static final byte VERSION = 1;
+    private static final int TAG_BYTES = 16;
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+
+    private final Supplier<List<byte[]>> keys;
+
+    private TokenCodec(Supplier<List<byte[]>> keys) {
+        this.keys = keys;
+    }
+
+    /**
+     * Creates a codec.
+     *
+     * @param keys the keys in force: the first one signs, each of them is accepted
+     * @return the codec
+     */
+    public static TokenCodec of(Supplier<List<byte[]>> keys) {
+        return new TokenCodec(requireNonNull(keys, "keys is null"));
+    }
+
+    /**
+     * Writes a token.
+     *
+     * @param positions what the session has seen
+     * @return the token
+     * @throws CodedException if the token can't be written
+     */
+    public String write(SessionPositions positions) {
+        Map<String, long[]> plain = new LinkedHashMap<>();
+        positions.positions().forEach((group, p) -> plain.put(group.value(), pair(p)));
+        try {
+            byte[] payload = MAPPER.writeValueAsBytes(plain);
+            byte[] token = new byte[1 + TAG_BYTES + payload.length];
+            token[0] = VERSION;
+            byte[] tag = tag(keys.get().get(0), payload);
+            System.arraycopy(tag, 0, token, 1, TAG_BYTES);
+            System.arraycopy(payload, 0, token, 1 + TAG_BYTES, payload.length);
+            return Base64.getUrlEncoder().withoutPadding().encodeToString(token);
+        } catch (IOException e) {
+            throw CodedException.of(ErrorCode.INTERNAL, "token could not be written", e);
+        }
+    }
+
+    /**
+     * Reads a token.
+     *
+     * @param text the token
+     * @return what the session has seen, or empty if the token is unreadable or altered
+     */
+    public Optional<SessionPositions> read(String text) {
+        requireNonNull(text, "text is null");
+        try {
+            byte[] token = Base64.getUrlDecoder().decode(text);
+            if (token.length <= 1 + TAG_BYTES || token[0] != VERSION) {
+                return Optional.empty();
+            }
+            byte[] tag = Arrays.copyOfRange(token, 1, 1 + TAG_BYTES);
+            byte[] payload = Arrays.copyOfRange(token, 1 + TAG_BYTES, token.length);
+            boolean genuine =
+                    keys.get().stream()
+                            .anyMatch(key -> MessageDigest.isEqual(tag, tag(key, payload)));
+            return genuine ? Optional.of(positions(payload)) : Optional.empty();
+        } catch (IOException | IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static long[] pair(LogPosition position) {
+        return new long[] {position.term().number(), position.offset()};
+    }
+
+    private static SessionPositions positions(byte[] payload) throws IOException {
+        Plain plain = MAPPER.readValue(payload, Plain.class);
+        SessionPositions positions = SessionPositions.empty();
+        for (Map.Entry<String, long[]> e : plain.entrySet()) {
+            LogPosition position = LogPosition.of(e.getValue()[0], e.getValue()[1]);
+            positions = positions.seen(GroupId.of(e.getKey()), position);
+        }
+        return positions;
+    }
+
+    private static byte[] tag(byte[] key, byte[] payload) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(new SecretKeySpec(key, ALGORITHM));
+            return Arrays.copyOf(mac.doFinal(payload), TAG_BYTES);
+        } catch (GeneralSecurityException e) {
+            throw CodedException.of(ErrorCode.INTERNAL, "HMAC is not available", e);
+        }
+    }
+
+    private static final class Plain extends LinkedHashMap<String, long[]> {
+        private static final long serialVersionUID = 1L;
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of a process, read from INI. */
+package org.carobstage.settings;
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/statement/StatementRequest.java
@@ -0,0 +1,40 @@
+package org.carobstage.statement;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import java.util.Optional;
+import org.carobstage.document.RequestPolicy;
+import org.carobstage.model.GroupId;
+import org.carobstage.model.IdempotencyKey;
+import org.carobstage.session.SessionPositions;
+
+/**
+ * A caller's statement, ready to run.
+ *
+ * @param group the group it goes to
+ * @param sql the text
+ * @param parameters the values of the placeholders
+ * @param policy what the team's document says of it
+ * @param session what the caller's session has seen, or empty without a readable token
+ * @param key the idempotency key, if the caller gave one
+ * @param deadlineNanos when the caller's patience ends, in ns of the runtime's clock
+ */
+public record StatementRequest(
+        GroupId group,
+        String sql,
+        List<Object> parameters,
+        RequestPolicy policy,
+        Optional<SessionPositions> session,
+        Optional<IdempotencyKey> key,
+        long deadlineNanos) {
+    /** Checks the request. */
+    public StatementRequest {
+        requireNonNull(group, "group is null");
+        requireNonNull(sql, "sql is null");
+        requireNonNull(parameters, "parameters is null");
+        requireNonNull(policy, "policy is null");
+        requireNonNull(session, "session is null");
+        requireNonNull(key, "key is null");
+    }
+}
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/read/ReplicaChoiceTest.java
@@ -0,0 +1,93 @@
+package org.carobstage.read;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.carobstage.backend.Standing;
+import org.carobstage.group.GroupView;
+import org.carobstage.model.Address;
+import org.carobstage.model.FailureDomain;
+import org.carobstage.model.GroupId;
+import org.carobstage.model.GroupSpec;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.InstanceSpec;
+import org.carobstage.model.LogPosition;
+import org.carobstage.model.Term;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ReplicaChoiceTest {
+    private static final InstanceId B = InstanceId.of("b");
+    private static final InstanceId C = InstanceId.of("c");
+    private static final Duration STALENESS = Duration.ofMillis(100);
+    private static final LogPosition SEEN = LogPosition.of(2, 10);
+
+    @Nested
+    class Choose {
+        @Test
+        void shouldChooseCheapestReplicaWhenBothFit() {
+            GroupView view = view(replica("b", 2, 10, 0), replica("c", 2, 11, 0));
+
+            assertThat(choose(view, 0)).contains(C);
+        }
+
+        @Test
+        void shouldSkipReplicaWhenBehindTheSession() {
+            GroupView view = view(replica("b", 2, 10, 0), replica("c", 2, 9, 0));
+
+            assertThat(choose(view, 0)).contains(B);
+        }
+
+        @Test
+        void shouldSkipReplicaWhenStaleness() {
+            GroupView view = view(replica("b", 2, 10, 101), replica("c", 2, 10, -1));
+
+            assertThat(choose(view, 0)).isEmpty();
+        }
+
+        @Test
+        void shouldAddAgeOfObservationToLag() {
+            GroupView view = view(replica("b", 2, 10, 60), replica("c", 2, 10, 61));
+
+            assertThat(choose(view, Duration.ofMillis(40).toNanos())).contains(B);
+            assertThat(choose(view, Duration.ofMillis(41).toNanos())).isEmpty();
+        }
+
+        @Test
+        void shouldSkipReplicaWhenItStandsAtAnotherTerm() {
+            Standing unsettled = new Standing(C, Term.of(2), false, LogPosition.of(1, 50), 0);
+            GroupView view = view(replica("b", 1, 99, 0), unsettled);
+
+            assertThat(choose(view, 0)).isEmpty();
+        }
+    }
+
+    private static Optional<InstanceId> choose(GroupView view, long nowNanos) {
+        return ReplicaChoice.choose(view, SEEN, STALENESS, nowNanos, id -> id.equals(B) ? 2 : 1);
+    }
+
+    private static Standing replica(String id, long term, long offset, long lagMillis) {
+        LogPosition last = LogPosition.of(term, offset);
+        return new Standing(InstanceId.of(id), Term.of(term), false, last, lagMillis);
+    }
+
+    private static GroupView view(Standing... replicas) {
+        Standing primary =
+                new Standing(InstanceId.of("a"), Term.of(2), true, LogPosition.of(2, 12), 0);
+        List<InstanceSpec> instances = Stream.of("a", "b", "c").map(i -> spec(i)).toList();
+        GroupView view = GroupView.of(new GroupSpec(GroupId.of("g"), 3, 20, instances));
+        view = view.observe(primary, 0);
+        for (Standing replica : replicas) {
+            view = view.observe(replica, 0);
+        }
+        return view;
+    }
+
+    private static InstanceSpec spec(String id) {
+        return new InstanceSpec(
+                InstanceId.of(id), Address.of("127.0.0.1", 1), FailureDomain.of("caruaru"));
+    }
+}
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/session/TokenCodecTest.java
@@ -0,0 +1,54 @@
+package org.carobstage.session;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.carobstage.model.GroupId;
+import org.carobstage.model.LogPosition;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class TokenCodecTest {
+    private static final byte[] OLD_KEY = "old key".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] NEW_KEY = "new key".getBytes(StandardCharsets.UTF_8);
+    private static final SessionPositions POSITIONS =
+            SessionPositions.empty().seen(GroupId.of("varas-1"), LogPosition.of(3, 41));
+
+    @Nested
+    class Read {
+        @Test
+        void shouldReturnPositionsWhenTokenIsGenuine() {
+            TokenCodec codec = TokenCodec.of(() -> List.of(OLD_KEY));
+
+            assertThat(codec.read(codec.write(POSITIONS))).contains(POSITIONS);
+        }
+
+        @Test
+        void shouldAcceptTokenWhenKeyWasRotated() {
+            String token = TokenCodec.of(() -> List.of(OLD_KEY)).write(POSITIONS);
+
+            assertThat(TokenCodec.of(() -> List.of(NEW_KEY, OLD_KEY)).read(token))
+                    .contains(POSITIONS);
+        }
+
+        @Test
+        void shouldRefuseTokenWhenKeyIsUnknown() {
+            String token = TokenCodec.of(() -> List.of(OLD_KEY)).write(POSITIONS);
+
+            assertThat(TokenCodec.of(() -> List.of(NEW_KEY)).read(token)).isEmpty();
+        }
+
+        @Test
+        void shouldRefuseTokenWhenAnyByteWasAltered() {
+            TokenCodec codec = TokenCodec.of(() -> List.of(OLD_KEY));
+            String token = codec.write(POSITIONS);
+
+            for (int i = 0; i < token.length() - 1; i++) {
+                char altered = token.charAt(i) == 'A' ? 'B' : 'A';
+                String other = token.substring(0, i) + altered + token.substring(i + 1);
+                assertThat(codec.read(other)).as("byte %d", i).isEmpty();
+            }
+        }
+    }
+}
