Run the proxy's decisions on a paused clock against a group in one process

Cause: failures can't be brought about exactly over sockets and real time. Change: Proxy holds the decisions apart from Node's servers; PausedClock and an inline executor drive it; the testbed has a local group with cuts, freezes, severed links and silent connections.

--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
@@ -350,6 +350,15 @@
             }
         }
 
+        /**
+         * Answers that the session is alive.
+         *
+         * @return the answer
+         */
+        public Answer ping() {
+            return done();
+        }
+
         /** Rolls back and closes. */
         @Override
         public synchronized void close() throws SQLException {
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/InstanceServer.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/InstanceServer.java
@@ -219,8 +219,7 @@
                 Termed lookup = read(request, Termed.class);
                 yield answer(instance.lookup(Term.of(lookup.term()), lookup.key()));
             }
-            case "/ping" ->
-                    answer(new Answer.Done(List.of(), List.of(), 0, false, instance.standing()));
+            case "/ping" -> answer(session.ping());
             default -> answer(new Answer.Refused(Refusal.STATEMENT, "unknown request"));
         };
     }
--- /dev/null
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalBackend.java
@@ -0,0 +1,146 @@
+package org.carobstage.testbed.local;
+
+import java.sql.SQLException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.carobstage.backend.Backend;
+import org.carobstage.backend.BackendConnection;
+import org.carobstage.backend.Standing;
+import org.carobstage.model.InstanceSpec;
+import org.carobstage.model.LogPosition;
+import org.carobstage.model.Term;
+import org.carobstage.model.VmId;
+import org.carobstage.runtime.Clock;
+import org.carobstage.testbed.database.DatabaseInstance;
+
+/** An entry VM's client of an instance in this process; each way takes a fixed latency. */
+final class LocalBackend implements Backend {
+    static final Duration LATENCY = Duration.ofMillis(1);
+    private static final Duration POLL = Duration.ofMillis(1);
+
+    private final LocalGroup group;
+    private final Clock clock;
+    private final VmId vm;
+    private final InstanceSpec spec;
+
+    LocalBackend(LocalGroup group, Clock clock, VmId vm, InstanceSpec spec) {
+        this.group = group;
+        this.clock = clock;
+        this.vm = vm;
+        this.spec = spec;
+    }
+
+    @Override
+    public InstanceSpec spec() {
+        return spec;
+    }
+
+    @Override
+    public CompletionStage<BackendConnection> open(Duration timeout) {
+        CompletableFuture<BackendConnection> opened = new CompletableFuture<>();
+        Duration delay = LATENCY.plusMillis(instance().settings().openMillis());
+        clock.schedule(() -> openNow(opened), delay);
+        clock.schedule(
+                () -> opened.completeExceptionally(new IllegalStateException("timeout")), timeout);
+        return opened;
+    }
+
+    @Override
+    public CompletionStage<Optional<Standing>> standing(
+            LogPosition atLeast, Duration wait, Duration timeout) {
+        CompletableFuture<Optional<Standing>> answer = withTimeout(timeout);
+        clock.schedule(() -> poll(answer, atLeast, clock.nanoTime() + wait.toNanos()), LATENCY);
+        return answer;
+    }
+
+    @Override
+    public CompletionStage<Optional<Standing>> promise(Term term, Duration timeout) {
+        return control(() -> instance().promise(term), timeout);
+    }
+
+    @Override
+    public CompletionStage<Optional<Standing>> promote(Term term, Duration timeout) {
+        return control(() -> instance().promote(term), timeout);
+    }
+
+    @Override
+    public CompletionStage<Optional<Standing>> follow(
+            Term term, InstanceSpec primary, Duration timeout) {
+        return control(() -> followNow(term, primary), timeout);
+    }
+
+    @Override
+    public void close() {
+        // Nothing is held open.
+    }
+
+    private DatabaseInstance instance() {
+        return group.instance(spec.id());
+    }
+
+    private boolean isReached() {
+        return group.faults().reaches(vm, spec.id());
+    }
+
+    private Standing followNow(Term term, InstanceSpec primary) {
+        Standing standing = instance().promise(term);
+        if (standing.promised().equals(term) && !standing.primary()) {
+            group.follow(spec.id(), primary.id());
+        }
+        return standing;
+    }
+
+    private void openNow(CompletableFuture<BackendConnection> opened) {
+        if (!isReached() || opened.isDone()) {
+            return;
+        }
+        try {
+            Optional<DatabaseInstance.Session> session = instance().open();
+            if (session.isPresent()) {
+                LocalConnection connection =
+                        new LocalConnection(group, clock, vm, spec.id(), session.get());
+                clock.schedule(() -> opened.complete(connection), LATENCY);
+            } else {
+                opened.completeExceptionally(new IllegalStateException("no connection is free"));
+            }
+        } catch (SQLException e) {
+            opened.completeExceptionally(e);
+        }
+    }
+
+    private void poll(
+            CompletableFuture<Optional<Standing>> answer, LogPosition atLeast, long untilNanos) {
+        if (answer.isDone()) {
+            return;
+        }
+        boolean isFinal = clock.nanoTime() - untilNanos >= 0;
+        if (isReached() && (isFinal || instance().standing().last().covers(atLeast))) {
+            Optional<Standing> standing = Optional.of(instance().standing());
+            clock.schedule(() -> answer.complete(standing), LATENCY);
+        } else {
+            clock.schedule(() -> poll(answer, atLeast, untilNanos), POLL);
+        }
+    }
+
+    private CompletionStage<Optional<Standing>> control(Supplier<Standing> work, Duration timeout) {
+        CompletableFuture<Optional<Standing>> answer = withTimeout(timeout);
+        clock.schedule(
+                () -> {
+                    if (isReached()) {
+                        Optional<Standing> standing = Optional.of(work.get());
+                        clock.schedule(() -> answer.complete(standing), LATENCY);
+                    }
+                },
+                LATENCY);
+        return answer;
+    }
+
+    private CompletableFuture<Optional<Standing>> withTimeout(Duration timeout) {
+        CompletableFuture<Optional<Standing>> answer = new CompletableFuture<>();
+        clock.schedule(() -> answer.complete(Optional.empty()), timeout);
+        return answer;
+    }
+}
--- /dev/null
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalFaults.java
@@ -0,0 +1,85 @@
+package org.carobstage.testbed.local;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.VmId;
+
+/** The faults of a group in this process. */
+public final class LocalFaults {
+    private final Set<InstanceId> frozen = new HashSet<>();
+    private final Set<InstanceId> cut = new HashSet<>();
+    private final Set<Link> severed = new HashSet<>();
+    private int epoch;
+
+    private LocalFaults() {}
+
+    /**
+     * Creates faults of which none is set.
+     *
+     * @return the faults
+     */
+    public static LocalFaults empty() {
+        return new LocalFaults();
+    }
+
+    /**
+     * Freezes an instance or lets it go on: it answers nobody and replicates nothing.
+     *
+     * @param instance the instance
+     * @param on true to freeze
+     */
+    public void freeze(InstanceId instance, boolean on) {
+        set(frozen, instance, on);
+    }
+
+    /**
+     * Cuts an instance off from its group, while entry VMs still reach it.
+     *
+     * @param instance the instance
+     * @param on true to cut
+     */
+    public void cut(InstanceId instance, boolean on) {
+        set(cut, instance, on);
+    }
+
+    /**
+     * Severs an entry VM from an instance.
+     *
+     * @param vm the entry VM
+     * @param instance the instance
+     * @param on true to sever
+     */
+    public void sever(VmId vm, InstanceId instance, boolean on) {
+        set(severed, new Link(vm, instance), on);
+    }
+
+    /** Makes all connections open now go silent; connections opened later work. */
+    public void silenceOpenConnections() {
+        epoch++;
+    }
+
+    int epoch() {
+        return epoch;
+    }
+
+    boolean reaches(VmId vm, InstanceId instance) {
+        return !frozen.contains(instance) && !severed.contains(new Link(vm, instance));
+    }
+
+    Set<InstanceId> stoppedOrCut() {
+        Set<InstanceId> all = new HashSet<>(frozen);
+        all.addAll(cut);
+        return all;
+    }
+
+    private static <T> void set(Set<T> faults, T item, boolean on) {
+        if (on) {
+            faults.add(item);
+        } else {
+            faults.remove(item);
+        }
+    }
+
+    private record Link(VmId vm, InstanceId instance) {}
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/node/Proxy.java
@@ -0,0 +1,153 @@
+package org.carobstage.node;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import org.carobstage.backend.Backend;
+import org.carobstage.caller.StatementService;
+import org.carobstage.config.Configuration;
+import org.carobstage.document.RequestPolicy;
+import org.carobstage.document.TeamDocument;
+import org.carobstage.error.CodedException;
+import org.carobstage.error.ErrorCode;
+import org.carobstage.event.EventCode;
+import org.carobstage.event.EventLog;
+import org.carobstage.event.EventScope;
+import org.carobstage.group.Group;
+import org.carobstage.model.GroupId;
+import org.carobstage.model.GroupSpec;
+import org.carobstage.model.InstanceSpec;
+import org.carobstage.model.RequestClass;
+import org.carobstage.model.ServiceName;
+import org.carobstage.pool.Share;
+import org.carobstage.runtime.BoundedExecutor;
+import org.carobstage.runtime.Clock;
+import org.carobstage.statement.Outcome;
+import org.carobstage.statement.StatementRequest;
+import org.carobstage.statement.StatementRunner;
+
+/** The decisions of an entry VM's process, without its servers: tests run it on a paused clock. */
+public final class Proxy implements AutoCloseable, StatementService {
+    private final Clock clock;
+    private final BoundedExecutor duty;
+    private final EventLog events;
+    private final Function<InstanceSpec, Backend> connect;
+    private final Function<GroupSpec, Share> shares;
+    private final StatementRunner runner;
+    private final Map<GroupId, Group> groups = new ConcurrentHashMap<>();
+    private volatile Configuration configuration = Configuration.empty();
+
+    private Proxy(
+            Clock clock,
+            BoundedExecutor duty,
+            EventLog events,
+            Function<InstanceSpec, Backend> connect,
+            Function<GroupSpec, Share> shares) {
+        this.clock = clock;
+        this.duty = duty;
+        this.events = events;
+        this.connect = connect;
+        this.shares = shares;
+        this.runner = StatementRunner.of(clock, duty);
+    }
+
+    /**
+     * Creates a proxy without configuration.
+     *
+     * @param clock the runtime's clock
+     * @param duty runs the decisions one at a time
+     * @param events records what is decided
+     * @param connect creates the client of an instance
+     * @param shares this process's part of the limits of a group's instances, asked each time
+     * @return the proxy
+     */
+    public static Proxy of(
+            Clock clock,
+            BoundedExecutor duty,
+            EventLog events,
+            Function<InstanceSpec, Backend> connect,
+            Function<GroupSpec, Share> shares) {
+        requireNonNull(clock, "clock is null");
+        requireNonNull(duty, "duty is null");
+        requireNonNull(events, "events is null");
+        requireNonNull(connect, "connect is null");
+        requireNonNull(shares, "shares is null");
+        return new Proxy(clock, duty, events, connect, shares);
+    }
+
+    /**
+     * Puts a configuration in force.
+     *
+     * @param next the configuration
+     */
+    public void apply(Configuration next) {
+        next.groups().values().forEach(this::startGroup);
+        configuration = next;
+        events.record(
+                EventCode.CONFIGURATION_APPLIED,
+                EventScope.empty(),
+                next.documents().size() + " documents, " + next.groups().size() + " groups");
+    }
+
+    /**
+     * Returns a group that is served here.
+     *
+     * @param id the group
+     * @return the group, or empty if it is not configured
+     */
+    public Optional<Group> group(GroupId id) {
+        return Optional.ofNullable(groups.get(id));
+    }
+
+    @Override
+    public RequestPolicy policy(ServiceName service, RequestClass requestClass) {
+        TeamDocument document = configuration.documents().get(service);
+        if (document == null) {
+            throw CodedException.of(ErrorCode.UNKNOWN_SERVICE, "no document for " + service);
+        }
+        return document.policy(requestClass, clock.instant())
+                .orElseThrow(
+                        () ->
+                                CodedException.of(
+                                        ErrorCode.UNKNOWN_CLASS, "no class " + requestClass));
+    }
+
+    @Override
+    public long deadline(Duration patience) {
+        return clock.nanoTime() + patience.toNanos();
+    }
+
+    @Override
+    public CompletionStage<Outcome> run(StatementRequest request) {
+        Group group = groups.get(request.group());
+        if (group == null) {
+            throw CodedException.of(ErrorCode.UNKNOWN_GROUP, "no group " + request.group());
+        }
+        CompletableFuture<Outcome> outcome = new CompletableFuture<>();
+        boolean taken = duty.offer(() -> runner.run(group, request).thenAccept(outcome::complete));
+        if (!taken) {
+            throw CodedException.of(ErrorCode.OVERLOADED, "too many statements wait");
+        }
+        return outcome;
+    }
+
+    @Override
+    public void close() {
+        groups.values().forEach(Group::close);
+    }
+
+    private void startGroup(GroupSpec spec) {
+        Group current = groups.get(spec.id());
+        if (current != null && current.view().spec().equals(spec)) {
+            return;
+        }
+        groups.put(spec.id(), Group.of(spec, connect, () -> shares.apply(spec), clock, duty));
+        Optional.ofNullable(current).ifPresent(Group::close);
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/runtime/SerialExecutor.java
+++ b/carobstage/src/main/java/org/carobstage/runtime/SerialExecutor.java
@@ -2,11 +2,10 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.concurrent.Executor;
 import java.util.concurrent.locks.LockSupport;
 
 /** An executor that runs its tasks one at a time on the thread of a duty. */
-public final class SerialExecutor implements Executor, AutoCloseable {
+public final class SerialExecutor implements BoundedExecutor, AutoCloseable {
     private static final long FULL_RING_PAUSE_NANOS = 50_000;
 
     private final Duty<Runnable> duty;
@@ -28,12 +27,7 @@
         return new SerialExecutor(name, capacity);
     }
 
-    /**
-     * Runs a task later if the ring has room.
-     *
-     * @param task the task
-     * @return false if the ring is full; the task will not run
-     */
+    @Override
     public boolean offer(Runnable task) {
         return duty.offer(task);
     }
