Name the service in each statement request

Cause: admission is fair between services and keys are scoped by service; both need the name. Change: StatementRequest carries the service. Conclusion: admission, retries and the outcome look-up can build on it.

--- a/carobstage-testbed/src/test/java/org/carobstage/testbed/local/ProxyOverLocalGroupTest.java
+++ b/carobstage-testbed/src/test/java/org/carobstage/testbed/local/ProxyOverLocalGroupTest.java
@@ -14,6 +14,7 @@
 import org.carobstage.event.EventLog;
 import org.carobstage.model.GroupId;
 import org.carobstage.model.InstanceId;
+import org.carobstage.model.ServiceName;
 import org.carobstage.model.VmId;
 import org.carobstage.node.Proxy;
 import org.carobstage.pool.Share;
@@ -63,6 +64,7 @@
             Proxy proxy, String sql, RequestPolicy policy, Optional<SessionPositions> session) {
         StatementRequest request =
                 new StatementRequest(
+                        ServiceName.of("familia-forms"),
                         GROUP,
                         sql,
                         List.of(),
--- a/carobstage/src/main/java/org/carobstage/caller/CallerServer.java
+++ b/carobstage/src/main/java/org/carobstage/caller/CallerServer.java
@@ -117,11 +117,10 @@
         if (message.group() == null || message.sql() == null) {
             throw CodedException.of(ErrorCode.MALFORMED_REQUEST, "group and sql are needed");
         }
-        RequestPolicy policy =
-                service.policy(
-                        ServiceName.of(header(request, SERVICE)),
-                        RequestClass.of(header(request, CLASS)));
+        ServiceName name = ServiceName.of(header(request, SERVICE));
+        RequestPolicy policy = service.policy(name, RequestClass.of(header(request, CLASS)));
         return new StatementRequest(
+                name,
                 GroupId.of(message.group()),
                 message.sql(),
                 Optional.ofNullable(message.parameters()).orElse(List.of()),
--- a/carobstage/src/main/java/org/carobstage/statement/StatementRequest.java
+++ b/carobstage/src/main/java/org/carobstage/statement/StatementRequest.java
@@ -7,11 +7,13 @@
 import org.carobstage.document.RequestPolicy;
 import org.carobstage.model.GroupId;
 import org.carobstage.model.IdempotencyKey;
+import org.carobstage.model.ServiceName;
 import org.carobstage.session.SessionPositions;
 
 /**
  * A caller's statement, ready to run.
  *
+ * @param service the service it belongs to
  * @param group the group it goes to
  * @param sql the text
  * @param parameters the values of the placeholders
@@ -21,6 +23,7 @@
  * @param deadlineNanos when the caller's patience ends, in ns of the runtime's clock
  */
 public record StatementRequest(
+        ServiceName service,
         GroupId group,
         String sql,
         List<Object> parameters,
@@ -30,6 +33,7 @@
         long deadlineNanos) {
     /** Checks the request. */
     public StatementRequest {
+        requireNonNull(service, "service is null");
         requireNonNull(group, "group is null");
         requireNonNull(sql, "sql is null");
         requireNonNull(parameters, "parameters is null");
