--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/admission/ServiceTime.java
@@ -0,0 +1,31 @@
+package org.carobstage.admission;
+
+/**
+ * An exponentially weighted moving average of how long statements hold a slot.
+ *
+ * @param nanos the average, in ns; 0 before the first sample
+ */
+public record ServiceTime(long nanos) {
+    private static final int WEIGHT_SHIFT = 4;
+    private static final ServiceTime EMPTY = new ServiceTime(0);
+
+    /**
+     * Returns the average of no samples.
+     *
+     * @return the unknown service time
+     */
+    public static ServiceTime empty() {
+        return EMPTY;
+    }
+
+    /**
+     * Takes a sample in.
+     *
+     * @param sample how long a statement held its slot, in ns
+     * @return the new average
+     */
+    public ServiceTime with(long sample) {
+        boolean first = nanos == 0;
+        return new ServiceTime(first ? sample : nanos + ((sample - nanos) >> WEIGHT_SHIFT));
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/retry/RetryBudgets.java
@@ -0,0 +1,43 @@
+package org.carobstage.retry;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.carobstage.model.GroupId;
+import org.carobstage.model.ServiceName;
+import org.carobstage.runtime.Clock;
+
+/** The retry budget of each group and service; all methods run on one duty. */
+public final class RetryBudgets {
+    private final Clock clock;
+    private final Map<Key, RetryBudget> budgets = new HashMap<>();
+
+    private RetryBudgets(Clock clock) {
+        this.clock = clock;
+    }
+
+    /**
+     * Creates budgets that are all full.
+     *
+     * @param clock the runtime's clock
+     * @return the budgets
+     */
+    public static RetryBudgets of(Clock clock) {
+        return new RetryBudgets(requireNonNull(clock, "clock is null"));
+    }
+
+    /**
+     * Returns a budget.
+     *
+     * @param group the group
+     * @param service the service
+     * @return the budget, always the same for the same group and service
+     */
+    public RetryBudget get(GroupId group, ServiceName service) {
+        Key key = new Key(group, service);
+        return budgets.computeIfAbsent(key, k -> RetryBudget.of(clock.nanoTime()));
+    }
+
+    private record Key(GroupId group, ServiceName service) {}
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Retry budgets and back-off; pure decisions. */
+package org.carobstage.retry;
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/retry/RetryBudgetTest.java
@@ -0,0 +1,52 @@
+package org.carobstage.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+    @Nested
+    class TryRetry {
+        @Test
+        void shouldAllowTenPercentOfFirstTriesWhenEverythingFails() {
+            RetryBudget budget = RetryBudget.of(0);
+
+            long retries = IntStream.range(0, 1_000).filter(i -> failed(budget)).count();
+
+            assertThat(retries).isBetween(100L, 110L);
+        }
+
+        @Test
+        void shouldAllowOneRetryPerSecondWhenThereIsNoTraffic() {
+            RetryBudget budget = RetryBudget.of(0);
+            IntStream.range(0, 10).forEach(i -> budget.tryRetry(0));
+
+            assertThat(budget.tryRetry(0)).isFalse();
+            assertThat(budget.tryRetry(Duration.ofSeconds(1).toNanos())).isTrue();
+            assertThat(budget.tryRetry(Duration.ofSeconds(1).toNanos())).isFalse();
+        }
+
+        private boolean failed(RetryBudget budget) {
+            budget.firstTry();
+            return budget.tryRetry(0);
+        }
+    }
+
+    @Nested
+    class Delay {
+        @Test
+        void shouldDoubleUpToTheLimitWithJitter() {
+            Duration first = Duration.ofMillis(10);
+            Duration limit = Duration.ofMillis(80);
+            Backoff backoff = new Backoff(first, limit, new SplittableRandom(7));
+
+            assertThat(backoff.delay(1)).isBetween(first.dividedBy(2), first);
+            assertThat(backoff.delay(3)).isBetween(Duration.ofMillis(20), Duration.ofMillis(40));
+            assertThat(backoff.delay(99)).isBetween(limit.dividedBy(2), limit);
+        }
+    }
+}
