Retry, resolve and refuse statements honestly; pin transactions to their caller

Cause: a statement had one try; a lost answer ended as unknown though the group could tell, and there were no transactions. Change: a pure decision after each exchange (send again, look up the key, prove, finish) keeps "not run" for what no byte of left or a higher proven term excludes. Every write is recorded under a key, the caller's or a generated one, so that a lost answer is resolved by asking and a late first try runs nothing. Transactions hold one connection, an unguessable id and the caller's service.

--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalConnection.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalConnection.java
@@ -125,7 +125,10 @@
 
     private void finish(CompletableFuture<Answer> answer, Supplier<Answer> work) {
         instance().freeSlot();
-        reply(answer, work.get());
+        Answer value = work.get();
+        if (!group.faults().losesAnswer()) {
+            reply(answer, value);
+        }
     }
 
     private void reply(CompletableFuture<Answer> answer, Answer value) {
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalFaults.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalFaults.java
@@ -11,6 +11,7 @@
     private final Set<InstanceId> cut = new HashSet<>();
     private final Set<Link> severed = new HashSet<>();
     private int epoch;
+    private int answersToLose;
 
     private LocalFaults() {}
 
@@ -59,6 +60,23 @@
         epoch++;
     }
 
+    /**
+     * Loses the next answers to statements and commits after these took effect.
+     *
+     * @param count how many answers
+     */
+    public void loseAnswers(int count) {
+        answersToLose = count;
+    }
+
+    boolean losesAnswer() {
+        if (answersToLose == 0) {
+            return false;
+        }
+        answersToLose--;
+        return true;
+    }
+
     int epoch() {
         return epoch;
     }
--- a/carobstage/src/main/java/org/carobstage/caller/CallerMessages.java
+++ b/carobstage/src/main/java/org/carobstage/caller/CallerMessages.java
@@ -16,6 +16,14 @@
      */
     public record StatementMessage(String group, String sql, List<Object> parameters) {}
 
+    /**
+     * The answer to a request for a transaction.
+     *
+     * @param transaction the id of the open transaction
+     * @param outcome always {@code done}
+     */
+    public record BegunMessage(String transaction, String outcome) {}
+
     /**
      * The answer to a statement that ran; the end mark comes last.
      *
--- a/carobstage/src/main/java/org/carobstage/caller/CallerServer.java
+++ b/carobstage/src/main/java/org/carobstage/caller/CallerServer.java
@@ -4,30 +4,25 @@
 
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpRequest;
+import io.servicetalk.http.api.HttpRequestMethod;
 import io.servicetalk.http.api.HttpResponse;
 import io.servicetalk.http.api.HttpResponseFactory;
-import io.servicetalk.http.api.HttpResponseStatus;
 import io.servicetalk.http.api.HttpServiceContext;
-import java.time.Duration;
-import java.util.List;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.Optional;
-import org.carobstage.caller.CallerMessages.DoneMessage;
-import org.carobstage.caller.CallerMessages.Problem;
 import org.carobstage.caller.CallerMessages.StatementMessage;
-import org.carobstage.document.RequestPolicy;
 import org.carobstage.error.CodedException;
 import org.carobstage.error.ErrorCode;
-import org.carobstage.http.Json;
 import org.carobstage.http.JsonServer;
 import org.carobstage.model.Address;
 import org.carobstage.model.GroupId;
 import org.carobstage.model.IdempotencyKey;
-import org.carobstage.model.RequestClass;
 import org.carobstage.model.ServiceName;
 import org.carobstage.session.SessionPositions;
 import org.carobstage.session.TokenCodec;
-import org.carobstage.statement.Outcome;
 import org.carobstage.statement.StatementRequest;
+import org.carobstage.transaction.TransactionId;
 
 /** Serves callers over HTTP. */
 public final class CallerServer implements AutoCloseable {
@@ -43,15 +38,20 @@
     /** The header that carries the idempotency key. */
     public static final String KEY = "idempotency-key";
 
+    private static final Logger LOGGER = System.getLogger(CallerServer.class.getName());
+    private static final String STATEMENTS = "/v1/statements";
+    private static final String OUTCOMES = "/v1/outcomes";
+    private static final String TRANSACTIONS = "/v1/transactions";
+
     private final StatementService service;
     private final TokenCodec tokens;
-    private final int maxBytes;
+    private final CallerReader reader;
     private JsonServer server;
 
     private CallerServer(StatementService service, TokenCodec tokens, int maxBytes) {
         this.service = service;
         this.tokens = tokens;
-        this.maxBytes = maxBytes;
+        this.reader = CallerReader.of(service, tokens, maxBytes);
     }
 
     /**
@@ -88,122 +88,107 @@
 
     private Single<HttpResponse> handle(
             HttpServiceContext context, HttpRequest request, HttpResponseFactory responses) {
-        Exchange exchange = new Exchange(context, responses);
+        CallerWriter writer =
+                CallerWriter.of(tokens, context.executionContext().bufferAllocator(), responses);
         try {
-            return route(exchange, request);
+            return route(request, writer);
         } catch (CodedException e) {
-            return Single.succeeded(exchange.notRun(e.code(), e.getMessage(), Optional.empty()));
+            return Single.succeeded(writer.notRun(e.code(), e.getMessage()));
+        } catch (RuntimeException e) {
+            LOGGER.log(Level.ERROR, "request failed", e);
+            return Single.succeeded(writer.notRun(ErrorCode.INTERNAL, "internal fault"));
         }
     }
 
-    private Single<HttpResponse> route(Exchange exchange, HttpRequest request) {
-        boolean isStatement =
-                request.path().equals("/v1/statements") && request.method().name().equals("POST");
-        if (!isStatement) {
-            throw CodedException.of(ErrorCode.UNKNOWN_PATH, "no such path or method");
+    private Single<HttpResponse> route(HttpRequest request, CallerWriter writer) {
+        String path = request.path();
+        boolean isPost = request.method().equals(HttpRequestMethod.POST);
+        if (path.equals(STATEMENTS) && isPost) {
+            return statement(request, writer);
         }
-        StatementRequest statement = read(request);
-        SessionPositions session = statement.session().orElse(SessionPositions.empty());
-        return Single.fromStage(service.run(statement))
-                .map(outcome -> exchange.answer(outcome, session, statement.group()));
-    }
-
-    private StatementRequest read(HttpRequest request) {
-        if (request.payloadBody().readableBytes() > maxBytes) {
-            throw CodedException.of(
-                    ErrorCode.STATEMENT_TOO_LARGE, "longer than " + maxBytes + " bytes");
+        if (path.equals(OUTCOMES) && request.method().equals(HttpRequestMethod.GET)) {
+            return outcome(request, writer);
         }
-        StatementMessage message = Json.read(request.payloadBody(), StatementMessage.class);
-        if (message.group() == null || message.sql() == null) {
-            throw CodedException.of(ErrorCode.MALFORMED_REQUEST, "group and sql are needed");
+        if (path.equals(TRANSACTIONS) && isPost) {
+            return begin(request, writer);
         }
-        ServiceName name = ServiceName.of(header(request, SERVICE));
-        RequestPolicy policy = service.policy(name, RequestClass.of(header(request, CLASS)));
-        return new StatementRequest(
-                name,
-                GroupId.of(message.group()),
-                message.sql(),
-                Optional.ofNullable(message.parameters()).orElse(List.of()),
-                policy,
-                optional(request, SESSION).flatMap(tokens::read),
-                optional(request, KEY).map(IdempotencyKey::of),
-                service.deadline(policy.patience()));
+        if (path.startsWith(TRANSACTIONS + "/") && isPost) {
+            return inTransaction(request, writer);
+        }
+        throw unknownPath();
     }
 
-    private static Optional<String> optional(HttpRequest request, String name) {
-        return Optional.ofNullable(request.headers().get(name))
-                .map(CharSequence::toString)
-                .filter(text -> !text.isBlank());
+    private Single<HttpResponse> statement(HttpRequest request, CallerWriter writer) {
+        StatementRequest statement = reader.statement(request);
+        SessionPositions session = statement.session().orElse(SessionPositions.empty());
+        return Single.fromStage(service.run(statement))
+                .map(outcome -> writer.answer(outcome, session, statement.group()));
     }
 
-    private static String header(HttpRequest request, String name) {
-        return optional(request, name)
-                .orElseThrow(
-                        () ->
-                                CodedException.of(
-                                        ErrorCode.MALFORMED_REQUEST, "header is missing: " + name));
+    private Single<HttpResponse> outcome(HttpRequest request, CallerWriter writer) {
+        GroupId group = CallerReader.group(request.queryParameter("group"));
+        SessionPositions session = reader.session(request);
+        ServiceName name = reader.service(request);
+        return Single.fromStage(service.lookUp(name, group, reader.requiredKey(request)))
+                .map(outcome -> writer.answer(outcome, session, group));
     }
 
-    /** Writes the answers of one exchange. */
-    private final class Exchange {
-        private final HttpServiceContext context;
-        private final HttpResponseFactory responses;
+    private Single<HttpResponse> begin(HttpRequest request, CallerWriter writer) {
+        GroupId group = CallerReader.group(reader.message(request).group());
+        return Single.fromStage(
+                        service.begin(reader.service(request), group, reader.policy(request)))
+                .map(writer::answer);
+    }
 
-        private Exchange(HttpServiceContext context, HttpResponseFactory responses) {
-            this.context = context;
-            this.responses = responses;
+    private Single<HttpResponse> inTransaction(HttpRequest request, CallerWriter writer) {
+        String rest = request.path().substring(TRANSACTIONS.length() + 1);
+        int slash = rest.indexOf('/');
+        if (slash < 0) {
+            throw unknownPath();
         }
-
-        private HttpResponse answer(Outcome outcome, SessionPositions session, GroupId group) {
-            if (outcome instanceof Outcome.Done done) {
-                SessionPositions seen = session.seen(group, done.seen());
-                HttpResponse response = body(responses.ok(), "application/json", message(done));
-                response.setHeader(SESSION, tokens.write(seen));
-                return response;
+        TransactionId id = transaction(rest.substring(0, slash));
+        ServiceName name = reader.service(request);
+        return switch (rest.substring(slash + 1)) {
+            case "statements" -> {
+                StatementMessage message = reader.message(request);
+                String sql = CallerReader.sql(message);
+                yield Single.fromStage(
+                                service.inTransaction(
+                                        t ->
+                                                t.execute(
+                                                        id,
+                                                        name,
+                                                        sql,
+                                                        CallerReader.parameters(message))))
+                        .map(writer::answer);
             }
-            if (outcome instanceof Outcome.NotRun refused) {
-                return notRun(refused.code(), refused.detail(), refused.retryAfter());
-            }
-            String detail = ((Outcome.Unknown) outcome).detail();
-            return problem(ErrorCode.OUTCOME_UNKNOWN, "unknown", detail, Optional.empty());
-        }
-
-        private HttpResponse notRun(ErrorCode code, String detail, Optional<Duration> retry) {
-            return problem(code, "not-run", detail, retry);
-        }
+            case "commit" -> commit(request, writer, id);
+            case "rollback" ->
+                    Single.fromStage(service.inTransaction(t -> t.rollback(id, name)))
+                            .map(writer::answer);
+            default -> throw unknownPath();
+        };
+    }
 
-        private HttpResponse problem(
-                ErrorCode code, String outcome, String detail, Optional<Duration> retry) {
-            Problem problem =
-                    new Problem(
-                            "about:blank",
-                            code.name().toLowerCase(java.util.Locale.ROOT),
-                            code.httpStatus(),
-                            code.code(),
-                            outcome,
-                            detail,
-                            retry.map(Duration::toMillis).orElse(null));
-            HttpResponse response =
-                    responses.newResponse(HttpResponseStatus.of(code.httpStatus(), ""));
-            return body(response, "application/problem+json", problem);
-        }
+    private Single<HttpResponse> commit(
+            HttpRequest request, CallerWriter writer, TransactionId id) {
+        GroupId group = CallerReader.group(reader.message(request).group());
+        SessionPositions session = reader.session(request);
+        ServiceName name = reader.service(request);
+        Optional<IdempotencyKey> key = reader.key(request);
+        return Single.fromStage(service.inTransaction(t -> t.commit(id, name, key)))
+                .map(outcome -> writer.answer(outcome, session, group));
+    }
 
-        private HttpResponse body(HttpResponse response, String type, Object value) {
-            byte[] json = Json.write(value);
-            return response.payloadBody(context.executionContext().bufferAllocator().wrap(json))
-                    .setHeader("content-type", type);
+    private static TransactionId transaction(String text) {
+        try {
+            return TransactionId.parse(text);
+        } catch (IllegalArgumentException e) {
+            throw CodedException.of(ErrorCode.UNKNOWN_TRANSACTION, "no such transaction", e);
         }
+    }
 
-        private static DoneMessage message(Outcome.Done done) {
-            return new DoneMessage(
-                    done.columns(),
-                    done.rows(),
-                    done.changed(),
-                    done.replayed(),
-                    done.instance().value(),
-                    done.replica(),
-                    "done",
-                    done.rows().size());
-        }
+    private static CodedException unknownPath() {
+        return CodedException.of(ErrorCode.UNKNOWN_PATH, "no such path or method");
     }
 }
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/caller/CallerWriter.java
@@ -0,0 +1,119 @@
+package org.carobstage.caller;
+
+import static java.util.Objects.requireNonNull;
+
+import io.servicetalk.buffer.api.BufferAllocator;
+import io.servicetalk.http.api.HttpResponse;
+import io.servicetalk.http.api.HttpResponseFactory;
+import io.servicetalk.http.api.HttpResponseStatus;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import org.carobstage.caller.CallerMessages.BegunMessage;
+import org.carobstage.caller.CallerMessages.DoneMessage;
+import org.carobstage.caller.CallerMessages.Problem;
+import org.carobstage.error.ErrorCode;
+import org.carobstage.http.Json;
+import org.carobstage.model.GroupId;
+import org.carobstage.session.SessionPositions;
+import org.carobstage.session.TokenCodec;
+import org.carobstage.statement.Outcome;
+import org.carobstage.transaction.BeginResult;
+
+/** Writes the answers of one exchange with a caller. */
+final class CallerWriter {
+    private static final String JSON = "application/json";
+    private static final String PROBLEM = "application/problem+json";
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private final TokenCodec tokens;
+    private final BufferAllocator buffers;
+    private final HttpResponseFactory responses;
+
+    private CallerWriter(
+            TokenCodec tokens, BufferAllocator buffers, HttpResponseFactory responses) {
+        this.tokens = tokens;
+        this.buffers = buffers;
+        this.responses = responses;
+    }
+
+    static CallerWriter of(
+            TokenCodec tokens, BufferAllocator buffers, HttpResponseFactory responses) {
+        requireNonNull(tokens, "tokens is null");
+        return new CallerWriter(tokens, buffers, responses);
+    }
+
+    HttpResponse answer(Outcome outcome, SessionPositions session, GroupId group) {
+        if (outcome instanceof Outcome.Done done) {
+            SessionPositions seen = session.seen(group, done.seen());
+            return body(responses.ok(), JSON, message(done))
+                    .setHeader(CallerServer.SESSION, tokens.write(seen));
+        }
+        return answer(outcome);
+    }
+
+    HttpResponse answer(Outcome outcome) {
+        if (outcome instanceof Outcome.Done done) {
+            return body(responses.ok(), JSON, message(done));
+        }
+        if (outcome instanceof Outcome.NotRun refused) {
+            return notRun(refused);
+        }
+        String detail = ((Outcome.Unknown) outcome).detail();
+        return problem(ErrorCode.OUTCOME_UNKNOWN, "unknown", detail, Optional.empty());
+    }
+
+    HttpResponse answer(BeginResult result) {
+        if (result instanceof BeginResult.Begun begun) {
+            BegunMessage message = new BegunMessage(begun.id().toString(), "done");
+            return body(responses.ok(), JSON, message);
+        }
+        return notRun(((BeginResult.Refused) result).outcome());
+    }
+
+    HttpResponse notRun(ErrorCode code, String detail) {
+        return problem(code, "not-run", detail, Optional.empty());
+    }
+
+    private HttpResponse notRun(Outcome.NotRun refused) {
+        return problem(refused.code(), "not-run", refused.detail(), refused.retryAfter());
+    }
+
+    private HttpResponse problem(
+            ErrorCode code, String outcome, String detail, Optional<Duration> retry) {
+        Problem problem =
+                new Problem(
+                        "about:blank",
+                        code.name().toLowerCase(Locale.ROOT),
+                        code.httpStatus(),
+                        code.code(),
+                        outcome,
+                        detail,
+                        retry.map(Duration::toMillis).orElse(null));
+        HttpResponse response = responses.newResponse(HttpResponseStatus.of(code.httpStatus(), ""));
+        retry.ifPresent(after -> response.setHeader("retry-after", seconds(after)));
+        return body(response, PROBLEM, problem);
+    }
+
+    private HttpResponse body(HttpResponse response, String type, Object value) {
+        return response.payloadBody(buffers.wrap(Json.write(value)))
+                .setHeader("content-type", type);
+    }
+
+    private static String seconds(Duration duration) {
+        long rounded = (duration.toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+        return Long.toString(rounded);
+    }
+
+    private static DoneMessage message(Outcome.Done done) {
+        return new DoneMessage(
+                done.columns(),
+                done.rows(),
+                done.changed(),
+                done.replayed(),
+                done.instance().value(),
+                done.replica(),
+                "done",
+                done.rows().size());
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -9,7 +9,9 @@
     /** The process has begun a graceful shutdown. */
     SHUTDOWN_STARTED(1002, Level.INFO),
     /** A configuration is in force. */
-    CONFIGURATION_APPLIED(2001, Level.INFO);
+    CONFIGURATION_APPLIED(2001, Level.INFO),
+    /** A transaction ended without its caller's commit or rollback. */
+    TRANSACTION_ROLLED_BACK(5001, Level.INFO);
 
     private final int number;
     private final Level level;
--- a/carobstage/src/main/java/org/carobstage/node/Proxy.java
+++ b/carobstage/src/main/java/org/carobstage/node/Proxy.java
@@ -9,10 +9,12 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.carobstage.backend.Backend;
 import org.carobstage.caller.StatementService;
 import org.carobstage.config.Configuration;
 import org.carobstage.document.RequestPolicy;
+import org.carobstage.document.RequestPolicy.Access;
 import org.carobstage.document.TeamDocument;
 import org.carobstage.error.CodedException;
 import org.carobstage.error.ErrorCode;
@@ -22,24 +24,32 @@
 import org.carobstage.group.Group;
 import org.carobstage.model.GroupId;
 import org.carobstage.model.GroupSpec;
+import org.carobstage.model.IdempotencyKey;
 import org.carobstage.model.InstanceSpec;
 import org.carobstage.model.RequestClass;
 import org.carobstage.model.ServiceName;
 import org.carobstage.pool.Share;
 import org.carobstage.runtime.BoundedExecutor;
 import org.carobstage.runtime.Clock;
+import org.carobstage.statement.KeyFactory;
 import org.carobstage.statement.Outcome;
 import org.carobstage.statement.StatementRequest;
 import org.carobstage.statement.StatementRunner;
+import org.carobstage.transaction.BeginResult;
+import org.carobstage.transaction.Transactions;
 
 /** The decisions of an entry VM's process, without its servers: tests run it on a paused clock. */
 public final class Proxy implements AutoCloseable, StatementService {
+    private static final RequestPolicy LOOK_UP_POLICY =
+            new RequestPolicy(Access.WRITE, Duration.ZERO, false, Duration.ofMillis(300));
+
     private final Clock clock;
     private final BoundedExecutor duty;
     private final EventLog events;
     private final Function<InstanceSpec, Backend> connect;
     private final Function<GroupSpec, Share> shares;
     private final StatementRunner runner;
+    private final Transactions transactions;
     private final Map<GroupId, Group> groups = new ConcurrentHashMap<>();
     private volatile Configuration configuration = Configuration.empty();
 
@@ -54,7 +64,9 @@
         this.events = events;
         this.connect = connect;
         this.shares = shares;
-        this.runner = StatementRunner.of(clock, duty);
+        KeyFactory keys = KeyFactory.of(events.vm() + "/" + clock.instant().toEpochMilli());
+        this.runner = StatementRunner.of(clock, duty, keys);
+        this.transactions = Transactions.of(events.vm(), clock, duty, events, runner, keys);
     }
 
     /**
@@ -125,16 +137,30 @@
 
     @Override
     public CompletionStage<Outcome> run(StatementRequest request) {
-        Group group = groups.get(request.group());
-        if (group == null) {
-            throw CodedException.of(ErrorCode.UNKNOWN_GROUP, "no group " + request.group());
-        }
-        CompletableFuture<Outcome> outcome = new CompletableFuture<>();
-        boolean taken = duty.offer(() -> runner.run(group, request).thenAccept(outcome::complete));
-        if (!taken) {
-            throw CodedException.of(ErrorCode.OVERLOADED, "too many statements wait");
-        }
-        return outcome;
+        Group group = required(request.group());
+        return onDuty(() -> runner.run(group, request));
+    }
+
+    @Override
+    public CompletionStage<Outcome> lookUp(ServiceName service, GroupId id, IdempotencyKey key) {
+        Group group = required(id);
+        StatementRequest request =
+                StatementRequest.lookUp(
+                        service, id, LOOK_UP_POLICY, key, deadline(LOOK_UP_POLICY.patience()));
+        return onDuty(() -> runner.resolve(group, request, group.view().term()));
+    }
+
+    @Override
+    public CompletionStage<BeginResult> begin(
+            ServiceName service, GroupId id, RequestPolicy policy) {
+        Group group = required(id);
+        return onDuty(() -> transactions.begin(group, service, policy));
+    }
+
+    @Override
+    public CompletionStage<Outcome> inTransaction(
+            Function<Transactions, CompletionStage<Outcome>> step) {
+        return onDuty(() -> step.apply(transactions));
     }
 
     @Override
@@ -142,6 +168,20 @@
         groups.values().forEach(Group::close);
     }
 
+    private Group required(GroupId id) {
+        return group(id)
+                .orElseThrow(() -> CodedException.of(ErrorCode.UNKNOWN_GROUP, "no group " + id));
+    }
+
+    private <T> CompletionStage<T> onDuty(Supplier<CompletionStage<T>> work) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        boolean taken = duty.offer(() -> work.get().thenAccept(result::complete));
+        if (!taken) {
+            throw CodedException.of(ErrorCode.OVERLOADED, "too many statements wait");
+        }
+        return result;
+    }
+
     private void startGroup(GroupSpec spec) {
         Group current = groups.get(spec.id());
         if (current != null && current.view().spec().equals(spec)) {
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/statement/KeyFactory.java
@@ -0,0 +1,47 @@
+package org.carobstage.statement;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.carobstage.model.IdempotencyKey;
+import org.carobstage.model.ServiceName;
+
+/** Makes the keys under which the outcomes of writes are recorded. */
+public final class KeyFactory {
+    private final String prefix;
+    private final AtomicLong next = new AtomicLong();
+
+    private KeyFactory(String prefix) {
+        this.prefix = prefix;
+    }
+
+    /**
+     * Creates a factory.
+     *
+     * @param prefix differs for each process that ever runs
+     * @return the factory
+     */
+    public static KeyFactory of(String prefix) {
+        return new KeyFactory(requireNonNull(prefix, "prefix is null"));
+    }
+
+    /**
+     * Makes a key for a write that came without one, so that its outcome can be looked up.
+     *
+     * @return a key that no other write has
+     */
+    public IdempotencyKey generate() {
+        return IdempotencyKey.of("generated/" + prefix + "/" + next.incrementAndGet());
+    }
+
+    /**
+     * Keeps the keys of different services apart.
+     *
+     * @param service the service
+     * @param key the caller's key
+     * @return the key under which the outcome is recorded
+     */
+    public static IdempotencyKey scope(ServiceName service, IdempotencyKey key) {
+        return IdempotencyKey.of("service/" + service + "/" + key);
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/statement/StatementRequest.java
+++ b/carobstage/src/main/java/org/carobstage/statement/StatementRequest.java
@@ -41,4 +41,40 @@
         requireNonNull(session, "session is null");
         requireNonNull(key, "key is null");
     }
+
+    /**
+     * Creates a request that only asks what became of a write.
+     *
+     * @param service the service it belonged to
+     * @param group the group it went to
+     * @param policy the policy it had
+     * @param key the key of the write
+     * @param deadlineNanos when to stop asking, in ns of the runtime's clock
+     * @return the request, which no instance ever runs
+     */
+    public static StatementRequest lookUp(
+            ServiceName service,
+            GroupId group,
+            RequestPolicy policy,
+            IdempotencyKey key,
+            long deadlineNanos) {
+        return new StatementRequest(
+                service,
+                group,
+                "",
+                List.of(),
+                policy,
+                Optional.empty(),
+                Optional.of(key),
+                deadlineNanos);
+    }
+
+    /**
+     * Tells whether the request only asks what became of a write.
+     *
+     * @return true if there is no statement to run
+     */
+    public boolean isLookUp() {
+        return sql.isEmpty();
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/statement/StatementRunner.java
+++ b/carobstage/src/main/java/org/carobstage/statement/StatementRunner.java
@@ -6,33 +6,34 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import org.carobstage.backend.Answer;
 import org.carobstage.backend.BackendConnection;
-import org.carobstage.backend.Refusal;
 import org.carobstage.backend.Standing;
 import org.carobstage.backend.Statement;
 import org.carobstage.document.RequestPolicy.Access;
 import org.carobstage.error.ErrorCode;
 import org.carobstage.group.Group;
-import org.carobstage.model.InstanceId;
-import org.carobstage.model.LogPosition;
+import org.carobstage.model.IdempotencyKey;
 import org.carobstage.model.Term;
-import org.carobstage.pool.InstancePool;
-import org.carobstage.read.ReplicaChoice;
+import org.carobstage.runtime.BoundedExecutor;
 import org.carobstage.runtime.Clock;
-import org.carobstage.session.SessionPositions;
 
-/** Runs one statement in a group; all steps run on the group's duty. */
+/** Runs statements, each over as many tries as its patience and the rules allow. */
 public final class StatementRunner {
-    private static final Duration RETRY_AFTER = Duration.ofMillis(200);
+    private static final Duration FIRST_DELAY = Duration.ofMillis(5);
+    private static final Duration MAX_DELAY = Duration.ofMillis(40);
+    private static final Duration MIN_EXCHANGE = Duration.ofMillis(100);
+    private static final int EXCHANGES_PER_PATIENCE = 3;
 
     private final Clock clock;
-    private final Executor duty;
+    private final BoundedExecutor duty;
+    private final KeyFactory keys;
 
-    private StatementRunner(Clock clock, Executor duty) {
+    private StatementRunner(Clock clock, BoundedExecutor duty, KeyFactory keys) {
         this.clock = clock;
         this.duty = duty;
+        this.keys = keys;
     }
 
     /**
@@ -40,146 +41,225 @@
      *
      * @param clock the runtime's clock
      * @param duty runs the steps one at a time
+     * @param keys makes keys for writes that come without one
      * @return the runner
      */
-    public static StatementRunner of(Clock clock, Executor duty) {
+    public static StatementRunner of(Clock clock, BoundedExecutor duty, KeyFactory keys) {
         requireNonNull(clock, "clock is null");
         requireNonNull(duty, "duty is null");
-        return new StatementRunner(clock, duty);
+        requireNonNull(keys, "keys is null");
+        return new StatementRunner(clock, duty, keys);
     }
 
     /**
-     * Runs a statement.
+     * Runs a statement; must be called on the duty.
      *
      * @param group the group
      * @param request the statement
      * @return the outcome; the stage never fails
      */
     public CompletionStage<Outcome> run(Group group, StatementRequest request) {
-        Optional<Target> target = replica(group, request).or(() -> primary(group, request));
-        if (target.isEmpty()) {
-            return done(notRun(ErrorCode.NO_INSTANCE, "no primary is known"));
-        }
-        InstancePool pool = group.pool(target.get().instance());
-        return pool.acquire(left(request))
-                .thenComposeAsync(
-                        connection ->
-                                connection
-                                        .map(c -> execute(group, request, target.get(), c))
-                                        .orElseGet(() -> done(overloaded())),
-                        duty);
+        Attempts attempts = new Attempts(group, request, recordedKey(request));
+        attempts.take(new Step.Send(Progress.empty()));
+        return attempts.outcome;
     }
 
-    private Optional<Target> replica(Group group, StatementRequest request) {
-        boolean allowed =
-                request.policy().access() == Access.READ
-                        && !request.policy().staleness().isZero()
-                        && request.session().isPresent();
-        if (!allowed) {
+    /**
+     * Finds out what became of a write; must be called on the duty.
+     *
+     * @param group the group
+     * @param request a look-up of the write's key
+     * @param term the highest term under which the write may have been sent
+     * @return done, not run or unknown; the stage never fails
+     */
+    public CompletionStage<Outcome> resolve(Group group, StatementRequest request, Term term) {
+        Attempts attempts = new Attempts(group, request, recordedKey(request));
+        Progress progress = Progress.empty().mayHaveRun(term, "no outcome is recorded");
+        attempts.take(new Step.LookUp(progress));
+        return attempts.outcome;
+    }
+
+    private Optional<IdempotencyKey> recordedKey(StatementRequest request) {
+        if (request.policy().access() == Access.READ) {
             return Optional.empty();
         }
-        LogPosition atLeast = request.session().get().of(request.group());
-        Duration staleness = request.policy().staleness();
-        Optional<InstanceId> instance =
-                ReplicaChoice.choose(
-                        group.view(),
-                        atLeast,
-                        staleness,
-                        clock.nanoTime(),
-                        id -> group.pool(id).load());
-        Term term = group.view().primary().map(Standing::promised).orElse(Term.ZERO);
-        return instance.map(id -> new Target(id, term, atLeast, true));
+        return Optional.of(
+                request.key()
+                        .map(key -> KeyFactory.scope(request.service(), key))
+                        .orElseGet(keys::generate));
     }
 
-    private Optional<Target> primary(Group group, StatementRequest request) {
-        SessionPositions session = request.session().orElse(SessionPositions.empty());
-        LogPosition atLeast = session.of(request.group());
-        return group.view()
-                .primary()
-                .map(s -> new Target(s.instance(), s.promised(), atLeast, false));
-    }
+    /** The tries of one statement; all methods run on the duty. */
+    private final class Attempts {
+        private final Group group;
+        private final StatementRequest request;
+        private final Optional<IdempotencyKey> key;
+        private final CompletableFuture<Outcome> outcome = new CompletableFuture<>();
+        private Progress progress = Progress.empty();
 
-    private CompletionStage<Outcome> execute(
-            Group group, StatementRequest request, Target target, BackendConnection connection) {
-        Statement statement =
-                new Statement(
-                        target.term(),
-                        request.sql(),
-                        request.parameters(),
-                        request.policy().access() == Access.READ,
-                        target.atLeast(),
-                        request.key());
-        long sent = clock.nanoTime();
-        return connection
-                .execute(statement, left(request))
-                .thenComposeAsync(
-                        answer -> {
-                            boolean clean = !(answer instanceof Answer.Lost);
-                            group.pool(target.instance()).release(connection, clean);
-                            return conclude(group, request, target, answer, sent);
-                        },
-                        duty);
-    }
+        private Attempts(Group group, StatementRequest request, Optional<IdempotencyKey> key) {
+            this.group = group;
+            this.request = request;
+            this.key = key;
+        }
 
-    private CompletionStage<Outcome> conclude(
-            Group group, StatementRequest request, Target target, Answer answer, long sent) {
-        if (answer instanceof Answer.Done d) {
-            group.observe(d.standing(), sent);
-            return target.replica() ? done(toDone(d, true)) : prove(group, request, d);
-        }
-        if (answer instanceof Answer.Refused refused) {
-            ErrorCode code =
-                    refused.reason() == Refusal.STATEMENT
-                            ? ErrorCode.STATEMENT_REFUSED
-                            : ErrorCode.NO_INSTANCE;
-            return done(notRun(code, refused.detail()));
-        }
-        Answer.Lost lost = (Answer.Lost) answer;
-        return done(
-                lost.sent()
-                        ? new Outcome.Unknown(lost.detail())
-                        : notRun(ErrorCode.NO_INSTANCE, lost.detail()));
-    }
+        private void take(Step step) {
+            if (step instanceof Step.Finish finish) {
+                outcome.complete(finish.outcome());
+            } else if (step instanceof Step.Send send) {
+                progress = send.progress();
+                soon(this::send);
+            } else if (step instanceof Step.LookUp lookUp) {
+                progress = lookUp.progress();
+                soon(this::lookUp);
+            } else if (step instanceof Step.Prove prove) {
+                prove(prove.done());
+            }
+        }
 
-    private CompletionStage<Outcome> prove(
-            Group group, StatementRequest request, Answer.Done done) {
-        Standing standing = done.standing();
-        return group.confirmation()
-                .confirm(standing.instance(), standing.last(), left(request))
-                .thenApply(
-                        proved ->
-                                proved
-                                        ? toDone(done, false)
-                                        : new Outcome.Unknown("no majority confirmed in time"));
-    }
+        private void soon(Runnable work) {
+            if (left().isZero()) {
+                outcome.complete(AttemptDecision.giveUp(progress));
+            } else if (progress.tries() == 0) {
+                work.run();
+            } else {
+                clock.schedule(() -> duty.execute(work), delay());
+            }
+        }
 
-    private Duration left(StatementRequest request) {
-        long nanos = request.deadlineNanos() - clock.nanoTime();
-        return Duration.ofNanos(Math.max(nanos, 1));
-    }
+        private void send() {
+            Optional<Target> target =
+                    TargetChoice.choose(
+                            group.view(),
+                            request,
+                            progress.primaryOnly(),
+                            clock.nanoTime(),
+                            id -> group.pool(id).load());
+            if (target.isEmpty()) {
+                take(new Step.Send(progress.refused(ErrorCode.NO_INSTANCE, "no primary")));
+                return;
+            }
+            acquire(target.get(), connection -> execute(target.get(), connection));
+        }
 
-    private static CompletionStage<Outcome> done(Outcome outcome) {
-        return CompletableFuture.completedFuture(outcome);
-    }
+        private void execute(Target target, BackendConnection connection) {
+            Statement statement =
+                    new Statement(
+                            target.term(),
+                            request.sql(),
+                            request.parameters(),
+                            request.policy().access() == Access.READ,
+                            target.atLeast(),
+                            key);
+            long sent = clock.nanoTime();
+            connection
+                    .execute(statement, exchangeTimeout())
+                    .thenAcceptAsync(
+                            answer -> {
+                                release(target, connection, answer);
+                                observe(answer, sent);
+                                take(
+                                        AttemptDecision.afterAnswer(
+                                                request, progress, target, answer));
+                            },
+                            duty);
+        }
 
-    private static Outcome toDone(Answer.Done done, boolean replica) {
-        return new Outcome.Done(
-                done.columns(),
-                done.rows(),
-                done.changed(),
-                done.replayed(),
-                done.standing().last(),
-                done.standing().instance(),
-                replica);
-    }
+        private void lookUp() {
+            Optional<Standing> primary = group.view().primary();
+            if (primary.isEmpty()) {
+                take(new Step.LookUp(progress.mayHaveRun(sentAt(), "no primary is known")));
+                return;
+            }
+            Standing standing = primary.get();
+            Target target =
+                    new Target(standing.instance(), standing.promised(), standing.last(), false);
+            acquire(target, connection -> lookUp(target, connection));
+        }
 
-    private static Outcome notRun(ErrorCode code, String detail) {
-        return new Outcome.NotRun(code, detail, Optional.of(RETRY_AFTER));
-    }
+        private void lookUp(Target target, BackendConnection connection) {
+            connection
+                    .lookup(target.term(), key.orElseThrow(), exchangeTimeout())
+                    .thenAcceptAsync(
+                            answer -> {
+                                release(target, connection, answer);
+                                lookedUp(target, answer);
+                            },
+                            duty);
+        }
 
-    private static Outcome overloaded() {
-        return notRun(ErrorCode.OVERLOADED, "no slot became free within the patience");
-    }
+        private void lookedUp(Target target, Answer answer) {
+            group.confirmation()
+                    .confirm(target.instance(), target.atLeast(), exchangeTimeout())
+                    .thenAcceptAsync(
+                            stands -> {
+                                Progress next = progress.mayHaveRun(sentAt(), progress.detail());
+                                take(
+                                        AttemptDecision.afterLookUp(
+                                                request, next, target.term(), answer, stands));
+                            },
+                            duty);
+        }
+
+        private void prove(Answer.Done done) {
+            Standing standing = done.standing();
+            group.confirmation()
+                    .confirm(standing.instance(), standing.last(), left())
+                    .thenAcceptAsync(
+                            proved ->
+                                    take(
+                                            AttemptDecision.afterProof(
+                                                    request, progress, done, proved)),
+                            duty);
+        }
+
+        private void acquire(Target target, Consumer<BackendConnection> use) {
+            group.pool(target.instance())
+                    .acquire(left())
+                    .thenAcceptAsync(
+                            connection ->
+                                    connection.ifPresentOrElse(use, () -> noConnection(target)),
+                            duty);
+        }
+
+        private void noConnection(Target target) {
+            String detail = "no connection to " + target.instance() + " within the patience";
+            boolean resolving = key.isPresent() && progress.sentAt().isPresent();
+            Progress next = progress.refused(ErrorCode.OVERLOADED, detail);
+            take(resolving ? new Step.LookUp(next) : new Step.Send(next));
+        }
+
+        private void release(Target target, BackendConnection connection, Answer answer) {
+            boolean isClean = !(answer instanceof Answer.Lost);
+            group.pool(target.instance()).release(connection, isClean);
+        }
 
-    private record Target(InstanceId instance, Term term, LogPosition atLeast, boolean replica) {}
+        private void observe(Answer answer, long sent) {
+            if (answer instanceof Answer.Done done) {
+                group.observe(done.standing(), sent);
+            }
+        }
+
+        private Term sentAt() {
+            return progress.sentAt().orElse(Term.ZERO);
+        }
+
+        private Duration left() {
+            long nanos = request.deadlineNanos() - clock.nanoTime();
+            return Duration.ofNanos(Math.max(nanos, 0));
+        }
+
+        private Duration exchangeTimeout() {
+            Duration left = left();
+            Duration part = request.policy().patience().dividedBy(EXCHANGES_PER_PATIENCE);
+            Duration bounded = part.compareTo(MIN_EXCHANGE) < 0 ? MIN_EXCHANGE : part;
+            return bounded.compareTo(left) < 0 ? bounded : left.plusNanos(1);
+        }
+
+        private Duration delay() {
+            Duration delay = FIRST_DELAY.multipliedBy(1L << Math.min(progress.tries() - 1, 3));
+            Duration bounded = delay.compareTo(MAX_DELAY) < 0 ? delay : MAX_DELAY;
+            return bounded.compareTo(left()) < 0 ? bounded : left();
+        }
+    }
 }
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/statement/Step.java
@@ -0,0 +1,56 @@
+package org.carobstage.statement;
+
+import static java.util.Objects.requireNonNull;
+
+import org.carobstage.backend.Answer;
+
+/** What to do next with a statement. */
+public sealed interface Step {
+    /**
+     * Tell the caller.
+     *
+     * @param outcome the outcome
+     */
+    record Finish(Outcome outcome) implements Step {
+        /** Checks the step. */
+        public Finish {
+            requireNonNull(outcome, "outcome is null");
+        }
+    }
+
+    /**
+     * Send the statement, again if it was sent before.
+     *
+     * @param progress what has become of it so far
+     */
+    record Send(Progress progress) implements Step {
+        /** Checks the step. */
+        public Send {
+            requireNonNull(progress, "progress is null");
+        }
+    }
+
+    /**
+     * Ask the primary what is recorded for the statement's key.
+     *
+     * @param progress what has become of it so far
+     */
+    record LookUp(Progress progress) implements Step {
+        /** Checks the step. */
+        public LookUp {
+            requireNonNull(progress, "progress is null");
+        }
+    }
+
+    /**
+     * Prove that a majority holds what the primary answered.
+     *
+     * @param done the answer
+     */
+    record Prove(Answer.Done done) implements Step {
+        /** Checks the step. */
+        public Prove {
+            requireNonNull(done, "done is null");
+        }
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/transaction/BeginResult.java
@@ -0,0 +1,32 @@
+package org.carobstage.transaction;
+
+import static java.util.Objects.requireNonNull;
+
+import org.carobstage.statement.Outcome;
+
+/** What became of the request for a transaction. */
+public sealed interface BeginResult {
+    /**
+     * The transaction is open.
+     *
+     * @param id its id
+     */
+    record Begun(TransactionId id) implements BeginResult {
+        /** Checks the result. */
+        public Begun {
+            requireNonNull(id, "id is null");
+        }
+    }
+
+    /**
+     * No transaction was opened.
+     *
+     * @param outcome why
+     */
+    record Refused(Outcome.NotRun outcome) implements BeginResult {
+        /** Checks the result. */
+        public Refused {
+            requireNonNull(outcome, "outcome is null");
+        }
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/transaction/OpenTransaction.java
@@ -0,0 +1,92 @@
+package org.carobstage.transaction;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import org.carobstage.backend.BackendConnection;
+import org.carobstage.document.RequestPolicy;
+import org.carobstage.group.Group;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.ServiceName;
+import org.carobstage.model.Term;
+import org.carobstage.runtime.Clock;
+
+/** The state of one open transaction; changes only on the duty. */
+final class OpenTransaction {
+    private static final int COMMIT_PARTS = 3;
+
+    private final ServiceName service;
+    private final RequestPolicy policy;
+    private final Group group;
+    private final InstanceId primary;
+    private final Term term;
+    private final BackendConnection connection;
+    private Clock.Timer timer = () -> {};
+    private boolean busy;
+
+    OpenTransaction(
+            ServiceName service,
+            RequestPolicy policy,
+            Group group,
+            InstanceId primary,
+            Term term,
+            BackendConnection connection) {
+        this.service = requireNonNull(service, "service is null");
+        this.policy = requireNonNull(policy, "policy is null");
+        this.group = requireNonNull(group, "group is null");
+        this.primary = requireNonNull(primary, "primary is null");
+        this.term = requireNonNull(term, "term is null");
+        this.connection = requireNonNull(connection, "connection is null");
+    }
+
+    ServiceName service() {
+        return service;
+    }
+
+    RequestPolicy policy() {
+        return policy;
+    }
+
+    Group group() {
+        return group;
+    }
+
+    Term term() {
+        return term;
+    }
+
+    BackendConnection connection() {
+        return connection;
+    }
+
+    boolean isBusy() {
+        return busy;
+    }
+
+    Duration patience() {
+        return policy.patience();
+    }
+
+    /** Returns how long a commit may go unanswered before its outcome is looked up. */
+    Duration commitTimeout() {
+        return policy.patience().dividedBy(COMMIT_PARTS);
+    }
+
+    /** Marks an exchange in progress; the idle timeout stops. */
+    void startExchange() {
+        busy = true;
+        timer.cancel();
+    }
+
+    /** Marks the exchange as ended; the idle timeout starts. */
+    void endExchange(Clock.Timer idleTimer) {
+        busy = false;
+        timer = idleTimer;
+    }
+
+    /** Gives the connection back; it is closed unless its state is known to be clean. */
+    void release(boolean clean) {
+        timer.cancel();
+        group.pool(primary).release(connection, clean);
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/transaction/Transactions.java
@@ -0,0 +1,357 @@
+package org.carobstage.transaction;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.carobstage.backend.Answer;
+import org.carobstage.backend.BackendConnection;
+import org.carobstage.backend.Refusal;
+import org.carobstage.backend.Standing;
+import org.carobstage.backend.Statement;
+import org.carobstage.document.RequestPolicy;
+import org.carobstage.error.ErrorCode;
+import org.carobstage.event.EventCode;
+import org.carobstage.event.EventLog;
+import org.carobstage.event.EventScope;
+import org.carobstage.group.Group;
+import org.carobstage.model.IdempotencyKey;
+import org.carobstage.model.LogPosition;
+import org.carobstage.model.ServiceName;
+import org.carobstage.model.VmId;
+import org.carobstage.runtime.BoundedExecutor;
+import org.carobstage.runtime.Clock;
+import org.carobstage.statement.KeyFactory;
+import org.carobstage.statement.Outcome;
+import org.carobstage.statement.StatementRequest;
+import org.carobstage.statement.StatementRunner;
+
+/**
+ * The open transactions of this process. Each is pinned to one connection of the primary, and only
+ * who knows its id can use it. All methods run on the duty.
+ */
+public final class Transactions {
+    private final VmId vm;
+    private final Clock clock;
+    private final BoundedExecutor duty;
+    private final EventLog events;
+    private final StatementRunner runner;
+    private final KeyFactory keys;
+    private final Map<TransactionId, OpenTransaction> open = new HashMap<>();
+
+    private Transactions(
+            VmId vm,
+            Clock clock,
+            BoundedExecutor duty,
+            EventLog events,
+            StatementRunner runner,
+            KeyFactory keys) {
+        this.vm = vm;
+        this.clock = clock;
+        this.duty = duty;
+        this.events = events;
+        this.runner = runner;
+        this.keys = keys;
+    }
+
+    /**
+     * Creates a table without transactions.
+     *
+     * @param vm the VM of this process
+     * @param clock the runtime's clock
+     * @param duty runs the steps one at a time
+     * @param events records what is decided
+     * @param runner finds out what became of a commit
+     * @param keys makes keys for commits that come without one
+     * @return the table
+     */
+    public static Transactions of(
+            VmId vm,
+            Clock clock,
+            BoundedExecutor duty,
+            EventLog events,
+            StatementRunner runner,
+            KeyFactory keys) {
+        requireNonNull(vm, "vm is null");
+        return new Transactions(vm, clock, duty, events, runner, keys);
+    }
+
+    /**
+     * Returns how many transactions are open.
+     *
+     * @return the number
+     */
+    public int size() {
+        return open.size();
+    }
+
+    /**
+     * Opens a transaction at the primary of a group.
+     *
+     * @param group the group
+     * @param service the caller's service
+     * @param policy the policy of the transaction's request class
+     * @return the transaction or why there is none; the stage never fails
+     */
+    public CompletionStage<BeginResult> begin(
+            Group group, ServiceName service, RequestPolicy policy) {
+        Optional<Standing> primary = group.view().primary();
+        if (primary.isEmpty()) {
+            return completed(refusedBegin(ErrorCode.NO_INSTANCE, "no primary is known"));
+        }
+        Standing standing = primary.get();
+        return group.pool(standing.instance())
+                .acquire(policy.patience())
+                .thenComposeAsync(
+                        connection ->
+                                connection
+                                        .map(c -> begin(group, service, policy, standing, c))
+                                        .orElseGet(Transactions::overloaded),
+                        duty);
+    }
+
+    /**
+     * Runs a statement in a transaction.
+     *
+     * @param id the transaction
+     * @param service the caller's service
+     * @param sql the text
+     * @param parameters the values of the placeholders
+     * @return the outcome; the stage never fails
+     */
+    public CompletionStage<Outcome> execute(
+            TransactionId id, ServiceName service, String sql, List<Object> parameters) {
+        return use(
+                id,
+                service,
+                transaction -> {
+                    Statement statement =
+                            new Statement(
+                                    transaction.term(),
+                                    sql,
+                                    parameters,
+                                    false,
+                                    LogPosition.empty(),
+                                    Optional.empty());
+                    return transaction
+                            .connection()
+                            .execute(statement, transaction.patience())
+                            .thenComposeAsync(a -> executed(id, transaction, a), duty);
+                });
+    }
+
+    /**
+     * Commits a transaction.
+     *
+     * @param id the transaction
+     * @param service the caller's service
+     * @param key the caller's idempotency key, if any
+     * @return the outcome; the stage never fails
+     */
+    public CompletionStage<Outcome> commit(
+            TransactionId id, ServiceName service, Optional<IdempotencyKey> key) {
+        IdempotencyKey callerKey = key.orElseGet(keys::generate);
+        IdempotencyKey recorded = KeyFactory.scope(service, callerKey);
+        return use(
+                id,
+                service,
+                transaction -> {
+                    open.remove(id);
+                    long deadline = clock.nanoTime() + transaction.patience().toNanos();
+                    return transaction
+                            .connection()
+                            .commit(recorded, transaction.commitTimeout())
+                            .thenComposeAsync(
+                                    a -> committed(transaction, callerKey, deadline, a), duty);
+                });
+    }
+
+    /**
+     * Rolls a transaction back.
+     *
+     * @param id the transaction
+     * @param service the caller's service
+     * @return the outcome; the stage never fails
+     */
+    public CompletionStage<Outcome> rollback(TransactionId id, ServiceName service) {
+        return use(
+                id,
+                service,
+                transaction -> {
+                    open.remove(id);
+                    return transaction
+                            .connection()
+                            .rollback(transaction.patience())
+                            .thenApplyAsync(a -> rolledBack(transaction, a), duty);
+                });
+    }
+
+    private CompletionStage<BeginResult> begin(
+            Group group,
+            ServiceName service,
+            RequestPolicy policy,
+            Standing primary,
+            BackendConnection connection) {
+        OpenTransaction transaction =
+                new OpenTransaction(
+                        service, policy, group, primary.instance(), primary.promised(), connection);
+        return connection
+                .begin(primary.promised(), policy.patience())
+                .thenApplyAsync(answer -> begun(transaction, answer), duty);
+    }
+
+    private BeginResult begun(OpenTransaction transaction, Answer answer) {
+        if (!(answer instanceof Answer.Done)) {
+            transaction.release(false);
+            return refusedBegin(ErrorCode.NO_INSTANCE, "the primary did not begin: " + answer);
+        }
+        TransactionId id = TransactionId.generate(vm);
+        open.put(id, transaction);
+        transaction.endExchange(idleTimer(id, transaction.patience()));
+        return new BeginResult.Begun(id);
+    }
+
+    private CompletionStage<Outcome> use(
+            TransactionId id,
+            ServiceName service,
+            Function<OpenTransaction, CompletionStage<Outcome>> work) {
+        OpenTransaction transaction = open.get(id);
+        if (transaction == null || !transaction.service().equals(service)) {
+            return completed(notRun(ErrorCode.UNKNOWN_TRANSACTION, "no such transaction here"));
+        }
+        if (transaction.isBusy()) {
+            return completed(notRun(ErrorCode.CONFLICT, "the transaction runs a statement now"));
+        }
+        transaction.startExchange();
+        return work.apply(transaction);
+    }
+
+    private CompletionStage<Outcome> executed(
+            TransactionId id, OpenTransaction transaction, Answer answer) {
+        if (answer instanceof Answer.Done done) {
+            transaction.endExchange(idleTimer(id, transaction.patience()));
+            return done.columns().isEmpty()
+                    ? completed(toOutcome(done))
+                    : proveRead(id, transaction, done);
+        }
+        end(id, transaction, "statement failed");
+        boolean isStatement =
+                answer instanceof Answer.Refused refused && refused.reason() == Refusal.STATEMENT;
+        ErrorCode code = isStatement ? ErrorCode.STATEMENT_REFUSED : ErrorCode.TRANSACTION_LOST;
+        return completed(notRun(code, "rolled back: " + answer));
+    }
+
+    /** What a caller has been shown must not vanish in a promotion, inside a transaction too. */
+    private CompletionStage<Outcome> proveRead(
+            TransactionId id, OpenTransaction transaction, Answer.Done done) {
+        return transaction
+                .group()
+                .confirmation()
+                .confirm(done.standing().instance(), done.standing().last(), transaction.patience())
+                .thenApplyAsync(
+                        proved -> {
+                            if (proved) {
+                                return toOutcome(done);
+                            }
+                            end(id, transaction, "read could not be confirmed");
+                            return notRun(ErrorCode.TRANSACTION_LOST, "rolled back");
+                        },
+                        duty);
+    }
+
+    private CompletionStage<Outcome> committed(
+            OpenTransaction transaction, IdempotencyKey key, long deadline, Answer answer) {
+        transaction.release(answer instanceof Answer.Done);
+        if (answer instanceof Answer.Refused refused) {
+            return completed(notRun(ErrorCode.TRANSACTION_LOST, refused.detail()));
+        }
+        if (answer instanceof Answer.Done done) {
+            Duration left = Duration.ofNanos(Math.max(deadline - clock.nanoTime(), 1));
+            return transaction
+                    .group()
+                    .confirmation()
+                    .confirm(done.standing().instance(), done.standing().last(), left)
+                    .thenComposeAsync(
+                            proved ->
+                                    proved
+                                            ? completed(toOutcome(done))
+                                            : resolve(transaction, key, deadline),
+                            duty);
+        }
+        return resolve(transaction, key, deadline);
+    }
+
+    private CompletionStage<Outcome> resolve(
+            OpenTransaction transaction, IdempotencyKey key, long deadline) {
+        Group group = transaction.group();
+        StatementRequest lookUp =
+                StatementRequest.lookUp(
+                        transaction.service(),
+                        group.view().spec().id(),
+                        transaction.policy(),
+                        key,
+                        deadline);
+        return runner.resolve(group, lookUp, transaction.term());
+    }
+
+    private Outcome rolledBack(OpenTransaction transaction, Answer answer) {
+        transaction.release(answer instanceof Answer.Done);
+        return answer instanceof Answer.Done done
+                ? toOutcome(done)
+                : notRun(ErrorCode.TRANSACTION_LOST, "rolled back with its connection");
+    }
+
+    private Clock.Timer idleTimer(TransactionId id, Duration patience) {
+        return clock.schedule(() -> duty.execute(() -> expire(id)), patience);
+    }
+
+    private void expire(TransactionId id) {
+        OpenTransaction transaction = open.get(id);
+        if (transaction != null && !transaction.isBusy()) {
+            end(id, transaction, "idle for longer than the patience");
+        }
+    }
+
+    private void end(TransactionId id, OpenTransaction transaction, String reason) {
+        if (open.remove(id) != null) {
+            transaction.release(false);
+            events.record(
+                    EventCode.TRANSACTION_ROLLED_BACK,
+                    EventScope.of(transaction.group().view().spec().id()),
+                    reason);
+        }
+    }
+
+    private static Outcome toOutcome(Answer.Done done) {
+        return new Outcome.Done(
+                done.columns(),
+                done.rows(),
+                done.changed(),
+                done.replayed(),
+                done.standing().last(),
+                done.standing().instance(),
+                false);
+    }
+
+    private static Outcome notRun(ErrorCode code, String detail) {
+        return new Outcome.NotRun(code, detail, Optional.empty());
+    }
+
+    private static BeginResult refusedBegin(ErrorCode code, String detail) {
+        return new BeginResult.Refused(new Outcome.NotRun(code, detail, Optional.empty()));
+    }
+
+    private static CompletionStage<BeginResult> overloaded() {
+        return completed(refusedBegin(ErrorCode.OVERLOADED, "no connection became free in time"));
+    }
+
+    private static <T> CompletionStage<T> completed(T value) {
+        return CompletableFuture.completedFuture(value);
+    }
+}
