--- a/carobstage/src/main/java/org/carobstage/cli/Main.java
+++ b/carobstage/src/main/java/org/carobstage/cli/Main.java
@@ -2,10 +2,13 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import java.lang.System.Logger.Level;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.carobstage.error.CodedException;
 import org.carobstage.error.ErrorCode;
+import org.carobstage.event.LogFormat;
+import org.carobstage.event.LogSetup;
 
 /** Reads the command line and runs a command. */
 public final class Main {
@@ -21,6 +24,7 @@
     }
 
     private static ExitCode run(String[] args) {
+        LogSetup.apply(LogFormat.TEXT, Level.INFO);
         Map<String, Command> commands = new LinkedHashMap<>();
         commands.put("serve", new ServeCommand());
         commands.put("document-put", PutCommand.document());
--- a/carobstage/src/main/java/org/carobstage/event/EventLog.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventLog.java
@@ -5,7 +5,11 @@
 import java.lang.System.Logger;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
 import org.carobstage.model.VmId;
 import org.carobstage.runtime.Clock;
 
@@ -13,16 +17,22 @@
 public final class EventLog {
     private static final Logger LOGGER = System.getLogger("org.carobstage.events");
 
+    private static final long SEQUENCES_PER_MILLI = 1_000;
+
     private final VmId vm;
     private final Clock clock;
     private final int capacity;
     private final Deque<Event> events = new ArrayDeque<>();
+    private final Map<EventId, Event> foreign;
     private HybridTime time = new HybridTime(0, 0);
+    private long sequence;
 
     private EventLog(VmId vm, Clock clock, int capacity) {
         this.vm = vm;
         this.clock = clock;
         this.capacity = capacity;
+        this.foreign = new Bounded(capacity);
+        this.sequence = clock.instant().toEpochMilli() * SEQUENCES_PER_MILLI;
     }
 
     /**
@@ -38,16 +48,32 @@
         return new EventLog(vm, clock, capacity);
     }
 
+    /**
+     * Records an event that follows from no other.
+     *
+     * @param code what happened
+     * @param scope what it is about
+     * @param detail the figures and reasons, in words
+     * @return the event's id, as the cause of others
+     */
+    public EventId record(EventCode code, EventScope scope, String detail) {
+        return record(code, scope, detail, Optional.empty());
+    }
+
     /**
      * Records an event.
      *
      * @param code what happened
      * @param scope what it is about
      * @param detail the figures and reasons, in words
+     * @param cause the event that it follows from, here or at a peer
+     * @return the event's id, as the cause of others
      */
-    public void record(EventCode code, EventScope scope, String detail) {
-        Event event = append(code, scope, detail);
-        LOGGER.log(code.level(), "{0} {1} {2}", code.number(), code, event.detail());
+    public EventId record(
+            EventCode code, EventScope scope, String detail, Optional<EventId> cause) {
+        Event event = append(code, scope, detail, cause);
+        LOGGER.log(code.level(), "{0}", event);
+        return event.id();
     }
 
     /**
@@ -78,12 +104,58 @@
         return List.copyOf(events);
     }
 
-    private synchronized Event append(EventCode code, EventScope scope, String detail) {
-        Event event = new Event(now(), vm, code, scope, detail);
+    /**
+     * Returns the kept events of this process after one of them, for a peer to keep.
+     *
+     * @param after the sequence number of the last event that the peer has, 0 for none
+     * @return the events in their order
+     */
+    public synchronized List<Event> since(long after) {
+        return events.stream().filter(e -> e.id().sequence() > after).toList();
+    }
+
+    /**
+     * Keeps events of peers, in case a peer dies; the oldest give way to new ones.
+     *
+     * @param received the events
+     */
+    public synchronized void addForeign(List<Event> received) {
+        received.stream().filter(e -> !e.vm().equals(vm)).forEach(e -> foreign.put(e.id(), e));
+    }
+
+    /**
+     * Returns the kept events of this process and of its peers.
+     *
+     * @return the events, those of this process first
+     */
+    public synchronized List<Event> known() {
+        return Stream.concat(events.stream(), foreign.values().stream()).toList();
+    }
+
+    private synchronized Event append(
+            EventCode code, EventScope scope, String detail, Optional<EventId> cause) {
+        EventId id = new EventId(vm, ++sequence);
+        Event event = new Event(id, now(), code, scope, detail, cause);
         if (events.size() == capacity) {
             events.removeFirst();
         }
         events.addLast(event);
         return event;
     }
+
+    /** Forgets the oldest entry once it holds more than its capacity. */
+    private static final class Bounded extends LinkedHashMap<EventId, Event> {
+        private static final long serialVersionUID = 1L;
+
+        private final int capacity;
+
+        private Bounded(int capacity) {
+            this.capacity = capacity;
+        }
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<EventId, Event> eldest) {
+            return size() > capacity;
+        }
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/event/EventScope.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventScope.java
@@ -2,6 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
 import org.carobstage.model.GroupId;
 
 /**
@@ -49,4 +51,28 @@
     public EventScope withRequest(String id) {
         return new EventScope(group, id, session);
     }
+
+    /**
+     * Adds a session.
+     *
+     * @param id the session's id
+     * @return the scope with the session
+     */
+    public EventScope withSession(String id) {
+        return new EventScope(group, request, id);
+    }
+
+    /**
+     * Returns the parts that apply.
+     *
+     * @return the values by the names of their fields
+     */
+    public Map<String, String> fields() {
+        Map<String, String> fields = new LinkedHashMap<>();
+        fields.put("group", group);
+        fields.put("request", request);
+        fields.put("session", session);
+        fields.values().removeIf(String::isEmpty);
+        return fields;
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/operator/OperatorServer.java
+++ b/carobstage/src/main/java/org/carobstage/operator/OperatorServer.java
@@ -14,6 +14,7 @@
 import org.carobstage.http.Json;
 import org.carobstage.http.JsonServer;
 import org.carobstage.model.Address;
+import org.carobstage.timeline.Timeline;
 
 /** Serves liveness, readiness, metrics and the time line of this process. */
 public final class OperatorServer implements AutoCloseable {
@@ -74,7 +75,10 @@
                                     : text(context, responses.serviceUnavailable(), "not ready\n");
                     case "/metrics" -> text(context, responses.ok(), metrics.scrape());
                     case "/v1/timeline" ->
-                            text(context, responses.ok(), Json.text(events.events()));
+                            text(
+                                    context,
+                                    responses.ok(),
+                                    Json.text(Timeline.messages(events.known())));
                     default -> text(context, responses.notFound(), "no such page\n");
                 });
     }
