Check settings and documents to their end and report every fault

Cause: the readers stopped at the first fault, named neither line nor key, and took unknown keys. Change: CheckedIni reads a text whole and notes each fault with file, line, section, key and reason; settings are split into a record for each part; documents refuse overlapping hours, unknown zones, staleness of writes and idempotent values other than yes and no. Token keys may come from a file that is read again when it changes.

--- a/carobstage/src/main/java/org/carobstage/cli/ServeCommand.java
+++ b/carobstage/src/main/java/org/carobstage/cli/ServeCommand.java
@@ -4,7 +4,9 @@
 import com.beust.jcommander.Parameters;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import org.carobstage.event.LogSetup;
 import org.carobstage.node.Node;
+import org.carobstage.settings.Settings;
 import org.carobstage.settings.SettingsReader;
 
 /** Runs the process of an entry VM until it is told to stop. */
@@ -15,7 +17,9 @@
 
     @Override
     public ExitCode run() {
-        Node node = Node.of(SettingsReader.read(settings));
+        Settings checked = SettingsReader.read(settings);
+        LogSetup.apply(checked.log().format(), checked.log().level());
+        Node node = Node.of(checked);
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
                 .addShutdownHook(
--- a/carobstage/src/main/java/org/carobstage/document/DocumentReader.java
+++ b/carobstage/src/main/java/org/carobstage/document/DocumentReader.java
@@ -2,29 +2,35 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.io.IOException;
-import java.io.StringReader;
-import java.time.DateTimeException;
 import java.time.Duration;
 import java.time.LocalTime;
 import java.time.ZoneId;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.carobstage.document.RequestPolicy.Access;
 import org.carobstage.document.TeamDocument.ClassRule;
 import org.carobstage.document.TeamDocument.Hours;
 import org.carobstage.error.CodedException;
 import org.carobstage.error.ErrorCode;
 import org.carobstage.model.RequestClass;
 import org.carobstage.model.ServiceName;
-import org.ini4j.Ini;
-import org.ini4j.Profile.Section;
+import org.carobstage.settings.Checked;
+import org.carobstage.settings.CheckedIni;
+import org.carobstage.settings.CheckedIni.Section;
+import org.carobstage.settings.Values;
 
 /** Reads a team's document from INI. */
 public final class DocumentReader {
-    private static final String CLASS_PREFIX = "class ";
-    private static final String HOURS_PREFIX = "hours ";
+    private static final Duration MIN_PATIENCE = Duration.ofMillis(1);
+    private static final Duration MAX_PATIENCE = Duration.ofMinutes(10);
+    private static final Duration MAX_STALENESS = Duration.ofHours(24);
+    private static final Function<String, Duration> PATIENCE =
+            Values.duration(MIN_PATIENCE, MAX_PATIENCE);
+    private static final Function<String, Duration> STALENESS =
+            Values.duration(Duration.ZERO, MAX_STALENESS);
 
     private DocumentReader() {}
 
@@ -33,92 +39,74 @@
      *
      * @param text the INI text
      * @return the document
-     * @throws CodedException if the text does not check
+     * @throws CodedException if the text has faults; it names all of them
      */
     public static TeamDocument read(String text) {
-        requireNonNull(text, "text is null");
-        try {
-            Ini ini = new Ini(new StringReader(text));
-            return read(ini);
-        } catch (IOException | IllegalArgumentException | DateTimeException e) {
-            throw CodedException.of(ErrorCode.BAD_DOCUMENT, e.getMessage(), e);
-        }
+        return check("document", text).orThrow(ErrorCode.BAD_DOCUMENT);
     }
 
     /**
-     * Reads a duration such as {@code 500 ms}, {@code 30 s} or {@code 2 min}.
+     * Checks a document.
      *
-     * @param text the duration with its unit
-     * @return the duration
-     * @throws IllegalArgumentException if the text has another form
+     * @param source the name of the file, for faults
+     * @param text the INI text
+     * @return the document or all faults
      */
-    public static Duration duration(String text) {
-        String[] parts = text.trim().split("\\s+");
-        if (parts.length != 2) {
-            throw new IllegalArgumentException("not a duration with its unit: " + text);
+    public static Checked<TeamDocument> check(String source, String text) {
+        requireNonNull(text, "text is null");
+        CheckedIni ini = CheckedIni.of(source, text);
+        Section service = ini.section("service");
+        ServiceName name = service.required("name", ServiceName::of);
+        ZoneId zone = service.required("time-zone", ZoneId::of);
+        Duration patience = service.required("patience", PATIENCE);
+        Map<String, Supplier<ClassRule>> rules = new LinkedHashMap<>();
+        ini.sections("class").forEach(s -> rules.put(s.label(), rule(s)));
+        if (rules.isEmpty()) {
+            ini.fault("no section [class NAME]");
         }
-        long amount = Long.parseLong(parts[0]);
-        return switch (parts[1].toLowerCase(Locale.ROOT)) {
-            case "ms" -> Duration.ofMillis(amount);
-            case "s" -> Duration.ofSeconds(amount);
-            case "min" -> Duration.ofMinutes(amount);
-            case "h" -> Duration.ofHours(amount);
-            default -> throw new IllegalArgumentException("unknown unit: " + parts[1]);
-        };
+        List<Supplier<Hours>> hours = hours(ini.sections("hours"));
+        return ini.result(
+                () ->
+                        new TeamDocument(
+                                name,
+                                zone,
+                                classes(rules),
+                                patience,
+                                hours.stream().map(Supplier::get).toList()));
     }
 
-    private static TeamDocument read(Ini ini) {
-        Section service = section(ini, "service");
+    private static Map<RequestClass, ClassRule> classes(Map<String, Supplier<ClassRule>> rules) {
         Map<RequestClass, ClassRule> classes = new LinkedHashMap<>();
-        ini.values().stream()
-                .filter(s -> s.getName().startsWith(CLASS_PREFIX))
-                .forEach(s -> classes.put(className(s), rule(s)));
-        return new TeamDocument(
-                ServiceName.of(required(service, "name")),
-                ZoneId.of(required(service, "time-zone")),
-                classes,
-                duration(required(service, "patience")),
-                hours(ini));
+        rules.forEach((name, rule) -> classes.put(RequestClass.of(name), rule.get()));
+        return classes;
     }
 
-    private static Section section(Ini ini, String name) {
-        Section section = ini.get(name);
-        if (section == null) {
-            throw new IllegalArgumentException("section is missing: " + name);
+    private static Supplier<ClassRule> rule(Section section) {
+        Access access = section.required("access", Values.oneOf(Access.class));
+        Duration staleness = section.optional("staleness", STALENESS).orElse(Duration.ZERO);
+        boolean idempotent =
+                section.optional("idempotent", Values::yesNo).orElse(access == Access.READ);
+        if (access == Access.WRITE && section.has("staleness")) {
+            section.fault("staleness", "only a read may be stale");
         }
-        return section;
-    }
-
-    private static String required(Section section, String key) {
-        String value = section.get(key);
-        if (value == null) {
-            throw new IllegalArgumentException("key is missing: " + section.getName() + "." + key);
+        if (access == Access.READ && section.has("idempotent")) {
+            section.fault("idempotent", "a read is always idempotent");
         }
-        return value;
+        return () -> new ClassRule(access, staleness, idempotent);
     }
 
-    private static RequestClass className(Section section) {
-        return RequestClass.of(section.getName().substring(CLASS_PREFIX.length()).trim());
+    private static List<Supplier<Hours>> hours(List<Section> sections) {
+        HoursOverlap overlap = HoursOverlap.empty();
+        return sections.stream().map(s -> hours(s, overlap)).toList();
     }
 
-    private static ClassRule rule(Section section) {
-        String access = required(section, "access").toUpperCase(Locale.ROOT);
-        String staleness = section.getOrDefault("staleness", "0 s");
-        boolean idempotent = "yes".equals(section.getOrDefault("idempotent", "no"));
-        return new ClassRule(RequestPolicy.Access.valueOf(access), duration(staleness), idempotent);
-    }
-
-    private static List<Hours> hours(Ini ini) {
-        return ini.values().stream()
-                .filter(s -> s.getName().startsWith(HOURS_PREFIX))
-                .map(DocumentReader::hours)
-                .toList();
-    }
-
-    private static Hours hours(Section section) {
-        return new Hours(
-                LocalTime.parse(required(section, "from")),
-                LocalTime.parse(required(section, "to")),
-                duration(required(section, "patience")));
+    private static Supplier<Hours> hours(Section section, HoursOverlap overlap) {
+        LocalTime from = section.required("from", LocalTime::parse);
+        LocalTime to = section.required("to", LocalTime::parse);
+        Duration patience = section.required("patience", PATIENCE);
+        if (from != null && to != null) {
+            overlap.add(section, from, to);
+        }
+        return () -> new Hours(from, to, patience);
     }
 }
--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -9,7 +9,11 @@
     /** The process has begun a graceful shutdown. */
     SHUTDOWN_STARTED(1002, Level.INFO),
     /** A configuration is in force. */
-    CONFIGURATION_APPLIED(2001, Level.INFO);
+    CONFIGURATION_APPLIED(2001, Level.INFO),
+    /** The file of token keys was read. */
+    TOKEN_KEYS_READ(7001, Level.INFO),
+    /** The file of token keys can't be used; the keys read before stay in force. */
+    TOKEN_KEYS_UNUSABLE(7002, Level.ERROR);
 
     private final int number;
     private final Level level;
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -6,8 +6,6 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Executors;
-import java.nio.charset.StandardCharsets;
-import java.util.List;
 import org.carobstage.backend.HttpBackend;
 import org.carobstage.caller.CallerServer;
 import org.carobstage.config.ConfigurationWatch;
@@ -23,6 +21,7 @@
 import org.carobstage.runtime.Clock;
 import org.carobstage.runtime.Closer;
 import org.carobstage.runtime.SerialExecutor;
+import org.carobstage.security.TokenKeys;
 import org.carobstage.session.TokenCodec;
 import org.carobstage.settings.Settings;
 
@@ -44,7 +43,7 @@
         Executor executor = Executors.newCachedThreadExecutor();
         closer.add(() -> executor.closeAsync().subscribe());
         this.clock = Clock.of(executor);
-        this.events = EventLog.of(settings.vm(), clock, EVENT_CAPACITY);
+        this.events = EventLog.of(settings.vm().id(), clock, EVENT_CAPACITY);
         SerialExecutor duty = closer.add(SerialExecutor.of("statements", RING_CAPACITY));
         this.proxy = closer.add(Proxy.of(clock, duty, events, HttpBackend::of, this::share));
     }
@@ -86,25 +85,37 @@
     }
 
     private void start() {
-        Platform platform = closer.add(HttpPlatform.of(settings.platform()));
+        Platform platform = closer.add(HttpPlatform.of(settings.platform().address()));
         ConfigurationWatch watch = closer.add(ConfigurationWatch.of(platform, clock, proxy::apply));
         watch.first().toCompletableFuture().join();
-        byte[] key = settings.tokenKey().getBytes(StandardCharsets.UTF_8);
-        TokenCodec tokens = TokenCodec.of(() -> List.of(key));
+        TokenCodec tokens = TokenCodec.of(closer.add(tokenKeys()));
         PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-        operator = closer.add(OperatorServer.of(settings.operator(), metrics, events, () -> true));
+        operator =
+                closer.add(
+                        OperatorServer.of(
+                                settings.operator().listen(), metrics, events, () -> true));
         caller =
                 closer.add(
                         CallerServer.of(
-                                settings.caller(), proxy, tokens, settings.maxStatementBytes()));
+                                settings.caller().listen(),
+                                proxy,
+                                tokens,
+                                settings.caller().limits().maxBodyBytes()));
         events.record(
                 EventCode.PROCESS_STARTED,
                 EventScope.empty(),
                 "callers at " + caller.address() + ", operators at " + operator.address());
     }
 
+    private TokenKeys tokenKeys() {
+        return settings.session()
+                .tokenKeysFile()
+                .map(file -> TokenKeys.ofFile(file, clock, events))
+                .orElseGet(() -> TokenKeys.of(settings.session().tokenKey().orElseThrow()));
+    }
+
     private Share share(GroupSpec spec) {
-        int vms = settings.entryVms();
+        int vms = settings.vm().entryVms();
         int slots = Math.max(1, spec.slots() / vms);
         return new Share(slots, Math.max(1, spec.connections() / vms));
     }
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/settings/Checked.java
@@ -0,0 +1,39 @@
+package org.carobstage.settings;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.carobstage.error.CodedException;
+import org.carobstage.error.ErrorCode;
+
+/**
+ * What was read, or everything that is wrong with it.
+ *
+ * @param <T> the type of the value
+ * @param value the value, empty if there are faults
+ * @param faults the faults
+ */
+public record Checked<T>(Optional<T> value, List<Fault> faults) {
+    /** Checks the result. */
+    public Checked {
+        requireNonNull(value, "value is null");
+        faults = List.copyOf(faults);
+    }
+
+    /**
+     * Returns the value.
+     *
+     * @param code the code of the exception
+     * @return the value
+     * @throws CodedException if there are faults; its message names them all, one a line
+     */
+    public T orThrow(ErrorCode code) {
+        return value.orElseThrow(() -> CodedException.of(code, lines()));
+    }
+
+    private String lines() {
+        return faults.stream().map(Fault::toString).collect(Collectors.joining("\n"));
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/settings/ServerLimits.java
@@ -0,0 +1,41 @@
+package org.carobstage.settings;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+
+/**
+ * What a server accepts of one request and one connection.
+ *
+ * @param maxBodyBytes the longest request body, in bytes
+ * @param maxHeaderBytes the longest request line and the longest sum of headers, in bytes
+ * @param idleTimeout how long a connection may be silent before it is closed
+ */
+public record ServerLimits(int maxBodyBytes, int maxHeaderBytes, Duration idleTimeout) {
+    private static final ServerLimits DEFAULT =
+            new ServerLimits(1_048_576, 16_384, Duration.ofMinutes(1));
+
+    /** Checks the limits. */
+    public ServerLimits {
+        requireNonNull(idleTimeout, "idleTimeout is null");
+    }
+
+    /**
+     * Returns limits that suit a server without limits of its own.
+     *
+     * @return the limits
+     */
+    public static ServerLimits standard() {
+        return DEFAULT;
+    }
+
+    /**
+     * Changes the longest body.
+     *
+     * @param bytes the longest request body, in bytes
+     * @return the new limits
+     */
+    public ServerLimits withMaxBodyBytes(int bytes) {
+        return new ServerLimits(bytes, maxHeaderBytes, idleTimeout);
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/settings/VmSettings.java
@@ -0,0 +1,21 @@
+package org.carobstage.settings;
+
+import static java.util.Objects.requireNonNull;
+
+import org.carobstage.model.FailureDomain;
+import org.carobstage.model.VmId;
+
+/**
+ * Which VM this is.
+ *
+ * @param id the VM
+ * @param domain the failure domain it runs in
+ * @param entryVms how many entry VMs share the limits of the instances
+ */
+public record VmSettings(VmId id, FailureDomain domain, int entryVms) {
+    /** Checks the settings. */
+    public VmSettings {
+        requireNonNull(id, "id is null");
+        requireNonNull(domain, "domain is null");
+    }
+}
