Separate slots from connections, keep spares open, retire silent connections together

Cause: a request was bound to one opening and given up with it; a share that shrank was not obeyed; no connection was open at an instance before the first statement; one that went silent was found only by statements, one at a time; a refusal at the instance's limit went back to the caller. Change: InstancePool grants slots by the admission queue; Connections opens (at most 4 at once, with back-off, spares on each instance), pings the longest unproven one each second, sets aside and pings what has not answered since a loss, and retires together what stays silent while another connection answers (event 4001, metric). A connection opened after its timeout is closed. For the lead: acquire(ServiceName, patience) now returns a Grant; StatementRunner ends at once with the computed retry-after when overloaded and goes elsewhere when unreachable (AttemptDecision .afterNoConnection); a LIMIT refusal that the lease gave up on ends the statement. Group.of takes a function that creates a pool in place of the share; Proxy.of has a variant with a MeterRegistry. Conclusion: the pool is in place under the unchanged statement tests; its own proofs are open.

--- a/carobstage/src/main/java/org/carobstage/admission/AdmissionQueue.java
+++ b/carobstage/src/main/java/org/carobstage/admission/AdmissionQueue.java
@@ -59,13 +59,13 @@
         requireNonNull(ticket, "ticket is null");
         Line<T> line = lines.computeIfAbsent(ticket.service(), s -> new Line<>());
         int index = line.indexFor(ticket);
-        long ownOverrun = load.finishNanos(ahead(line, index)) - left(ticket, now);
+        long ownOverrun = overrun(ticket, ahead(line, index), load, now);
         if (ownOverrun > 0) {
             return List.of(rejection(ticket, ownOverrun));
         }
         List<Rejection<T>> rejected = new ArrayList<>(sweep(load, now));
         if (size == capacity && !makeRoom(line, load, now, rejected)) {
-            rejected.add(rejection(ticket, load.finishNanos(size) - left(ticket, now)));
+            rejected.add(rejection(ticket, overrun(ticket, size, load, now)));
             return rejected;
         }
         index = insert(line, ticket);
@@ -195,7 +195,13 @@
 
     /** Returns by how much a request would end after its deadline, in ns. */
     private long overrun(Line<T> line, int index, Load load, long now) {
-        return load.finishNanos(ahead(line, index)) - left(line.tickets.get(index), now);
+        return overrun(line.tickets.get(index), ahead(line, index), load, now);
+    }
+
+    private long overrun(Ticket<T> ticket, int ahead, Load load, long now) {
+        long left = ticket.deadlineNanos() - now;
+        long least = left <= 0 ? 1 : 0;
+        return Math.max(load.finishNanos(ahead) - left, least);
     }
 
     /** Counts the requests that get a slot first: those of its line and as many of each other. */
@@ -209,10 +215,6 @@
         return ahead;
     }
 
-    private long left(Ticket<T> ticket, long now) {
-        return ticket.deadlineNanos() - now;
-    }
-
     private Rejection<T> rejection(Ticket<T> ticket, long overrunNanos) {
         long least = Math.max(overrunNanos, MIN_RETRY_AFTER.toNanos());
         long retryAfter = Math.min(least, MAX_RETRY_AFTER.toNanos());
--- a/carobstage/src/main/java/org/carobstage/admission/Load.java
+++ b/carobstage/src/main/java/org/carobstage/admission/Load.java
@@ -12,7 +12,8 @@
     private static final long NEVER_NANOS = Long.MAX_VALUE / 4;
 
     /**
-     * Estimates the time until a request has run.
+     * Estimates the time until a request has run; zero if a slot is free for it, as only a run
+     * shows how long statements take now.
      *
      * @param ahead how many requests get a slot before it
      * @return the wait and the run, in ns
@@ -22,7 +23,7 @@
             return NEVER_NANOS;
         }
         if (ahead + busy < slots) {
-            return serviceNanos;
+            return 0;
         }
         return (ahead * serviceNanos + remainingNanos) / slots + serviceNanos;
     }
--- a/carobstage/src/main/java/org/carobstage/backend/HttpBackendConnection.java
+++ b/carobstage/src/main/java/org/carobstage/backend/HttpBackendConnection.java
@@ -25,7 +25,8 @@
     static Single<BackendConnection> opened(ReservedHttpConnection connection, Duration timeout) {
         HttpBackendConnection opened = new HttpBackendConnection(connection);
         return opened.exchange("/open", new Termed(0, null), timeout)
-                .flatMap(answer -> opened.checkOpened(answer));
+                .flatMap(answer -> opened.checkOpened(answer))
+                .beforeCancel(opened::close);
     }
 
     @Override
--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -10,6 +10,16 @@
     SHUTDOWN_STARTED(1002, Level.INFO),
     /** A configuration is in force. */
     CONFIGURATION_APPLIED(2001, Level.INFO),
+    /** Connections that no longer answered while others did were closed together. */
+    CONNECTIONS_RETIRED(4001, Level.WARNING),
+    /** No connection to an instance could be opened. */
+    OPENING_FAILED(4002, Level.WARNING),
+    /** A connection could be opened again. */
+    OPENING_RECOVERED(4003, Level.INFO),
+    /** Statements are refused because their wait would exceed the patience. */
+    OVERLOAD_STARTED(4004, Level.WARNING),
+    /** No statement was refused for a while. */
+    OVERLOAD_ENDED(4005, Level.INFO),
     /** A transaction ended without its caller's commit or rollback. */
     TRANSACTION_ROLLED_BACK(5001, Level.INFO);
 
--- a/carobstage/src/main/java/org/carobstage/group/Group.java
+++ b/carobstage/src/main/java/org/carobstage/group/Group.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.function.Function;
-import java.util.function.Supplier;
 import org.carobstage.acknowledge.Confirmation;
 import org.carobstage.backend.Backend;
 import org.carobstage.backend.Standing;
@@ -16,7 +15,6 @@
 import org.carobstage.model.InstanceSpec;
 import org.carobstage.model.LogPosition;
 import org.carobstage.pool.InstancePool;
-import org.carobstage.pool.Share;
 import org.carobstage.runtime.Clock;
 
 /** One database group: its clients, its pools and the view of it. State changes on its duty. */
@@ -35,7 +33,7 @@
     private Group(
             GroupSpec spec,
             Function<InstanceSpec, Backend> connect,
-            Supplier<Share> share,
+            Function<Backend, InstancePool> pool,
             Clock clock,
             Executor duty) {
         this.clock = clock;
@@ -44,7 +42,7 @@
         for (InstanceSpec instance : spec.instances()) {
             Backend backend = connect.apply(instance);
             backends.put(instance.id(), backend);
-            pools.put(instance.id(), InstancePool.of(backend, share, clock, duty));
+            pools.put(instance.id(), pool.apply(backend));
         }
         this.confirmation = Confirmation.of(backends.values());
     }
@@ -54,7 +52,7 @@
      *
      * @param spec the group
      * @param connect creates the client of an instance
-     * @param share this process's part of each instance's limits
+     * @param pool creates the pool of an instance
      * @param clock the runtime's clock
      * @param duty runs the group's decisions one at a time
      * @return the group
@@ -62,11 +60,11 @@
     public static Group of(
             GroupSpec spec,
             Function<InstanceSpec, Backend> connect,
-            Supplier<Share> share,
+            Function<Backend, InstancePool> pool,
             Clock clock,
             Executor duty) {
         requireNonNull(spec, "spec is null");
-        Group group = new Group(spec, connect, share, clock, duty);
+        Group group = new Group(spec, connect, pool, clock, duty);
         group.backends.values().forEach(group::watch);
         return group;
     }
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -33,6 +33,8 @@
 
     private final Settings settings;
     private final Closer closer = Closer.empty();
+    private final PrometheusMeterRegistry metrics =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Clock clock;
     private final EventLog events;
     private final Proxy proxy;
@@ -46,7 +48,8 @@
         this.clock = Clock.of(executor);
         this.events = EventLog.of(settings.vm(), clock, EVENT_CAPACITY);
         SerialExecutor duty = closer.add(SerialExecutor.of("statements", RING_CAPACITY));
-        this.proxy = closer.add(Proxy.of(clock, duty, events, HttpBackend::of, this::share));
+        this.proxy =
+                closer.add(Proxy.of(clock, duty, events, HttpBackend::of, this::share, metrics));
     }
 
     /**
@@ -91,7 +94,6 @@
         watch.first().toCompletableFuture().join();
         byte[] key = settings.tokenKey().getBytes(StandardCharsets.UTF_8);
         TokenCodec tokens = TokenCodec.of(() -> List.of(key));
-        PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         operator = closer.add(OperatorServer.of(settings.operator(), metrics, events, () -> true));
         caller =
                 closer.add(
--- a/carobstage/src/main/java/org/carobstage/node/Proxy.java
+++ b/carobstage/src/main/java/org/carobstage/node/Proxy.java
@@ -2,14 +2,18 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import org.carobstage.backend.Backend;
 import org.carobstage.caller.StatementService;
 import org.carobstage.config.Configuration;
@@ -28,7 +32,11 @@
 import org.carobstage.model.InstanceSpec;
 import org.carobstage.model.RequestClass;
 import org.carobstage.model.ServiceName;
+import org.carobstage.pool.InstancePool;
+import org.carobstage.pool.PoolMetrics;
+import org.carobstage.pool.PoolRuntime;
 import org.carobstage.pool.Share;
+import org.carobstage.retry.RetryBudgets;
 import org.carobstage.runtime.BoundedExecutor;
 import org.carobstage.runtime.Clock;
 import org.carobstage.statement.KeyFactory;
@@ -49,6 +57,9 @@
     private final Function<InstanceSpec, Backend> connect;
     private final Function<GroupSpec, Share> shares;
     private final StatementRunner runner;
+    private final MeterRegistry meters;
+    private final RetryBudgets budgets;
+    private final RandomGenerator random;
     private final Transactions transactions;
     private final Map<GroupId, Group> groups = new ConcurrentHashMap<>();
     private volatile Configuration configuration = Configuration.empty();
@@ -58,7 +69,11 @@
             BoundedExecutor duty,
             EventLog events,
             Function<InstanceSpec, Backend> connect,
-            Function<GroupSpec, Share> shares) {
+            Function<GroupSpec, Share> shares,
+            MeterRegistry meters) {
+        this.meters = meters;
+        this.budgets = RetryBudgets.of(clock);
+        this.random = new SplittableRandom(clock.nanoTime());
         this.clock = clock;
         this.duty = duty;
         this.events = events;
@@ -85,12 +100,34 @@
             EventLog events,
             Function<InstanceSpec, Backend> connect,
             Function<GroupSpec, Share> shares) {
+        return of(clock, duty, events, connect, shares, new SimpleMeterRegistry());
+    }
+
+    /**
+     * Creates a proxy without configuration.
+     *
+     * @param clock the runtime's clock
+     * @param duty runs the decisions one at a time
+     * @param events records what is decided
+     * @param connect creates the client of an instance
+     * @param shares this process's part of the limits of a group's instances, asked each time
+     * @param meters keeps the meters
+     * @return the proxy
+     */
+    public static Proxy of(
+            Clock clock,
+            BoundedExecutor duty,
+            EventLog events,
+            Function<InstanceSpec, Backend> connect,
+            Function<GroupSpec, Share> shares,
+            MeterRegistry meters) {
         requireNonNull(clock, "clock is null");
         requireNonNull(duty, "duty is null");
         requireNonNull(events, "events is null");
         requireNonNull(connect, "connect is null");
         requireNonNull(shares, "shares is null");
-        return new Proxy(clock, duty, events, connect, shares);
+        requireNonNull(meters, "meters is null");
+        return new Proxy(clock, duty, events, connect, shares, meters);
     }
 
     /**
@@ -187,7 +224,14 @@
         if (current != null && current.view().spec().equals(spec)) {
             return;
         }
-        groups.put(spec.id(), Group.of(spec, connect, () -> shares.apply(spec), clock, duty));
+        groups.put(spec.id(), Group.of(spec, connect, backend -> pool(spec, backend), clock, duty));
         Optional.ofNullable(current).ifPresent(Group::close);
     }
+
+    private InstancePool pool(GroupSpec spec, Backend backend) {
+        PoolMetrics metrics = PoolMetrics.of(meters, spec.id(), backend.spec().id());
+        PoolRuntime runtime =
+                new PoolRuntime(spec.id(), clock, duty, events, metrics, budgets, random);
+        return InstancePool.of(backend, () -> shares.apply(spec), runtime);
+    }
 }
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/pool/Connections.java
@@ -0,0 +1,273 @@
+package org.carobstage.pool;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.carobstage.backend.Answer;
+import org.carobstage.backend.Backend;
+import org.carobstage.backend.BackendConnection;
+import org.carobstage.event.EventCode;
+import org.carobstage.event.EventScope;
+import org.carobstage.retry.Backoff;
+import org.carobstage.runtime.Clock;
+
+/**
+ * The open connections to one instance. When one is lost, those that have not answered since are
+ * set aside and pinged, and a fresh one is opened; if that answers and they don't, they are retired
+ * together. All methods run on the duty.
+ */
+final class Connections {
+    static final Duration OPEN_TIMEOUT = Duration.ofMillis(1_000);
+    static final Duration PING_INTERVAL = Duration.ofMillis(1_000);
+    static final Duration PING_TIMEOUT = Duration.ofMillis(100);
+    static final Duration UNREACHABLE_AFTER = Duration.ofMillis(1_000);
+    private static final int MAX_PARALLEL_OPENS = 4;
+    private static final Duration FIRST_OPEN_DELAY = Duration.ofMillis(10);
+    private static final Duration LONGEST_OPEN_DELAY = Duration.ofMillis(1_000);
+
+    private final Backend backend;
+    private final PoolRuntime runtime;
+    private final Clock clock;
+    private final Runnable changed;
+    private final Backoff backoff;
+    private final Deque<Pooled> idle = new ArrayDeque<>();
+    private final Set<Pooled> suspects = new LinkedHashSet<>();
+    private int lent;
+    private int opening;
+    private int failures;
+    private long noOpenBefore;
+    private long failingSince;
+    private long aliveNanos;
+    private boolean closed;
+
+    Connections(Backend backend, PoolRuntime runtime, Runnable changed) {
+        this.backend = backend;
+        this.runtime = runtime;
+        this.clock = runtime.clock();
+        this.changed = changed;
+        this.backoff = new Backoff(FIRST_OPEN_DELAY, LONGEST_OPEN_DELAY, runtime.random());
+        this.noOpenBefore = clock.nanoTime();
+        this.aliveNanos = clock.nanoTime();
+    }
+
+    /** Returns how many connections count against the limit. */
+    int open() {
+        return idle.size() + suspects.size() + lent + opening;
+    }
+
+    /** Returns how many connections can be lent or are about to. */
+    int available() {
+        return idle.size() + opening;
+    }
+
+    /** Returns how many connections are lent. */
+    int lent() {
+        return lent;
+    }
+
+    /** Tells whether no connection is open and none could be opened for a while. */
+    boolean isUnreachable() {
+        long failing = clock.nanoTime() - failingSince;
+        return failures > 0
+                && idle.isEmpty()
+                && lent == 0
+                && failing >= UNREACHABLE_AFTER.toNanos();
+    }
+
+    /** Lends the connection that answered last. */
+    Optional<Pooled> take() {
+        Optional<Pooled> next = Optional.ofNullable(idle.poll());
+        next.ifPresent(p -> lent++);
+        return next;
+    }
+
+    /** Takes a lent connection back. */
+    void give(Pooled pooled, boolean clean, long lentNanos, int limit) {
+        lent--;
+        if (!clean) {
+            pooled.connection().close();
+            suspectUnproven(lentNanos);
+            return;
+        }
+        prove(pooled);
+        if (closed || open() >= limit) {
+            pooled.connection().close();
+        } else {
+            idle.push(pooled);
+        }
+    }
+
+    /** Closes idle connections above the limit and opens what is wanted below it. */
+    void adjust(int wanted, int limit) {
+        while (open() > limit && !(idle.isEmpty() && suspects.isEmpty())) {
+            closeOne();
+        }
+        int missing = wanted - available();
+        while (missing > 0 && mayOpen()) {
+            if (open() >= limit && !closeLost()) {
+                return;
+            }
+            opening++;
+            new Opening().start();
+            missing--;
+        }
+    }
+
+    /** Pings the connection that has not answered for the longest time. */
+    void pingOldest() {
+        long now = clock.nanoTime();
+        long before = now - PING_INTERVAL.toNanos();
+        idle.stream()
+                .min(Comparator.comparingLong(p -> p.provenNanos() - now))
+                .filter(p -> p.provenNanos() - before <= 0)
+                .ifPresent(this::ping);
+        suspects.stream().filter(p -> p.askedNanos() - before <= 0).toList().forEach(this::ping);
+    }
+
+    void close() {
+        closed = true;
+        idle.forEach(p -> p.connection().close());
+        suspects.forEach(p -> p.connection().close());
+        idle.clear();
+        suspects.clear();
+    }
+
+    private boolean mayOpen() {
+        return !closed && opening < MAX_PARALLEL_OPENS && clock.nanoTime() - noOpenBefore >= 0;
+    }
+
+    /** Closes a connection that did not answer a ping, to make room for a fresh one. */
+    private boolean closeLost() {
+        Optional<Pooled> lost = suspects.stream().filter(this::isOverdue).findFirst();
+        lost.ifPresent(this::closeSuspect);
+        return lost.isPresent();
+    }
+
+    private void closeSuspect(Pooled pooled) {
+        suspects.remove(pooled);
+        pooled.connection().close();
+    }
+
+    private boolean isOverdue(Pooled pooled) {
+        return clock.nanoTime() - pooled.askedNanos() >= PING_TIMEOUT.toNanos();
+    }
+
+    private void prove(Pooled pooled) {
+        aliveNanos = clock.nanoTime();
+        pooled.prove(aliveNanos);
+    }
+
+    private void closeOne() {
+        if (suspects.isEmpty()) {
+            idle.pollLast().connection().close();
+        } else {
+            closeSuspect(suspects.iterator().next());
+        }
+    }
+
+    private void suspectUnproven(long sinceNanos) {
+        List<Pooled> unproven =
+                idle.stream().filter(p -> p.provenNanos() - sinceNanos < 0).toList();
+        unproven.forEach(this::ping);
+    }
+
+    private void ping(Pooled pooled) {
+        idle.remove(pooled);
+        suspects.add(pooled);
+        pooled.ask(clock.nanoTime());
+        pooled.connection()
+                .ping(PING_TIMEOUT)
+                .thenAcceptAsync(answer -> pinged(pooled, answer), runtime.duty());
+    }
+
+    private void pinged(Pooled pooled, Answer answer) {
+        if (!suspects.contains(pooled)) {
+            return;
+        }
+        if (answer instanceof Answer.Done) {
+            suspects.remove(pooled);
+            prove(pooled);
+            idle.addLast(pooled);
+        } else {
+            suspectUnproven(pooled.askedNanos());
+        }
+        retireSilent();
+        changed.run();
+    }
+
+    /** Retires the suspects that did not answer while another connection has answered since. */
+    private void retireSilent() {
+        List<Pooled> silent =
+                suspects.stream().filter(p -> aliveNanos - p.askedNanos() > 0).toList();
+        if (silent.isEmpty() || !suspects.stream().allMatch(this::isOverdue)) {
+            return;
+        }
+        silent.forEach(this::closeSuspect);
+        runtime.metrics().retired(silent.size());
+        record(EventCode.CONNECTIONS_RETIRED, silent.size() + " connections went silent");
+    }
+
+    private void opened(BackendConnection connection) {
+        long now = clock.nanoTime();
+        runtime.metrics().opened();
+        if (failures > 0) {
+            record(EventCode.OPENING_RECOVERED, "after " + failures + " failures");
+        }
+        failures = 0;
+        aliveNanos = now;
+        idle.push(new Pooled(connection, now));
+        retireSilent();
+    }
+
+    private void failed(Throwable error, long startedNanos) {
+        runtime.metrics().openFailed();
+        failingSince = failures == 0 ? startedNanos : failingSince;
+        failures++;
+        Duration delay = backoff.delay(failures);
+        noOpenBefore = clock.nanoTime() + delay.toNanos();
+        clock.schedule(() -> runtime.duty().execute(changed), delay);
+        if (failures == 1) {
+            record(EventCode.OPENING_FAILED, String.valueOf(error));
+        }
+    }
+
+    private void record(EventCode code, String detail) {
+        EventScope scope = EventScope.of(runtime.group());
+        runtime.events().record(code, scope, "instance " + backend.spec().id() + ": " + detail);
+    }
+
+    /** One attempt to open a connection; what comes after its timeout is closed. */
+    private final class Opening {
+        private final long startedNanos = clock.nanoTime();
+        private boolean ended;
+
+        private void start() {
+            clock.schedule(() -> runtime.duty().execute(this::timeOut), OPEN_TIMEOUT);
+            backend.open(OPEN_TIMEOUT).whenCompleteAsync(this::end, runtime.duty());
+        }
+
+        private void timeOut() {
+            end(null, new IllegalStateException("no connection within " + OPEN_TIMEOUT));
+        }
+
+        private void end(BackendConnection connection, Throwable error) {
+            if (ended || closed) {
+                Optional.ofNullable(connection).ifPresent(BackendConnection::close);
+                return;
+            }
+            ended = true;
+            opening--;
+            if (error == null) {
+                opened(connection);
+            } else {
+                failed(error, startedNanos);
+            }
+            changed.run();
+        }
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/pool/Grant.java
@@ -0,0 +1,41 @@
+package org.carobstage.pool;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.carobstage.backend.BackendConnection;
+
+/**
+ * The answer to a request for a slot.
+ *
+ * @param status whether it was granted
+ * @param connection the connection that goes with the slot, or empty if the request was refused
+ * @param retryAfter when a request with the same patience is expected to fit, if refused
+ */
+public record Grant(Status status, Optional<BackendConnection> connection, Duration retryAfter) {
+    /** Checks the grant. */
+    public Grant {
+        requireNonNull(status, "status is null");
+        requireNonNull(connection, "connection is null");
+        requireNonNull(retryAfter, "retryAfter is null");
+    }
+
+    static Grant of(BackendConnection connection) {
+        return new Grant(Status.GRANTED, Optional.of(connection), Duration.ZERO);
+    }
+
+    static Grant refused(Status status, Duration retryAfter) {
+        return new Grant(status, Optional.empty(), retryAfter);
+    }
+
+    /** Whether a request for a slot was granted. */
+    public enum Status {
+        /** It has a slot and a connection. */
+        GRANTED,
+        /** It is not expected to run within the caller's patience. */
+        OVERLOADED,
+        /** No connection to the instance can be opened; another instance may do. */
+        UNREACHABLE
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/pool/Pooled.java
@@ -0,0 +1,37 @@
+package org.carobstage.pool;
+
+import org.carobstage.backend.BackendConnection;
+
+/** An open connection and the last moment at which it was known to answer. */
+final class Pooled {
+    private final BackendConnection connection;
+    private long provenNanos;
+    private long askedNanos;
+
+    Pooled(BackendConnection connection, long now) {
+        this.connection = connection;
+        this.provenNanos = now;
+    }
+
+    BackendConnection connection() {
+        return connection;
+    }
+
+    /** Returns when it was last known to answer, in ns of the runtime's clock. */
+    long provenNanos() {
+        return provenNanos;
+    }
+
+    void prove(long now) {
+        provenNanos = now;
+    }
+
+    /** Returns when the last ping was sent, in ns of the runtime's clock. */
+    long askedNanos() {
+        return askedNanos;
+    }
+
+    void ask(long now) {
+        askedNanos = now;
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/statement/AttemptDecision.java
+++ b/carobstage/src/main/java/org/carobstage/statement/AttemptDecision.java
@@ -8,6 +8,7 @@
 import org.carobstage.document.RequestPolicy.Access;
 import org.carobstage.error.ErrorCode;
 import org.carobstage.model.Term;
+import org.carobstage.pool.Grant;
 
 /**
  * Decides after each exchange whether a statement is done, did not run, or goes on. It is the place
@@ -38,6 +39,32 @@
         return afterLoss(request, progress, target, (Answer.Lost) answer);
     }
 
+    /**
+     * Decides after no connection was had. An overloaded instance is not asked again: the caller
+     * gets the answer at once.
+     *
+     * @param progress what had become of the statement before
+     * @param target where it was to be sent
+     * @param grant the refusal
+     * @param hasKey true if the statement's outcome can be looked up
+     * @return the next step
+     */
+    public static Step afterNoConnection(
+            Progress progress, Target target, Grant grant, boolean hasKey) {
+        String detail = target.instance() + ": " + grant.status();
+        boolean isReached = grant.status() == Grant.Status.OVERLOADED;
+        ErrorCode code = isReached ? ErrorCode.OVERLOADED : ErrorCode.NO_INSTANCE;
+        Progress next = progress.refused(code, detail);
+        if (progress.sentAt().isPresent()) {
+            return hasKey ? new Step.LookUp(next) : new Step.Send(next);
+        }
+        if (isReached) {
+            Duration retryAfter = grant.retryAfter();
+            return new Step.Finish(new Outcome.NotRun(code, detail, Optional.of(retryAfter)));
+        }
+        return new Step.Send(target.replica() ? next.atPrimary() : next);
+    }
+
     /**
      * Decides after the attempt to prove an answer of the primary.
      *
@@ -117,7 +144,7 @@
         return switch (refused.reason()) {
             case STATEMENT -> finishRefused(progress, ErrorCode.STATEMENT_REFUSED, refused);
             case KEY_REUSED -> finishRefused(progress, ErrorCode.KEY_REUSED, refused);
-            case LIMIT -> new Step.Send(progress.refused(ErrorCode.OVERLOADED, refused.detail()));
+            case LIMIT -> finishRefused(progress, ErrorCode.OVERLOADED, refused);
             default -> {
                 Progress next = progress.refused(ErrorCode.NO_INSTANCE, refused.detail());
                 yield new Step.Send(target.replica() ? next.atPrimary() : next);
--- a/carobstage/src/main/java/org/carobstage/statement/StatementRunner.java
+++ b/carobstage/src/main/java/org/carobstage/statement/StatementRunner.java
@@ -16,6 +16,7 @@
 import org.carobstage.group.Group;
 import org.carobstage.model.IdempotencyKey;
 import org.carobstage.model.Term;
+import org.carobstage.pool.Grant;
 import org.carobstage.runtime.BoundedExecutor;
 import org.carobstage.runtime.Clock;
 
@@ -215,18 +216,17 @@
 
         private void acquire(Target target, Consumer<BackendConnection> use) {
             group.pool(target.instance())
-                    .acquire(left())
+                    .acquire(request.service(), left())
                     .thenAcceptAsync(
-                            connection ->
-                                    connection.ifPresentOrElse(use, () -> noConnection(target)),
+                            grant ->
+                                    grant.connection()
+                                            .ifPresentOrElse(
+                                                    use, () -> noConnection(target, grant)),
                             duty);
         }
 
-        private void noConnection(Target target) {
-            String detail = "no connection to " + target.instance() + " within the patience";
-            boolean resolving = key.isPresent() && progress.sentAt().isPresent();
-            Progress next = progress.refused(ErrorCode.OVERLOADED, detail);
-            take(resolving ? new Step.LookUp(next) : new Step.Send(next));
+        private void noConnection(Target target, Grant grant) {
+            take(AttemptDecision.afterNoConnection(progress, target, grant, key.isPresent()));
         }
 
         private void release(Target target, BackendConnection connection, Answer answer) {
--- a/carobstage/src/main/java/org/carobstage/transaction/Transactions.java
+++ b/carobstage/src/main/java/org/carobstage/transaction/Transactions.java
@@ -107,10 +107,10 @@
         }
         Standing standing = primary.get();
         return group.pool(standing.instance())
-                .acquire(policy.patience())
+                .acquire(service, policy.patience())
                 .thenComposeAsync(
-                        connection ->
-                                connection
+                        grant ->
+                                grant.connection()
                                         .map(c -> begin(group, service, policy, standing, c))
                                         .orElseGet(Transactions::overloaded),
                         duty);
