--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -32,6 +32,8 @@
 
     private final Settings settings;
     private final Closer closer = Closer.empty();
+    private final PrometheusMeterRegistry metrics =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Clock clock;
     private final EventLog events;
     private final Proxy proxy;
@@ -45,7 +47,8 @@
         this.clock = Clock.of(executor);
         this.events = EventLog.of(settings.vm().id(), clock, EVENT_CAPACITY);
         SerialExecutor duty = closer.add(SerialExecutor.of("statements", RING_CAPACITY));
-        this.proxy = closer.add(Proxy.of(clock, duty, events, HttpBackend::of, this::share));
+        this.proxy =
+                closer.add(Proxy.of(clock, duty, events, HttpBackend::of, this::share, metrics));
     }
 
     /**
@@ -89,7 +92,6 @@
         ConfigurationWatch watch = closer.add(ConfigurationWatch.of(platform, clock, proxy::apply));
         watch.first().toCompletableFuture().join();
         TokenCodec tokens = TokenCodec.of(closer.add(tokenKeys()));
-        PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         operator =
                 closer.add(
                         OperatorServer.of(
