Know the members of the fleet by gossip

Cause: shares, ownership and the spread of configuration need to know which entry VMs live, at a cost per process that does not grow with the fleet.

--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Who is in the fleet: gossip with suspicion and incarnations. */
+package org.carobstage.membership;
