Pause a member right after its ping in the test of its return

Change: the bus pauses the member at the moment it sends a ping.

Failed first: without the restart, vm-4 suspects vm-10 when it returns; with it nobody.

--- a/carobstage/src/test/java/org/carobstage/membership/Bus.java
+++ b/carobstage/src/test/java/org/carobstage/membership/Bus.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.BiPredicate;
@@ -28,6 +29,7 @@
     final List<String> suspected = new ArrayList<>();
     final List<String> died = new ArrayList<>();
     final Set<VmId> paused = new HashSet<>();
+    Optional<VmId> pausedByPing = Optional.empty();
     BiPredicate<VmId, VmId> cut = (from, to) -> false;
     final Random random = new Random(7);
     int lossPercent;
@@ -121,6 +123,9 @@
 
     private void send(VmId from, MembershipAction.Send send) {
         messages++;
+        if (send.message() instanceof PeerMessage.Ping) {
+            pausedByPing.filter(from::equals).ifPresent(paused::add);
+        }
         VmId to = addresses.get(send.to());
         if (to == null || random.nextInt(100) < lossPercent || cut.test(from, to)) {
             return;
--- a/carobstage/src/test/java/org/carobstage/membership/MembershipTest.java
+++ b/carobstage/src/test/java/org/carobstage/membership/MembershipTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.carobstage.model.MemberState;
 import org.carobstage.model.VmId;
 import org.junit.jupiter.api.Nested;
@@ -62,8 +63,9 @@
         @Test
         void shouldReturnWithoutAccusingWhenPausedProcessResumes() {
             Bus bus = settled(20);
-            bus.paused.add(VmId.of("vm-4"));
+            bus.pausedByPing = Optional.of(VmId.of("vm-4"));
             bus.advance(Duration.ofSeconds(20));
+            bus.pausedByPing = Optional.empty();
             assertThat(bus.knownAs("vm-4", MemberState.DEAD)).isEqualTo(19);
             bus.died.clear();
             bus.suspected.clear();
