--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -10,6 +10,8 @@
     SHUTDOWN_STARTED(1002, Level.INFO),
     /** A configuration is in force. */
     CONFIGURATION_APPLIED(2001, Level.INFO),
+    /** A transaction ended without its caller's commit or rollback. */
+    TRANSACTION_ROLLED_BACK(5001, Level.INFO),
     /** The file of token keys was read. */
     TOKEN_KEYS_READ(7001, Level.INFO),
     /** The file of token keys can't be used; the keys read before stay in force. */
--- a/carobstage/src/main/java/org/carobstage/event/EventLog.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventLog.java
@@ -60,6 +60,15 @@
         return record(code, scope, detail, Optional.empty());
     }
 
+    /**
+     * Returns the VM of this process.
+     *
+     * @return the VM
+     */
+    public VmId vm() {
+        return vm;
+    }
+
     /**
      * Records an event.
      *
