Nest the commands and give operators status, time line and history

Cause: the command line had two ad hoc put commands, no help below the top, no status and no time line; the operator pages showed the time line to everybody. The time line is merged by hybrid time and cause, as text, JSON or a self-contained HTML picture. Servers may speak TLS (HTTP/2 and HTTP/1.1 negotiated) or HTTP/2 by prior knowledge.

--- a/carobstage/src/main/java/org/carobstage/caller/CallerMessages.java
+++ b/carobstage/src/main/java/org/carobstage/caller/CallerMessages.java
@@ -1,6 +1,5 @@
 package org.carobstage.caller;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.List;
 
 /** The JSON messages between a caller and an entry VM. */
@@ -45,25 +44,4 @@
             boolean replica,
             String outcome,
             long end) {}
-
-    /**
-     * An error as {@code application/problem+json}.
-     *
-     * @param type the kind of problem, as a URI reference
-     * @param title the name of the code
-     * @param status the HTTP status
-     * @param code the code
-     * @param outcome {@code not-run} or {@code unknown}
-     * @param detail what was seen
-     * @param retryAfterMillis when a new try may help, in ms, or null
-     */
-    @JsonInclude(JsonInclude.Include.NON_NULL)
-    public record Problem(
-            String type,
-            String title,
-            int status,
-            String code,
-            String outcome,
-            String detail,
-            Long retryAfterMillis) {}
 }
--- a/carobstage/src/main/java/org/carobstage/caller/CallerWriter.java
+++ b/carobstage/src/main/java/org/carobstage/caller/CallerWriter.java
@@ -7,13 +7,12 @@
 import io.servicetalk.http.api.HttpResponseFactory;
 import io.servicetalk.http.api.HttpResponseStatus;
 import java.time.Duration;
-import java.util.Locale;
 import java.util.Optional;
 import org.carobstage.caller.CallerMessages.BegunMessage;
 import org.carobstage.caller.CallerMessages.DoneMessage;
-import org.carobstage.caller.CallerMessages.Problem;
 import org.carobstage.error.ErrorCode;
 import org.carobstage.http.Json;
+import org.carobstage.http.Problem;
 import org.carobstage.model.GroupId;
 import org.carobstage.session.SessionPositions;
 import org.carobstage.session.TokenCodec;
@@ -81,15 +80,7 @@
 
     private HttpResponse problem(
             ErrorCode code, String outcome, String detail, Optional<Duration> retry) {
-        Problem problem =
-                new Problem(
-                        "about:blank",
-                        code.name().toLowerCase(Locale.ROOT),
-                        code.httpStatus(),
-                        code.code(),
-                        outcome,
-                        detail,
-                        retry.map(Duration::toMillis).orElse(null));
+        Problem problem = Problem.of(code, outcome, detail, retry);
         HttpResponse response = responses.newResponse(HttpResponseStatus.of(code.httpStatus(), ""));
         retry.ifPresent(after -> response.setHeader("retry-after", seconds(after)));
         return body(response, PROBLEM, problem);
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/cli/CheckCommand.java
@@ -0,0 +1,57 @@
+package org.carobstage.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.Function;
+import java.util.stream.Stream;
+import org.carobstage.document.DocumentReader;
+import org.carobstage.http.Json;
+import org.carobstage.settings.Fault;
+import org.carobstage.settings.SettingsReader;
+
+/** Checks settings and documents without starting or storing anything. */
+@Parameters(commandDescription = "Check settings and documents; start and store nothing")
+final class CheckCommand implements Command {
+    @Parameter(names = "--settings", description = "INI files of processes")
+    private List<Path> settings = List.of();
+
+    @Parameter(names = "--document", description = "INI files of teams' documents")
+    private List<Path> documents = List.of();
+
+    @Parameter(names = "--json", description = "Write the faults as JSON")
+    private boolean json;
+
+    @Override
+    public ExitCode run(Console console) {
+        if (settings.isEmpty() && documents.isEmpty()) {
+            console.err().println("name a file with --settings or --document");
+            return ExitCode.USAGE;
+        }
+        List<Fault> faults =
+                Stream.concat(
+                                faults(settings, CheckCommand::settings),
+                                faults(documents, CheckCommand::document))
+                        .toList();
+        if (json) {
+            console.out().println(Json.text(faults));
+        } else {
+            faults.forEach(console.err()::println);
+            console.out().println(faults.isEmpty() ? "no fault" : faults.size() + " faults");
+        }
+        return faults.isEmpty() ? ExitCode.OK : ExitCode.USAGE;
+    }
+
+    private static Stream<Fault> faults(List<Path> files, Function<Path, List<Fault>> check) {
+        return files.stream().map(check).flatMap(List::stream);
+    }
+
+    private static List<Fault> settings(Path file) {
+        return SettingsReader.check(file.toString(), Texts.read(file)).faults();
+    }
+
+    private static List<Fault> document(Path file) {
+        return DocumentReader.check(file.toString(), Texts.read(file)).faults();
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/cli/Command.java
+++ b/carobstage/src/main/java/org/carobstage/cli/Command.java
@@ -2,11 +2,12 @@
 
 /** One command of the command line; JCommander fills its fields. */
 @FunctionalInterface
-public interface Command {
+interface Command {
     /**
      * Runs the command.
      *
+     * @param console where it writes
      * @return how it ended
      */
-    ExitCode run();
+    ExitCode run(Console console);
 }
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/cli/Order.java
@@ -0,0 +1,54 @@
+package org.carobstage.cli;
+
+import org.carobstage.config.ConfigurationWatch;
+import org.carobstage.config.GroupReader;
+import org.carobstage.error.CodedException;
+import org.carobstage.error.ErrorCode;
+import org.carobstage.model.GroupSpec;
+import org.carobstage.platform.CasResult;
+import org.carobstage.platform.Entry;
+
+/**
+ * An operator's order about an instance, kept as configuration.
+ *
+ * @param group the group
+ * @param instance the instance
+ * @param key the key of the order
+ * @param value the text of the order
+ */
+record Order(String group, String instance, String key, String value) {
+    private static final String DRAINS = ConfigurationWatch.PREFIX + "drains/";
+    private static final String PROMOTIONS = ConfigurationWatch.PREFIX + "promotions/";
+
+    static Order drain(String group, String instance, boolean end) {
+        return new Order(group, instance, DRAINS + group + "/" + instance, end ? "no" : "yes");
+    }
+
+    static Order promote(String group, String instance) {
+        return new Order(group, instance, PROMOTIONS + group, instance);
+    }
+
+    ExitCode give(ConfigurationStore store, Console console) {
+        checkInstance(store);
+        Entry current = store.get(key);
+        CasResult result = store.put(key, current.version(), value);
+        if (result instanceof CasResult.Swapped swapped) {
+            console.out().println(key + " version " + swapped.entry().version() + ": " + value);
+            return ExitCode.OK;
+        }
+        console.err().println("not stored: " + result);
+        return result instanceof CasResult.Conflict ? ExitCode.CONFLICT : ExitCode.UNAVAILABLE;
+    }
+
+    private void checkInstance(ConfigurationStore store) {
+        Entry entry = store.get(ConfigurationWatch.GROUPS + group);
+        if (entry.version() == 0) {
+            throw CodedException.of(ErrorCode.UNKNOWN_GROUP, "no group " + group);
+        }
+        GroupSpec spec = GroupReader.read(entry.value());
+        if (spec.instances().stream().noneMatch(i -> i.id().value().equals(instance))) {
+            throw CodedException.of(
+                    ErrorCode.BAD_SETTINGS, "no instance " + instance + " in " + group);
+        }
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/cli/PlatformOption.java
@@ -0,0 +1,18 @@
+package org.carobstage.cli;
+
+import com.beust.jcommander.Parameter;
+import java.util.function.Function;
+import org.carobstage.platform.HttpPlatform;
+import org.carobstage.platform.Platform;
+
+/** The option that names the platform. */
+final class PlatformOption {
+    @Parameter(names = "--platform", required = true, description = "host:port of the platform")
+    private String address;
+
+    <T> T with(Function<ConfigurationStore, T> work) {
+        try (Platform platform = HttpPlatform.of(Texts.address(address))) {
+            return work.apply(ConfigurationStore.of(platform));
+        }
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/cli/PutCommand.java
+++ b/carobstage/src/main/java/org/carobstage/cli/PutCommand.java
@@ -2,76 +2,50 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import java.io.IOException;
-import java.nio.file.Files;
+import com.beust.jcommander.ParametersDelegate;
 import java.nio.file.Path;
-import java.util.Optional;
-import java.util.function.Function;
-import org.carobstage.config.ConfigurationWatch;
-import org.carobstage.config.GroupReader;
-import org.carobstage.document.DocumentReader;
-import org.carobstage.error.CodedException;
-import org.carobstage.error.ErrorCode;
-import org.carobstage.model.Address;
+import org.carobstage.document.LineDifference;
 import org.carobstage.platform.CasResult;
-import org.carobstage.platform.Entry;
-import org.carobstage.platform.HttpPlatform;
-import org.carobstage.platform.Platform;
 
-/** Checks a document or group and stores it in the platform's key-value service. */
-@Parameters(commandDescription = "Check a document or group and put it in force")
+/** Checks a text and stores it in the platform's key-value service. */
+@Parameters(commandDescription = "Check a file and put it in force")
 final class PutCommand implements Command {
-    private final Function<String, String> keyOf;
+    private final Stored kind;
 
-    @Parameter(names = "--platform", required = true, description = "host:port of the platform")
-    private String platform;
+    @ParametersDelegate private final PlatformOption platform = new PlatformOption();
 
     @Parameter(names = "--file", required = true, description = "INI file to store")
     private Path file;
 
-    private PutCommand(Function<String, String> keyOf) {
-        this.keyOf = keyOf;
-    }
-
-    static PutCommand document() {
-        return new PutCommand(
-                text -> ConfigurationWatch.DOCUMENTS + DocumentReader.read(text).service());
-    }
+    @Parameter(
+            names = "--replace",
+            description = "Version that the file replaces, as get shows it; 0 if there is none")
+    private long replace = 0;
 
-    static PutCommand group() {
-        return new PutCommand(text -> ConfigurationWatch.GROUPS + GroupReader.read(text).id());
+    PutCommand(Stored kind) {
+        this.kind = kind;
     }
 
     @Override
-    public ExitCode run() {
-        String text = readFile();
-        String key = keyOf.apply(text);
-        try (Platform store = HttpPlatform.of(Address.parse(platform))) {
-            Optional<Entry> current = store.get(key).toCompletableFuture().join();
-            long version =
-                    current.orElseThrow(
-                                    () ->
-                                            CodedException.of(
-                                                    ErrorCode.PLATFORM_UNAVAILABLE, "no answer"))
-                            .version();
-            return report(store.compareAndSwap(key, version, text).toCompletableFuture().join());
-        }
+    public ExitCode run(Console console) {
+        String text = Texts.read(file);
+        String key = kind.checkedKey(file.toString(), text);
+        return report(console, text, platform.with(store -> store.put(key, replace, text)));
     }
 
-    private String readFile() {
-        try {
-            return Files.readString(file);
-        } catch (IOException e) {
-            throw CodedException.of(ErrorCode.BAD_SETTINGS, "can't read " + file, e);
-        }
-    }
-
-    private static ExitCode report(CasResult result) {
+    private ExitCode report(Console console, String text, CasResult result) {
         if (result instanceof CasResult.Swapped swapped) {
-            System.out.println(swapped.entry().key() + " version " + swapped.entry().version());
+            console.out().println(swapped.entry().key() + " version " + swapped.entry().version());
             return ExitCode.OK;
         }
-        System.err.println("not stored: " + result);
-        return ExitCode.FAILED;
+        if (result instanceof CasResult.Conflict conflict) {
+            long stands = conflict.current().version();
+            console.err().println("not stored: version " + stands + " stands, not " + replace);
+            console.err().println("from version " + stands + " to the file:");
+            LineDifference.of(conflict.current().value(), text).forEach(console.err()::println);
+            return ExitCode.CONFLICT;
+        }
+        console.err().println("not known: " + ((CasResult.Unanswered) result).detail());
+        return ExitCode.UNAVAILABLE;
     }
 }
--- a/carobstage/src/main/java/org/carobstage/cli/ServeCommand.java
+++ b/carobstage/src/main/java/org/carobstage/cli/ServeCommand.java
@@ -13,30 +13,23 @@
 @Parameters(commandDescription = "Run the process of an entry VM")
 final class ServeCommand implements Command {
     @Parameter(names = "--settings", required = true, description = "INI file of the process")
-    private Path settings;
+    private Path file;
 
     @Override
-    public ExitCode run() {
-        Settings checked = SettingsReader.read(settings);
-        LogSetup.apply(checked.log().format(), checked.log().level());
-        Node node = Node.of(checked);
-        CountDownLatch stopped = new CountDownLatch(1);
-        Runtime.getRuntime()
-                .addShutdownHook(
-                        new Thread(
-                                () -> {
-                                    node.close();
-                                    stopped.countDown();
-                                }));
-        System.out.println("callers " + node.callerAddress());
-        System.out.println("operators " + node.operatorAddress());
-        await(stopped);
+    public ExitCode run(Console console) {
+        Settings settings = SettingsReader.read(file);
+        LogSetup.apply(settings.log().format(), settings.log().level());
+        Node node = Node.of(settings);
+        Runtime.getRuntime().addShutdownHook(new Thread(node::close, "shutdown"));
+        console.out().println("callers " + node.callerAddress());
+        console.out().println("operators " + node.operatorAddress());
+        await(new CountDownLatch(1));
         return ExitCode.OK;
     }
 
-    private static void await(CountDownLatch stopped) {
+    private static void await(CountDownLatch never) {
         try {
-            stopped.await();
+            never.await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/cli/Stored.java
@@ -0,0 +1,41 @@
+package org.carobstage.cli;
+
+import java.util.function.BiFunction;
+import org.carobstage.config.ConfigurationWatch;
+import org.carobstage.config.GroupReader;
+import org.carobstage.document.DocumentReader;
+import org.carobstage.error.ErrorCode;
+
+/** The kinds of texts that the platform's key-value service holds for operators. */
+enum Stored {
+    /** A team's document. */
+    DOCUMENT(ConfigurationWatch.DOCUMENTS, Stored::documentName),
+    /** A database group. */
+    GROUP(ConfigurationWatch.GROUPS, Stored::groupName);
+
+    private final String prefix;
+    private final BiFunction<String, String, String> nameOf;
+
+    Stored(String prefix, BiFunction<String, String, String> nameOf) {
+        this.prefix = prefix;
+        this.nameOf = nameOf;
+    }
+
+    /** Returns the key of a text by its name. */
+    String key(String name) {
+        return prefix + name;
+    }
+
+    /** Checks a text from a file and returns its key. */
+    String checkedKey(String source, String text) {
+        return key(nameOf.apply(source, text));
+    }
+
+    private static String documentName(String source, String text) {
+        return DocumentReader.check(source, text).orThrow(ErrorCode.BAD_DOCUMENT).service().value();
+    }
+
+    private static String groupName(String source, String text) {
+        return GroupReader.read(text).id().value();
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/cli/Texts.java
@@ -0,0 +1,37 @@
+package org.carobstage.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.carobstage.error.CodedException;
+import org.carobstage.error.ErrorCode;
+import org.carobstage.model.Address;
+
+/** Reads what the command line names; a fault ends with {@link ExitCode#USAGE}. */
+final class Texts {
+    private Texts() {}
+
+    static String read(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw CodedException.of(ErrorCode.BAD_SETTINGS, "can't read " + file, e);
+        }
+    }
+
+    static void write(Path file, String text) {
+        try {
+            Files.writeString(file, text);
+        } catch (IOException e) {
+            throw CodedException.of(ErrorCode.BAD_SETTINGS, "can't write " + file, e);
+        }
+    }
+
+    static Address address(String text) {
+        try {
+            return Address.parse(text.trim());
+        } catch (IllegalArgumentException e) {
+            throw CodedException.of(ErrorCode.BAD_SETTINGS, e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/cli/TimelineCommand.java
@@ -0,0 +1,49 @@
+package org.carobstage.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.carobstage.http.Json;
+import org.carobstage.timeline.EventMessage;
+import org.carobstage.timeline.Filter;
+import org.carobstage.timeline.HtmlTimeline;
+import org.carobstage.timeline.TextTimeline;
+import org.carobstage.timeline.Timeline;
+
+/** Merges the events of several processes. */
+@Parameters(commandDescription = "Merge the events of several processes into one time line")
+final class TimelineCommand implements Command {
+    @ParametersDelegate private final OperatorOptions operators = new OperatorOptions();
+
+    @Parameter(names = "--group", description = "Only events of this group, and their causes")
+    private String group = "";
+
+    @Parameter(names = "--request", description = "Only events of this request, and their causes")
+    private String request = "";
+
+    @Parameter(names = "--session", description = "Only events of this session, and their causes")
+    private String session = "";
+
+    @Parameter(names = "--json", description = "Write JSON")
+    private boolean json;
+
+    @Parameter(names = "--html", description = "Write a picture into this file")
+    private Path html;
+
+    @Override
+    public ExitCode run(Console console) {
+        List<List<EventMessage>> known =
+                operators.ask(console, "/v1/timeline", EventMessage[].class).values().stream()
+                        .map(Arrays::asList)
+                        .toList();
+        Timeline timeline = Timeline.merge(known).filter(new Filter(group, request, session));
+        if (html != null) {
+            Texts.write(html, HtmlTimeline.of(timeline));
+        }
+        console.out().print(json ? Json.text(timeline.events()) + "\n" : TextTimeline.of(timeline));
+        return ExitCode.OK;
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/document/DocumentReader.java
+++ b/carobstage/src/main/java/org/carobstage/document/DocumentReader.java
@@ -25,7 +25,7 @@
 /** Reads a team's document from INI. */
 public final class DocumentReader {
     private static final Duration MIN_PATIENCE = Duration.ofMillis(1);
-    private static final Duration MAX_PATIENCE = Duration.ofMinutes(10);
+    private static final Duration MAX_PATIENCE = Duration.ofSeconds(60);
     private static final Duration MAX_STALENESS = Duration.ofHours(24);
     private static final Function<String, Duration> PATIENCE =
             Values.duration(MIN_PATIENCE, MAX_PATIENCE);
--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -15,7 +15,9 @@
     /** The file of token keys was read. */
     TOKEN_KEYS_READ(7001, Level.INFO),
     /** The file of token keys can't be used; the keys read before stay in force. */
-    TOKEN_KEYS_UNUSABLE(7002, Level.ERROR);
+    TOKEN_KEYS_UNUSABLE(7002, Level.ERROR),
+    /** An operator's request had no key or a wrong one. */
+    OPERATOR_REFUSED(7003, Level.WARNING);
 
     private final int number;
     private final Level level;
--- a/carobstage/src/main/java/org/carobstage/http/JsonServer.java
+++ b/carobstage/src/main/java/org/carobstage/http/JsonServer.java
@@ -1,10 +1,14 @@
 package org.carobstage.http;
 
-import static io.servicetalk.http.api.HttpExecutionStrategies.offloadNone;
 import static java.util.Objects.requireNonNull;
 
+import io.servicetalk.http.api.Http2Settings;
+import io.servicetalk.http.api.Http2SettingsBuilder;
 import io.servicetalk.http.api.HttpExecutionStrategy;
+import io.servicetalk.http.api.HttpProtocolConfig;
+import io.servicetalk.http.api.HttpServerBuilder;
 import io.servicetalk.http.api.HttpService;
+import io.servicetalk.http.netty.HttpProtocolConfigs;
 import io.servicetalk.http.netty.HttpServers;
 import io.servicetalk.transport.api.ServerContext;
 import java.net.InetSocketAddress;
@@ -29,7 +33,7 @@
      * @throws CodedException if the address can't be used
      */
     public static JsonServer of(Address address, HttpService service) {
-        return of(address, offloadNone(), service);
+        return of(address, ServerOptions.standard(), service);
     }
 
     /**
@@ -43,13 +47,24 @@
      */
     public static JsonServer of(
             Address address, HttpExecutionStrategy strategy, HttpService service) {
+        return of(address, ServerOptions.standard().withStrategy(strategy), service);
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param address where to listen; port 0 takes a free port
+     * @param options how to serve
+     * @param service handles the requests
+     * @return the running server
+     * @throws CodedException if the address or the certificate can't be used
+     */
+    public static JsonServer of(Address address, ServerOptions options, HttpService service) {
         requireNonNull(address, "address is null");
+        requireNonNull(options, "options is null");
         requireNonNull(service, "service is null");
         try {
-            return new JsonServer(
-                    HttpServers.forAddress(address.toSocketAddress())
-                            .executionStrategy(strategy)
-                            .listenAndAwait(service));
+            return new JsonServer(builder(address, options).listenAndAwait(service));
         } catch (Exception e) {
             throw CodedException.of(ErrorCode.BAD_SETTINGS, "can't listen on " + address, e);
         }
@@ -70,4 +85,28 @@
     public void close() {
         context.closeAsyncGracefully().subscribe();
     }
+
+    private static HttpServerBuilder builder(Address address, ServerOptions options) {
+        HttpServerBuilder builder =
+                HttpServers.forAddress(address.toSocketAddress())
+                        .executionStrategy(options.strategy())
+                        .protocols(protocols(options));
+        options.tls().ifPresent(tls -> builder.sslConfig(tls.toServerConfig()));
+        return builder;
+    }
+
+    private static HttpProtocolConfig[] protocols(ServerOptions options) {
+        int headerBytes = options.limits().maxHeaderBytes();
+        HttpProtocolConfig http1 =
+                HttpProtocolConfigs.h1()
+                        .maxStartLineLength(headerBytes)
+                        .maxHeaderFieldLength(headerBytes)
+                        .build();
+        Http2Settings initial = new Http2SettingsBuilder().maxHeaderListSize(headerBytes).build();
+        HttpProtocolConfig http2 = HttpProtocolConfigs.h2().initialSettings(initial).build();
+        if (options.tls().isPresent()) {
+            return new HttpProtocolConfig[] {http2, http1};
+        }
+        return new HttpProtocolConfig[] {options.http2() ? http2 : http1};
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/settings/ServerLimits.java
+++ b/carobstage/src/main/java/org/carobstage/http/ServerLimits.java
@@ -1,4 +1,4 @@
-package org.carobstage.settings;
+package org.carobstage.http;
 
 import static java.util.Objects.requireNonNull;
 
@@ -13,7 +13,7 @@
  */
 public record ServerLimits(int maxBodyBytes, int maxHeaderBytes, Duration idleTimeout) {
     private static final ServerLimits DEFAULT =
-            new ServerLimits(1_048_576, 16_384, Duration.ofMinutes(1));
+            new ServerLimits(1_048_576, 16_384, Duration.ofSeconds(90));
 
     /** Checks the limits. */
     public ServerLimits {
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -14,6 +14,7 @@
 import org.carobstage.event.EventScope;
 import org.carobstage.model.Address;
 import org.carobstage.model.GroupSpec;
+import org.carobstage.operator.OperatorPages;
 import org.carobstage.operator.OperatorServer;
 import org.carobstage.platform.HttpPlatform;
 import org.carobstage.platform.Platform;
@@ -37,6 +38,7 @@
     private final Proxy proxy;
     private CallerServer caller;
     private OperatorServer operator;
+    private volatile boolean ready;
 
     private Node(Settings settings) {
         this.settings = settings;
@@ -90,10 +92,10 @@
         watch.first().toCompletableFuture().join();
         TokenCodec tokens = TokenCodec.of(closer.add(tokenKeys()));
         PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-        operator =
-                closer.add(
-                        OperatorServer.of(
-                                settings.operator().listen(), metrics, events, () -> true));
+        OperatorPages pages =
+                new OperatorPages(
+                        metrics, events, () -> ready, () -> NodeStatus.of(settings, proxy, ready));
+        operator = closer.add(OperatorServer.of(settings.operator(), pages));
         caller =
                 closer.add(
                         CallerServer.of(
@@ -101,6 +103,7 @@
                                 proxy,
                                 tokens,
                                 settings.caller().limits().maxBodyBytes()));
+        ready = true;
         events.record(
                 EventCode.PROCESS_STARTED,
                 EventScope.empty(),
--- a/carobstage/src/main/java/org/carobstage/node/Proxy.java
+++ b/carobstage/src/main/java/org/carobstage/node/Proxy.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -117,6 +118,18 @@
         return Optional.ofNullable(groups.get(id));
     }
 
+    /**
+     * Returns all groups that are served here.
+     *
+     * @return the groups in the order of their ids
+     */
+    public List<Group> groups() {
+        return groups.entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .map(Map.Entry::getValue)
+                .toList();
+    }
+
     @Override
     public RequestPolicy policy(ServiceName service, RequestClass requestClass) {
         TeamDocument document = configuration.documents().get(service);
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/operator/OperatorClient.java
@@ -0,0 +1,104 @@
+package org.carobstage.operator;
+
+import static java.util.Objects.requireNonNull;
+
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpClient;
+import io.servicetalk.http.api.HttpResponse;
+import io.servicetalk.http.api.SingleAddressHttpClientBuilder;
+import io.servicetalk.http.netty.HttpClients;
+import io.servicetalk.transport.api.ClientSslConfigBuilder;
+import io.servicetalk.transport.api.HostAndPort;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import org.carobstage.error.CodedException;
+import org.carobstage.error.ErrorCode;
+import org.carobstage.http.Json;
+import org.carobstage.model.Address;
+
+/** Asks the operator pages of one process. */
+public final class OperatorClient implements AutoCloseable {
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final int OK = 200;
+
+    private final HttpClient client;
+    private final String key;
+
+    private OperatorClient(HttpClient client, String key) {
+        this.client = client;
+        this.key = key;
+    }
+
+    /**
+     * Creates a client; it connects when first used.
+     *
+     * @param address the process's operator address
+     * @param key the operator's key
+     * @param trust the file of certificates to trust; empty for plain TCP
+     * @return the client
+     */
+    public static OperatorClient of(Address address, String key, Optional<Path> trust) {
+        requireNonNull(address, "address is null");
+        requireNonNull(key, "key is null");
+        SingleAddressHttpClientBuilder<HostAndPort, InetSocketAddress> builder =
+                HttpClients.forResolvedAddress(HostAndPort.of(address.host(), address.port()));
+        trust.ifPresent(
+                file -> builder.sslConfig(new ClientSslConfigBuilder(() -> open(file)).build()));
+        return new OperatorClient(builder.build(), key);
+    }
+
+    /**
+     * Reads a page.
+     *
+     * @param <T> the type of the page
+     * @param path the path
+     * @param type the class of the page
+     * @return the page
+     * @throws CodedException if no answer came, or one that refuses
+     */
+    public <T> T get(String path, Class<T> type) {
+        Single<HttpResponse> response =
+                client.request(client.get(path).setHeader("authorization", "Bearer " + key))
+                        .timeout(TIMEOUT);
+        try {
+            return read(response.toFuture().get(), type);
+        } catch (ExecutionException e) {
+            throw CodedException.of(
+                    ErrorCode.PLATFORM_UNAVAILABLE, "no answer: " + e.getCause(), e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw CodedException.of(ErrorCode.PLATFORM_UNAVAILABLE, "interrupted", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        client.closeAsync().subscribe();
+    }
+
+    private static <T> T read(HttpResponse response, Class<T> type) {
+        int status = response.status().code();
+        if (status == ErrorCode.UNAUTHORIZED.httpStatus()) {
+            throw CodedException.of(ErrorCode.UNAUTHORIZED, "the key is missing or wrong");
+        }
+        if (status != OK) {
+            throw CodedException.of(ErrorCode.PLATFORM_UNAVAILABLE, "status " + status);
+        }
+        return Json.read(response.payloadBody(), type);
+    }
+
+    private static InputStream open(Path file) {
+        try {
+            return Files.newInputStream(file);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/operator/OperatorServer.java
+++ b/carobstage/src/main/java/org/carobstage/operator/OperatorServer.java
@@ -2,51 +2,51 @@
 
 import static java.util.Objects.requireNonNull;
 
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpRequest;
 import io.servicetalk.http.api.HttpResponse;
 import io.servicetalk.http.api.HttpResponseFactory;
+import io.servicetalk.http.api.HttpResponseStatus;
 import io.servicetalk.http.api.HttpServiceContext;
 import java.nio.charset.StandardCharsets;
-import java.util.function.BooleanSupplier;
-import org.carobstage.event.EventLog;
+import org.carobstage.error.CodedException;
+import org.carobstage.error.ErrorCode;
+import org.carobstage.event.EventCode;
+import org.carobstage.event.EventScope;
 import org.carobstage.http.Json;
 import org.carobstage.http.JsonServer;
+import org.carobstage.http.Problems;
+import org.carobstage.http.ServerOptions;
 import org.carobstage.model.Address;
+import org.carobstage.settings.OperatorSettings;
 import org.carobstage.timeline.Timeline;
 
-/** Serves liveness, readiness, metrics and the time line of this process. */
+/** Serves liveness, readiness and metrics to all, status and time line to who has the key. */
 public final class OperatorServer implements AutoCloseable {
-    private final PrometheusMeterRegistry metrics;
-    private final EventLog events;
-    private final BooleanSupplier ready;
+    private static final String BEARER = "Bearer ";
+
+    private final OperatorSettings settings;
+    private final OperatorPages pages;
     private JsonServer server;
 
-    private OperatorServer(
-            PrometheusMeterRegistry metrics, EventLog events, BooleanSupplier ready) {
-        this.metrics = metrics;
-        this.events = events;
-        this.ready = ready;
+    private OperatorServer(OperatorSettings settings, OperatorPages pages) {
+        this.settings = settings;
+        this.pages = pages;
     }
 
     /**
      * Starts the server.
      *
-     * @param address where to listen; port 0 takes a free port
-     * @param metrics the metrics to show
-     * @param events the events to show
-     * @param ready tells whether callers may be sent here
+     * @param settings where to listen and which key opens the inner pages
+     * @param pages what to show
      * @return the running server
      */
-    public static OperatorServer of(
-            Address address,
-            PrometheusMeterRegistry metrics,
-            EventLog events,
-            BooleanSupplier ready) {
-        requireNonNull(metrics, "metrics is null");
-        OperatorServer operator = new OperatorServer(metrics, events, ready);
-        operator.server = JsonServer.of(address, operator::handle);
+    public static OperatorServer of(OperatorSettings settings, OperatorPages pages) {
+        requireNonNull(settings, "settings is null");
+        requireNonNull(pages, "pages is null");
+        OperatorServer operator = new OperatorServer(settings, pages);
+        ServerOptions options = ServerOptions.standard().withTls(settings.tls());
+        operator.server = JsonServer.of(settings.listen(), options, operator::handle);
         return operator;
     }
 
@@ -66,26 +66,71 @@
 
     private Single<HttpResponse> handle(
             HttpServiceContext context, HttpRequest request, HttpResponseFactory responses) {
-        return Single.succeeded(
-                switch (request.path()) {
-                    case "/live" -> text(context, responses.ok(), "live\n");
-                    case "/ready" ->
-                            ready.getAsBoolean()
-                                    ? text(context, responses.ok(), "ready\n")
-                                    : text(context, responses.serviceUnavailable(), "not ready\n");
-                    case "/metrics" -> text(context, responses.ok(), metrics.scrape());
-                    case "/v1/timeline" ->
-                            text(
-                                    context,
-                                    responses.ok(),
-                                    Json.text(Timeline.messages(events.known())));
-                    default -> text(context, responses.notFound(), "no such page\n");
-                });
+        try {
+            return Single.succeeded(
+                    request.method().name().equals("GET")
+                            ? page(context, request, responses)
+                            : unknown());
+        } catch (CodedException e) {
+            return Single.succeeded(Problems.response(context, responses, e.code(), e));
+        }
+    }
+
+    private HttpResponse page(
+            HttpServiceContext context, HttpRequest request, HttpResponseFactory responses) {
+        return switch (request.path()) {
+            case "/live" -> text(context, responses.ok(), "live\n");
+            case "/ready" ->
+                    pages.ready().getAsBoolean()
+                            ? text(context, responses.ok(), "ready\n")
+                            : text(context, responses.serviceUnavailable(), "not ready\n");
+            case "/metrics" -> text(context, responses.ok(), pages.metrics().scrape());
+            case "/v1/status" -> {
+                authorize(request);
+                yield json(context, responses, pages.status().get());
+            }
+            case "/v1/timeline" -> {
+                authorize(request);
+                yield json(context, responses, Timeline.messages(pages.events().known()));
+            }
+            default -> unknown();
+        };
+    }
+
+    private static HttpResponse unknown() {
+        throw CodedException.of(ErrorCode.UNKNOWN_PATH, "no such path or method");
+    }
+
+    private void authorize(HttpRequest request) {
+        CharSequence offered = request.headers().get("authorization");
+        boolean opens =
+                offered != null
+                        && offered.toString().startsWith(BEARER)
+                        && matches(offered.toString().substring(BEARER.length()));
+        if (!opens) {
+            String detail = request.path() + " was asked for without the key";
+            pages.events().record(EventCode.OPERATOR_REFUSED, EventScope.empty(), detail);
+            throw CodedException.of(
+                    ErrorCode.UNAUTHORIZED, "the operator's key is missing or wrong");
+        }
+    }
+
+    private boolean matches(String offered) {
+        return settings.key().filter(key -> key.matches(offered)).isPresent();
     }
 
     private static HttpResponse text(
             HttpServiceContext context, HttpResponse response, String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        return response.payloadBody(context.executionContext().bufferAllocator().wrap(bytes));
+        return response.payloadBody(context.executionContext().bufferAllocator().wrap(bytes))
+                .setHeader("content-type", "text/plain; charset=utf-8");
+    }
+
+    private static HttpResponse json(
+            HttpServiceContext context, HttpResponseFactory responses, Object value) {
+        HttpResponse response = responses.newResponse(HttpResponseStatus.OK);
+        return response.payloadBody(
+                        context.executionContext().bufferAllocator().wrap(Json.write(value)))
+                .setHeader("content-type", "application/json");
     }
 }
--- a/carobstage/src/main/java/org/carobstage/pool/InstancePool.java
+++ b/carobstage/src/main/java/org/carobstage/pool/InstancePool.java
@@ -82,6 +82,15 @@
         serve();
     }
 
+    /**
+     * Returns this process's part of the instance's limits.
+     *
+     * @return the share at this moment
+     */
+    public Share share() {
+        return share.get();
+    }
+
     /**
      * Returns how much work is here, as the cost of one more statement.
      *
--- a/carobstage/src/main/java/org/carobstage/settings/CallerSettings.java
+++ b/carobstage/src/main/java/org/carobstage/settings/CallerSettings.java
@@ -3,6 +3,8 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.Optional;
+import org.carobstage.http.ServerLimits;
+import org.carobstage.http.TlsSettings;
 import org.carobstage.model.Address;
 
 /**
--- a/carobstage/src/main/java/org/carobstage/settings/OperatorSettings.java
+++ b/carobstage/src/main/java/org/carobstage/settings/OperatorSettings.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.Optional;
+import org.carobstage.http.TlsSettings;
 import org.carobstage.model.Address;
 import org.carobstage.security.Secret;
 
--- a/carobstage/src/test/java/org/carobstage/document/DocumentReaderTest.java
+++ b/carobstage/src/test/java/org/carobstage/document/DocumentReaderTest.java
@@ -53,7 +53,7 @@
                     .extracting(Fault::toString)
                     .containsExactlyInAnyOrder(
                             "d:3: [service] patience: out of range: 0 ms is not in 1 ms to"
-                                    + " 600000 ms",
+                                    + " 60000 ms",
                             "d:4: [service] time-zone: Unknown time-zone ID: Mars/Olympus",
                             "d:7: [class filing] staleness: only a read may be stale",
                             "d:8: [class filing] idempotent: neither yes nor no: maybe",
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/timeline/TimelineTest.java
@@ -0,0 +1,122 @@
+package org.carobstage.timeline;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.carobstage.event.EventCode;
+import org.carobstage.event.EventId;
+import org.carobstage.event.EventLog;
+import org.carobstage.event.EventScope;
+import org.carobstage.model.GroupId;
+import org.carobstage.model.VmId;
+import org.carobstage.runtime.PausedClock;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class TimelineTest {
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final EventScope VARAS = EventScope.of(GroupId.of("varas-1"));
+
+    private final PausedClock early = PausedClock.of(START);
+    private final PausedClock late = PausedClock.of(START.plusSeconds(5));
+    private final EventLog one = EventLog.of(VmId.of("one"), late, 100);
+    private final EventLog two = EventLog.of(VmId.of("two"), early, 100);
+
+    @Nested
+    class Merge {
+        @Test
+        void shouldPutCauseFirstWhenItsClockIsAhead() {
+            EventId seen = one.record(EventCode.PROCESS_STARTED, VARAS, "seen");
+            two.record(EventCode.CONFIGURATION_APPLIED, VARAS, "done", Optional.of(seen));
+
+            assertThat(details(Timeline.merge(List.of(messages(two), messages(one)))))
+                    .containsExactly("seen", "done");
+        }
+
+        @Test
+        void shouldOrderByHybridTimeWhenClocksHaveMet() {
+            one.record(EventCode.PROCESS_STARTED, VARAS, "first");
+            two.merge(one.now());
+            two.record(EventCode.PROCESS_STARTED, VARAS, "second");
+
+            assertThat(details(Timeline.merge(List.of(messages(two), messages(one)))))
+                    .containsExactly("first", "second");
+        }
+
+        @Test
+        void shouldShowEventsOfDeadProcessOnceWhenTwoPeersHoldThem() {
+            one.record(EventCode.PROCESS_STARTED, VARAS, "last words");
+            two.addForeign(one.since(0));
+            EventLog three = EventLog.of(VmId.of("three"), early, 100);
+            three.addForeign(one.since(0));
+
+            assertThat(details(Timeline.merge(List.of(messages(two), messages(three)))))
+                    .containsExactly("last words");
+        }
+    }
+
+    @Nested
+    class FilterBy {
+        @Test
+        void shouldKeepCausesOfOtherGroupsWhenFilteredByGroup() {
+            EventId cause = one.record(EventCode.PROCESS_STARTED, EventScope.empty(), "cause");
+            one.record(EventCode.PROCESS_STARTED, EventScope.empty(), "else");
+            one.record(EventCode.CONFIGURATION_APPLIED, VARAS, "effect", Optional.of(cause));
+
+            Timeline all = Timeline.merge(List.of(messages(one)));
+
+            assertThat(details(all.filter(new Filter("varas-1", "", ""))))
+                    .containsExactly("cause", "effect");
+        }
+    }
+
+    @Nested
+    class Keep {
+        @Test
+        void shouldForgetOldestWhenLogIsFull() {
+            EventLog small = EventLog.of(VmId.of("small"), early, 2);
+            for (String detail : List.of("a", "b", "c")) {
+                small.record(EventCode.PROCESS_STARTED, VARAS, detail);
+                one.record(EventCode.PROCESS_STARTED, VARAS, detail);
+            }
+            small.addForeign(one.events());
+
+            assertThat(small.known())
+                    .extracting(e -> e.detail())
+                    .containsExactly("b", "c", "b", "c");
+        }
+
+        @Test
+        void shouldNumberOnwardsWhenProcessRestarts() {
+            long before = one.record(EventCode.PROCESS_STARTED, VARAS, "").sequence();
+            late.advance(Duration.ofSeconds(1));
+            EventLog again = EventLog.of(VmId.of("one"), late, 100);
+
+            assertThat(again.record(EventCode.PROCESS_STARTED, VARAS, "").sequence())
+                    .isGreaterThan(before);
+        }
+    }
+
+    @Nested
+    class Html {
+        @Test
+        void shouldEscapeDetailsWhenDrawn() {
+            one.record(EventCode.PROCESS_STARTED, VARAS, "<script>");
+
+            assertThat(HtmlTimeline.of(Timeline.merge(List.of(messages(one)))))
+                    .contains("&lt;script&gt;")
+                    .doesNotContain("<script>");
+        }
+    }
+
+    private static List<EventMessage> messages(EventLog log) {
+        return Timeline.messages(log.known());
+    }
+
+    private static List<String> details(Timeline timeline) {
+        return timeline.events().stream().map(EventMessage::detail).toList();
+    }
+}
