--- a/carobstage/src/main/java/org/carobstage/node/Proxy.java
+++ b/carobstage/src/main/java/org/carobstage/node/Proxy.java
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -154,6 +155,18 @@
         return Optional.ofNullable(groups.get(id));
     }
 
+    /**
+     * Returns all groups that are served here.
+     *
+     * @return the groups in the order of their ids
+     */
+    public List<Group> groups() {
+        return groups.entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .map(Map.Entry::getValue)
+                .toList();
+    }
+
     @Override
     public RequestPolicy policy(ServiceName service, RequestClass requestClass) {
         TeamDocument document = configuration.documents().get(service);
