Order promotions and detect a lost primary as pure decisions

Cause: nobody replaced a primary; a group that lost it, or never had one, stayed without.

Change: Promoter (promise to all but the replaced one, choose the highest position of a majority, promote, follow) and Detector (the replicas' own contact with the primary is the evidence) are pure; PrimaryKeeper in the group carries them out. Terms hold a random tag, because two proposers at one term could each find a majority and make two primaries. Standing gets contactMillis, so that a replica that is far behind does not look cut off. The watch is adaptive: 1 s idle, 100 ms with statements, 20 ms when in doubt. The announcement in the key-value service is never waited for. The stand-in reckoned lag between two different clocks; it now uses one.

--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
@@ -36,6 +36,7 @@
     private Term promised = Term.ZERO;
     private boolean primary;
     private long freshMillis = UNKNOWN_LAG;
+    private long contactMillis = UNKNOWN_LAG;
 
     private DatabaseInstance(InstanceSettings settings, LongSupplier millis, SqlStore store) {
         this.settings = settings;
@@ -65,6 +66,15 @@
         return settings;
     }
 
+    /**
+     * Returns the time by which lag and contact are reckoned.
+     *
+     * @return the instance's time of day in ms
+     */
+    public long nowMillis() {
+        return millis.getAsLong();
+    }
+
     /**
      * Opens a session if the limit of connections allows.
      *
@@ -112,11 +122,9 @@
      * @return the standing now
      */
     public synchronized Standing standing() {
-        long lag = primary ? 0 : UNKNOWN_LAG;
-        if (!primary && freshMillis != UNKNOWN_LAG) {
-            lag = millis.getAsLong() - freshMillis;
-        }
-        return new Standing(settings.id(), promised, primary, log.last(), lag);
+        long lag = primary ? 0 : since(freshMillis);
+        long contact = primary ? 0 : since(contactMillis);
+        return new Standing(settings.id(), promised, primary, log.last(), lag, contact);
     }
 
     /**
@@ -129,6 +137,7 @@
         if (term.isAfter(promised)) {
             promised = term;
             primary = false;
+            contactMillis = UNKNOWN_LAG;
         }
         return standing();
     }
@@ -183,6 +192,7 @@
         if (primary || !current || batch.status() == LogMessages.Status.REFUSED) {
             return;
         }
+        contactMillis = askedMillis;
         if (batch.status() == LogMessages.Status.MISMATCH) {
             log.dropLastTerm();
             store.rebuild(log.all());
@@ -217,6 +227,10 @@
         store.close();
     }
 
+    private long since(long moment) {
+        return moment == UNKNOWN_LAG ? UNKNOWN_LAG : millis.getAsLong() - moment;
+    }
+
     private Answer termRefusal() {
         return new Answer.Refused(Refusal.TERM, "stands at term " + promised + ", " + primary);
     }
@@ -382,7 +396,8 @@
                             after.promised(),
                             after.primary(),
                             after.last(),
-                            before.lagMillis());
+                            before.lagMillis(),
+                            before.contactMillis());
             return new Answer.Done(result.columns(), result.rows(), 0, false, seen);
         }
 
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalBackend.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalBackend.java
@@ -119,7 +119,7 @@
         boolean isFinal = clock.nanoTime() - untilNanos >= 0;
         if (isReached() && (isFinal || instance().standing().last().covers(atLeast))) {
             Optional<Standing> standing = Optional.of(instance().standing());
-            clock.schedule(() -> answer.complete(standing), LATENCY);
+            reply(answer, standing);
         } else {
             clock.schedule(() -> poll(answer, atLeast, untilNanos), POLL);
         }
@@ -131,13 +131,23 @@
                 () -> {
                     if (isReached()) {
                         Optional<Standing> standing = Optional.of(work.get());
-                        clock.schedule(() -> answer.complete(standing), LATENCY);
+                        reply(answer, standing);
                     }
                 },
                 LATENCY);
         return answer;
     }
 
+    private void reply(CompletableFuture<Optional<Standing>> answer, Optional<Standing> standing) {
+        clock.schedule(
+                () -> {
+                    if (isReached()) {
+                        answer.complete(standing);
+                    }
+                },
+                LATENCY);
+    }
+
     private CompletableFuture<Optional<Standing>> withTimeout(Duration timeout) {
         CompletableFuture<Optional<Standing>> answer = new CompletableFuture<>();
         clock.schedule(() -> answer.complete(Optional.empty()), timeout);
--- a/carobstage/src/main/java/org/carobstage/backend/BackendMessages.java
+++ b/carobstage/src/main/java/org/carobstage/backend/BackendMessages.java
@@ -64,6 +64,7 @@
      * @param lastTerm the term of the last log entry
      * @param lastOffset the offset of the last log entry
      * @param lagMillis the staleness in ms, negative if unknown
+     * @param contactMillis the time in ms since its primary answered it, negative if unknown
      */
     public record StandingMessage(
             String instance,
@@ -71,7 +72,8 @@
             boolean primary,
             long lastTerm,
             long lastOffset,
-            long lagMillis) {
+            long lagMillis,
+            long contactMillis) {
         /**
          * Writes a standing.
          *
@@ -85,7 +87,8 @@
                     standing.primary(),
                     standing.last().term().number(),
                     standing.last().offset(),
-                    standing.lagMillis());
+                    standing.lagMillis(),
+                    standing.contactMillis());
         }
 
         /**
@@ -99,7 +102,8 @@
                     Term.of(promised),
                     primary,
                     LogPosition.of(lastTerm, lastOffset),
-                    lagMillis);
+                    lagMillis,
+                    contactMillis);
         }
     }
 
--- a/carobstage/src/main/java/org/carobstage/backend/Standing.java
+++ b/carobstage/src/main/java/org/carobstage/backend/Standing.java
@@ -15,9 +15,16 @@
  * @param last the position of the last entry in its log
  * @param lagMillis how long ago, in ms, it last held all that its primary then had; negative if
  *     unknown
+ * @param contactMillis how long ago, in ms, its primary last answered it at the promised term,
+ *     however far behind it is; 0 at a primary, negative if unknown
  */
 public record Standing(
-        InstanceId instance, Term promised, boolean primary, LogPosition last, long lagMillis) {
+        InstanceId instance,
+        Term promised,
+        boolean primary,
+        LogPosition last,
+        long lagMillis,
+        long contactMillis) {
     /** Checks the standing. */
     public Standing {
         requireNonNull(instance, "instance is null");
@@ -25,6 +32,20 @@
         requireNonNull(last, "last is null");
     }
 
+    /**
+     * Creates the standing of an instance that heard from its primary when it last held all.
+     *
+     * @param instance the instance
+     * @param promised the highest term it has promised
+     * @param primary true if it is the primary of the promised term
+     * @param last the position of the last entry in its log
+     * @param lagMillis the staleness in ms, negative if unknown
+     */
+    public Standing(
+            InstanceId instance, Term promised, boolean primary, LogPosition last, long lagMillis) {
+        this(instance, promised, primary, last, lagMillis, lagMillis);
+    }
+
     /**
      * Tells whether this standing proves that the instance holds an entry under its term.
      *
--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -9,7 +9,25 @@
     /** The process has begun a graceful shutdown. */
     SHUTDOWN_STARTED(1002, Level.INFO),
     /** A configuration is in force. */
-    CONFIGURATION_APPLIED(2001, Level.INFO);
+    CONFIGURATION_APPLIED(2001, Level.INFO),
+    /** The evidence that a group needs another primary has lasted long enough. */
+    PRIMARY_SUSPECTED(3001, Level.WARNING),
+    /** This process proposes a term. */
+    PROMOTION_STARTED(3002, Level.INFO),
+    /** A promotion that this process proposed is complete. */
+    PROMOTION_COMPLETED(3003, Level.INFO),
+    /** A promotion that this process proposed came to nothing. */
+    PROMOTION_ABANDONED(3004, Level.WARNING),
+    /** Too few instances of a group answer this process. */
+    GROUP_UNREACHABLE(3005, Level.WARNING),
+    /** A group has another primary than before. */
+    PRIMARY_CHANGED(3006, Level.INFO),
+    /** An instance is told to follow the primary. */
+    INSTANCE_REJOINED(3007, Level.INFO),
+    /** A promotion could not be recorded in the platform's key-value service. */
+    ANNOUNCEMENT_FAILED(3008, Level.WARNING),
+    /** This process was paused and has dropped what it had observed. */
+    PAUSE_NOTICED(3009, Level.WARNING);
 
     private final int number;
     private final Level level;
--- a/carobstage/src/main/java/org/carobstage/event/EventLog.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventLog.java
@@ -38,6 +38,15 @@
         return new EventLog(vm, clock, capacity);
     }
 
+    /**
+     * Returns the VM of this process.
+     *
+     * @return the VM
+     */
+    public VmId vm() {
+        return vm;
+    }
+
     /**
      * Records an event.
      *
--- a/carobstage/src/main/java/org/carobstage/group/Group.java
+++ b/carobstage/src/main/java/org/carobstage/group/Group.java
@@ -2,9 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -14,32 +14,26 @@
 import org.carobstage.model.GroupSpec;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.InstanceSpec;
-import org.carobstage.model.LogPosition;
 import org.carobstage.pool.InstancePool;
 import org.carobstage.pool.Share;
+import org.carobstage.promotion.PromotionSetup;
 import org.carobstage.runtime.Clock;
 
 /** One database group: its clients, its pools and the view of it. State changes on its duty. */
 public final class Group implements AutoCloseable {
-    private static final Duration WATCH_INTERVAL = Duration.ofMillis(20);
-    private static final Duration WATCH_TIMEOUT = Duration.ofMillis(200);
-
     private final Map<InstanceId, Backend> backends = new LinkedHashMap<>();
     private final Map<InstanceId, InstancePool> pools = new LinkedHashMap<>();
     private final Confirmation confirmation;
-    private final Clock clock;
-    private final Executor duty;
+    private final PrimaryKeeper keeper;
     private volatile GroupView view;
-    private volatile boolean closed;
 
     private Group(
             GroupSpec spec,
             Function<InstanceSpec, Backend> connect,
             Supplier<Share> share,
+            PromotionSetup setup,
             Clock clock,
             Executor duty) {
-        this.clock = clock;
-        this.duty = duty;
         this.view = GroupView.of(spec);
         for (InstanceSpec instance : spec.instances()) {
             Backend backend = connect.apply(instance);
@@ -47,6 +41,7 @@
             pools.put(instance.id(), InstancePool.of(backend, share, clock, duty));
         }
         this.confirmation = Confirmation.of(backends.values());
+        this.keeper = new PrimaryKeeper(this, backends, this::isPrimaryAwaited, setup, clock, duty);
     }
 
     /**
@@ -55,6 +50,7 @@
      * @param spec the group
      * @param connect creates the client of an instance
      * @param share this process's part of each instance's limits
+     * @param setup what promotions need
      * @param clock the runtime's clock
      * @param duty runs the group's decisions one at a time
      * @return the group
@@ -63,11 +59,12 @@
             GroupSpec spec,
             Function<InstanceSpec, Backend> connect,
             Supplier<Share> share,
+            PromotionSetup setup,
             Clock clock,
             Executor duty) {
         requireNonNull(spec, "spec is null");
-        Group group = new Group(spec, connect, share, clock, duty);
-        group.backends.values().forEach(group::watch);
+        Group group = new Group(spec, connect, share, setup, clock, duty);
+        group.keeper.start();
         return group;
     }
 
@@ -106,27 +103,36 @@
      * @param nanos when the request was sent, in ns of the runtime's clock
      */
     public void observe(Standing standing, long nanos) {
-        view = view.observe(standing, nanos);
+        keeper.touch();
+        see(standing, nanos);
+    }
+
+    /**
+     * Replaces a primary that serves by another instance, once that has caught up.
+     *
+     * @param next the instance that shall be primary
+     * @return true once it is, false if it could not be done; nothing has changed then, or another
+     *     instance was ahead and became primary
+     */
+    public CompletionStage<Boolean> switchPrimary(InstanceId next) {
+        requireNonNull(next, "next is null");
+        return keeper.switchTo(next);
     }
 
     @Override
     public void close() {
-        closed = true;
+        keeper.close();
         pools.values().forEach(InstancePool::close);
         backends.values().forEach(Backend::close);
     }
 
-    private void watch(Backend backend) {
-        if (closed) {
-            return;
-        }
-        long asked = clock.nanoTime();
-        backend.standing(LogPosition.empty(), Duration.ZERO, WATCH_TIMEOUT)
-                .thenAcceptAsync(
-                        standing -> {
-                            standing.ifPresent(s -> observe(s, asked));
-                            clock.schedule(() -> watch(backend), WATCH_INTERVAL);
-                        },
-                        duty);
+    void see(Standing standing, long nanos) {
+        view = view.observe(standing, nanos);
+    }
+
+    private boolean isPrimaryAwaited() {
+        return view.primary()
+                .filter(primary -> pools.get(primary.instance()).load() > 0)
+                .isPresent();
     }
 }
--- a/carobstage/src/main/java/org/carobstage/group/GroupView.java
+++ b/carobstage/src/main/java/org/carobstage/group/GroupView.java
@@ -4,12 +4,14 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.carobstage.backend.Standing;
 import org.carobstage.model.GroupSpec;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.Term;
+import org.carobstage.promotion.Sighting;
 
 /**
  * The last known standing of each instance of a group.
@@ -75,6 +77,15 @@
                 .max(Comparator.comparing(Standing::promised));
     }
 
+    /**
+     * Returns the observations as the promotion rules take them.
+     *
+     * @return the sightings
+     */
+    public List<Sighting> sightings() {
+        return observed.values().stream().map(Observation::toSighting).toList();
+    }
+
     /**
      * A standing and when it was asked for.
      *
@@ -82,6 +93,15 @@
      * @param nanos when the request was sent, in ns of the runtime's clock
      */
     public record Observation(Standing standing, long nanos) {
+        /**
+         * Returns the observation as the promotion rules take it.
+         *
+         * @return the sighting
+         */
+        public Sighting toSighting() {
+            return new Sighting(standing, nanos);
+        }
+
         private boolean isNewerThan(Standing other, long otherNanos) {
             int byTerm = standing.promised().compareTo(other.promised());
             return byTerm > 0 || byTerm == 0 && nanos - otherNanos > 0;
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -20,6 +20,8 @@
 import org.carobstage.platform.HttpPlatform;
 import org.carobstage.platform.Platform;
 import org.carobstage.pool.Share;
+import org.carobstage.promotion.Announcer;
+import org.carobstage.promotion.PromotionSetup;
 import org.carobstage.runtime.Clock;
 import org.carobstage.runtime.Closer;
 import org.carobstage.runtime.SerialExecutor;
@@ -35,6 +37,7 @@
     private final Closer closer = Closer.empty();
     private final Clock clock;
     private final EventLog events;
+    private final Platform platform;
     private final Proxy proxy;
     private CallerServer caller;
     private OperatorServer operator;
@@ -46,7 +49,11 @@
         this.clock = Clock.of(executor);
         this.events = EventLog.of(settings.vm(), clock, EVENT_CAPACITY);
         SerialExecutor duty = closer.add(SerialExecutor.of("statements", RING_CAPACITY));
-        this.proxy = closer.add(Proxy.of(clock, duty, events, HttpBackend::of, this::share));
+        this.platform = closer.add(HttpPlatform.of(settings.platform()));
+        PromotionSetup promotion =
+                PromotionSetup.of(events).withAnnouncer(Announcer.of(platform, clock, events));
+        this.proxy =
+                closer.add(Proxy.of(clock, duty, events, HttpBackend::of, this::share, promotion));
     }
 
     /**
@@ -86,7 +93,6 @@
     }
 
     private void start() {
-        Platform platform = closer.add(HttpPlatform.of(settings.platform()));
         ConfigurationWatch watch = closer.add(ConfigurationWatch.of(platform, clock, proxy::apply));
         watch.first().toCompletableFuture().join();
         byte[] key = settings.tokenKey().getBytes(StandardCharsets.UTF_8);
--- a/carobstage/src/main/java/org/carobstage/node/Proxy.java
+++ b/carobstage/src/main/java/org/carobstage/node/Proxy.java
@@ -26,6 +26,7 @@
 import org.carobstage.model.RequestClass;
 import org.carobstage.model.ServiceName;
 import org.carobstage.pool.Share;
+import org.carobstage.promotion.PromotionSetup;
 import org.carobstage.runtime.BoundedExecutor;
 import org.carobstage.runtime.Clock;
 import org.carobstage.statement.Outcome;
@@ -39,6 +40,7 @@
     private final EventLog events;
     private final Function<InstanceSpec, Backend> connect;
     private final Function<GroupSpec, Share> shares;
+    private final PromotionSetup promotion;
     private final StatementRunner runner;
     private final Map<GroupId, Group> groups = new ConcurrentHashMap<>();
     private volatile Configuration configuration = Configuration.empty();
@@ -48,12 +50,14 @@
             BoundedExecutor duty,
             EventLog events,
             Function<InstanceSpec, Backend> connect,
-            Function<GroupSpec, Share> shares) {
+            Function<GroupSpec, Share> shares,
+            PromotionSetup promotion) {
         this.clock = clock;
         this.duty = duty;
         this.events = events;
         this.connect = connect;
         this.shares = shares;
+        this.promotion = promotion;
         this.runner = StatementRunner.of(clock, duty);
     }
 
@@ -73,12 +77,34 @@
             EventLog events,
             Function<InstanceSpec, Backend> connect,
             Function<GroupSpec, Share> shares) {
+        return of(clock, duty, events, connect, shares, PromotionSetup.of(events));
+    }
+
+    /**
+     * Creates a proxy without configuration that orders promotions together with others.
+     *
+     * @param clock the runtime's clock
+     * @param duty runs the decisions one at a time
+     * @param events records what is decided
+     * @param connect creates the client of an instance
+     * @param shares this process's part of the limits of a group's instances, asked each time
+     * @param promotion what promotions need
+     * @return the proxy
+     */
+    public static Proxy of(
+            Clock clock,
+            BoundedExecutor duty,
+            EventLog events,
+            Function<InstanceSpec, Backend> connect,
+            Function<GroupSpec, Share> shares,
+            PromotionSetup promotion) {
         requireNonNull(clock, "clock is null");
         requireNonNull(duty, "duty is null");
         requireNonNull(events, "events is null");
         requireNonNull(connect, "connect is null");
         requireNonNull(shares, "shares is null");
-        return new Proxy(clock, duty, events, connect, shares);
+        requireNonNull(promotion, "promotion is null");
+        return new Proxy(clock, duty, events, connect, shares, promotion);
     }
 
     /**
@@ -147,7 +173,9 @@
         if (current != null && current.view().spec().equals(spec)) {
             return;
         }
-        groups.put(spec.id(), Group.of(spec, connect, () -> shares.apply(spec), clock, duty));
+        groups.put(
+                spec.id(),
+                Group.of(spec, connect, () -> shares.apply(spec), promotion, clock, duty));
         Optional.ofNullable(current).ifPresent(Group::close);
     }
 }
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/promotion/Announcement.java
@@ -0,0 +1,63 @@
+package org.carobstage.promotion;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Optional;
+import org.carobstage.model.GroupId;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.Term;
+
+/**
+ * The record of a promotion in the platform's key-value service: information, never the fence.
+ *
+ * @param group the group
+ * @param term the term, which also identifies the proposal
+ * @param primary the primary of the term
+ * @param proposer the VM that proposed it
+ */
+public record Announcement(GroupId group, Term term, InstanceId primary, String proposer) {
+    private static final String KEY_PREFIX = "promotion/";
+    private static final int FIELDS = 3;
+
+    /** Checks the announcement. */
+    public Announcement {
+        requireNonNull(group, "group is null");
+        requireNonNull(term, "term is null");
+        requireNonNull(primary, "primary is null");
+        requireNonNull(proposer, "proposer is null");
+    }
+
+    /**
+     * Returns the key of the record.
+     *
+     * @return the key
+     */
+    public String key() {
+        return KEY_PREFIX + group.value();
+    }
+
+    /**
+     * Returns the value of the record.
+     *
+     * @return term, primary and proposer
+     */
+    public String value() {
+        return term + " " + primary + " " + proposer;
+    }
+
+    /**
+     * Reads a record.
+     *
+     * @param group the group
+     * @param value the value
+     * @return the announcement, or empty if the value is not one
+     */
+    public static Optional<Announcement> read(GroupId group, String value) {
+        String[] fields = value.split(" ", FIELDS);
+        if (fields.length < FIELDS || !fields[0].matches("\\d{1,18}")) {
+            return Optional.empty();
+        }
+        Term term = Term.of(Long.parseLong(fields[0]));
+        return Optional.of(new Announcement(group, term, InstanceId.of(fields[1]), fields[2]));
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/promotion/PromotionStep.java
@@ -0,0 +1,30 @@
+package org.carobstage.promotion;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+
+/**
+ * What a decision led to.
+ *
+ * @param state the new state
+ * @param actions what to do, in this order
+ */
+public record PromotionStep(PromotionState state, List<PromotionAction> actions) {
+    /** Checks the step. */
+    public PromotionStep {
+        requireNonNull(state, "state is null");
+        actions = List.copyOf(actions);
+    }
+
+    /**
+     * Creates a step.
+     *
+     * @param state the new state
+     * @param actions what to do, in this order
+     * @return the step
+     */
+    public static PromotionStep of(PromotionState state, PromotionAction... actions) {
+        return new PromotionStep(state, List.of(actions));
+    }
+}
