--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -27,7 +27,14 @@
     /** A promotion could not be recorded in the platform's key-value service. */
     ANNOUNCEMENT_FAILED(3008, Level.WARNING),
     /** This process was paused and has dropped what it had observed. */
-    PAUSE_NOTICED(3009, Level.WARNING);
+    PAUSE_NOTICED(3009, Level.WARNING),
+    /** A transaction ended without its caller's commit or rollback. */
+    TRANSACTION_ROLLED_BACK(5001, Level.INFO),
+    /** The file of token keys was read. */
+    TOKEN_KEYS_READ(7001, Level.INFO),
+    /** The file of token keys can't be used; the keys read before stay in force. */
+    TOKEN_KEYS_UNUSABLE(7002, Level.ERROR),
+    ;
 
     private final int number;
     private final Level level;
--- a/carobstage/src/main/java/org/carobstage/group/Group.java
+++ b/carobstage/src/main/java/org/carobstage/group/Group.java
@@ -40,7 +40,7 @@
             backends.put(instance.id(), backend);
             pools.put(instance.id(), InstancePool.of(backend, share, clock, duty));
         }
-        this.confirmation = Confirmation.of(backends.values());
+        this.confirmation = Confirmation.of(backends.values(), clock, duty, this::see);
         this.keeper = new PrimaryKeeper(this, backends, this::isPrimaryAwaited, setup, clock, duty);
     }
 
--- a/carobstage/src/main/java/org/carobstage/group/PrimaryKeeper.java
+++ b/carobstage/src/main/java/org/carobstage/group/PrimaryKeeper.java
@@ -5,9 +5,11 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
@@ -41,7 +43,7 @@
     private static final Duration CONTROL_TIMEOUT = Duration.ofMillis(250);
     private static final Duration FOLLOW_INTERVAL = Duration.ofMillis(300);
     private static final Duration BACK_OFF = Duration.ofMillis(100);
-    private static final Duration ACTIVE_FOR = Duration.ofSeconds(5);
+    private static final Duration ISOLATION_LIMIT = Duration.ofSeconds(2);
     private static final Duration SWITCH_TIMEOUT = Duration.ofSeconds(2);
 
     private final Group group;
@@ -54,7 +56,8 @@
     private final Detector detector;
     private final Promoter promoter;
     private final EventScope scope;
-    private final Map<InstanceId, Boolean> asking = new HashMap<>();
+    private final Set<InstanceId> polled = new HashSet<>();
+    private final Set<InstanceId> awaited = new HashSet<>();
     private final Map<InstanceId, Long> followed = new HashMap<>();
     private DetectionState detection;
     private PromotionState promotion = new PromotionState.Idle();
@@ -62,7 +65,6 @@
     private Optional<InstanceId> primary = Optional.empty();
     private long proposeFromNanos;
     private long activeNanos;
-    private long isolatedFromNanos;
     private boolean isolationNoted;
     private boolean closed;
 
@@ -85,7 +87,7 @@
         this.scope = EventScope.of(spec.id());
         this.detection = DetectionState.startingAt(clock.nanoTime());
         this.proposeFromNanos = clock.nanoTime();
-        this.activeNanos = clock.nanoTime() - ACTIVE_FOR.toNanos();
+        this.activeNanos = clock.nanoTime();
     }
 
     void start() {
@@ -143,23 +145,23 @@
         if (closed) {
             return;
         }
+        clock.schedule(() -> duty.execute(this::tick), TICK);
         long now = clock.nanoTime();
         if (now - detection.tickNanos() > Detector.PAUSE_LIMIT.toNanos()) {
             setup.events().record(EventCode.PAUSE_NOTICED, scope, "observations dropped");
         }
         Collection<Sighting> sightings = group.view().sightings();
-        boolean active = now - activeNanos < ACTIVE_FOR.toNanos();
-        WatchPace pace = WatchPace.choose(spec, sightings, active, waiting.getAsBoolean(), now);
+        Duration quiet = Duration.ofNanos(now - activeNanos);
+        Duration interval = WatchPace.interval(spec, sightings, quiet, waiting.getAsBoolean(), now);
         detect(sightings, now);
+        noteIsolation(interval.equals(WatchPace.CLOSE), now);
         handle(new PromotionEvent.Ticked());
         notePrimary();
-        watch(pace, now);
+        watch(interval, now);
         rejoin(now);
-        clock.schedule(() -> duty.execute(this::tick), TICK);
     }
 
     private void detect(Collection<Sighting> sightings, long now) {
-        Condition before = detection.condition();
         detection = detector.step(detection, sightings, now);
         int rank = setup.rank().rank(spec.id(), detection.term());
         boolean idle = promotion instanceof PromotionState.Idle;
@@ -172,16 +174,12 @@
                             : group.view().primary().map(Standing::instance);
             propose(replaced, Optional.empty(), condition.toString());
         }
-        if (before != Condition.ISOLATED && detection.condition() == Condition.ISOLATED) {
-            isolatedFromNanos = now;
-        }
-        noteIsolation(now);
     }
 
-    private void noteIsolation(long now) {
-        boolean isolated = detection.condition() == Condition.ISOLATED;
-        boolean lasting =
-                isolated && now - isolatedFromNanos > 2 * WatchPace.IDLE.interval().toNanos();
+    private void noteIsolation(boolean close, long now) {
+        boolean isolated = close && detection.condition() == Condition.ISOLATED;
+        long nanos = now - detection.sinceNanos();
+        boolean lasting = isolated && nanos > ISOLATION_LIMIT.toNanos();
         if (lasting && !isolationNoted) {
             setup.events().record(EventCode.GROUP_UNREACHABLE, scope, "no majority answers");
         }
@@ -268,24 +266,48 @@
         }
     }
 
-    private void watch(WatchPace pace, long now) {
-        long interval = pace.interval().toNanos();
-        backends.forEach(
-                (id, backend) -> {
-                    GroupView.Observation last = group.view().observed().get(id);
-                    boolean due = last == null || now - last.nanos() >= interval;
-                    if (due && !asking.getOrDefault(id, false)) {
-                        asking.put(id, true);
-                        watch(id, backend, now);
-                    }
-                });
+    private void watch(Duration interval, long now) {
+        boolean close = interval.equals(WatchPace.CLOSE);
+        Optional<InstanceId> leader = group.view().primary().map(Standing::instance);
+        for (Backend backend : backends.values()) {
+            InstanceId id = backend.spec().id();
+            boolean known = group.view().observed().containsKey(id);
+            if (close || !known || leader.equals(Optional.of(id))) {
+                poll(backend, interval, now);
+            } else {
+                await(backend, interval, now);
+            }
+        }
+    }
+
+    private void poll(Backend backend, Duration interval, long now) {
+        InstanceId id = backend.spec().id();
+        if (isOlder(id, interval, now) && polled.add(id)) {
+            watch(backend, LogPosition.empty(), Duration.ZERO, now, () -> polled.remove(id));
+        }
+    }
+
+    /** Lets a replica answer as soon as its log grows, so that reads find it in time. */
+    private void await(Backend backend, Duration wait, long now) {
+        InstanceId id = backend.spec().id();
+        if (isOlder(id, WatchPace.ACTIVE, now) && awaited.add(id)) {
+            LogPosition known = group.view().observed().get(id).standing().last();
+            LogPosition next = new LogPosition(known.term(), known.offset() + 1);
+            watch(backend, next, wait, now, () -> awaited.remove(id));
+        }
+    }
+
+    private boolean isOlder(InstanceId id, Duration age, long now) {
+        GroupView.Observation last = group.view().observed().get(id);
+        return last == null || now - last.nanos() >= age.toNanos();
     }
 
-    private void watch(InstanceId id, Backend backend, long asked) {
-        backend.standing(LogPosition.empty(), Duration.ZERO, ANSWER_TIMEOUT)
+    private void watch(
+            Backend backend, LogPosition atLeast, Duration wait, long asked, Runnable whenDone) {
+        backend.standing(atLeast, wait, wait.plus(ANSWER_TIMEOUT))
                 .thenAcceptAsync(
                         standing -> {
-                            asking.put(id, false);
+                            whenDone.run();
                             standing.ifPresent(s -> group.see(s, asked));
                         },
                         duty);
--- a/carobstage/src/main/java/org/carobstage/promotion/WatchPace.java
+++ b/carobstage/src/main/java/org/carobstage/promotion/WatchPace.java
@@ -5,50 +5,43 @@
 import java.util.Optional;
 import org.carobstage.model.GroupSpec;
 
-/** How often the instances of a group are asked for their standing. */
-public enum WatchPace {
-    /** No statements come. */
-    IDLE(Duration.ofMillis(1_000)),
-    /** Statements come, and their answers mostly bring the standings. */
-    ACTIVE(Duration.ofMillis(100)),
-    /** Something may be wrong. */
-    CLOSE(Duration.ofMillis(20));
+/**
+ * How often the instances of a group are asked for their standing: often in doubt, otherwise the
+ * more rarely the longer no statement came. Answers to statements bring standings too and put the
+ * next question off, so a busy group is hardly asked.
+ */
+public final class WatchPace {
+    /** The interval when something may be wrong. */
+    public static final Duration CLOSE = Duration.ofMillis(20);
 
-    private static final Duration GRACE = Duration.ofMillis(60);
+    /** The interval after a statement. */
+    public static final Duration ACTIVE = Duration.ofMillis(100);
 
-    private final Duration interval;
+    /** The interval when no statements come. */
+    public static final Duration IDLE = Duration.ofMillis(1_000);
 
-    WatchPace(Duration interval) {
-        this.interval = interval;
-    }
+    private static final Duration GRACE = Duration.ofMillis(60);
 
-    /**
-     * Returns the age of the last sighting of an instance at which it is asked again.
-     *
-     * @return the interval
-     */
-    public Duration interval() {
-        return interval;
-    }
+    private WatchPace() {}
 
     /**
-     * Chooses the pace.
+     * Returns the age of the last sighting of an instance at which it is asked again.
      *
      * @param spec the group
      * @param sightings the last sighting of each instance that ever answered
-     * @param active true if statements came lately
+     * @param quiet how long ago the last statement came
      * @param waiting true if a statement waits for the primary's answer
      * @param nowNanos the time now, in ns of the runtime's clock
-     * @return the pace
+     * @return the interval
      */
-    public static WatchPace choose(
+    public static Duration interval(
             GroupSpec spec,
             Collection<Sighting> sightings,
-            boolean active,
+            Duration quiet,
             boolean waiting,
             long nowNanos) {
-        WatchPace calm = active ? ACTIVE : IDLE;
-        Duration overdue = waiting ? GRACE : calm.interval.plus(GRACE);
+        Duration calm = min(max(quiet, ACTIVE), IDLE);
+        Duration overdue = waiting ? GRACE : calm.plus(GRACE);
         Optional<Sighting> primary = Detector.primary(sightings);
         boolean answers =
                 primary.filter(s -> nowNanos - s.askedNanos() <= overdue.toNanos()).isPresent();
@@ -61,4 +54,12 @@
         long millis = sighting.standing().contactMillis();
         return millis >= 0 && millis <= GRACE.toMillis();
     }
+
+    private static Duration min(Duration one, Duration other) {
+        return one.compareTo(other) <= 0 ? one : other;
+    }
+
+    private static Duration max(Duration one, Duration other) {
+        return one.compareTo(other) >= 0 ? one : other;
+    }
 }
