--- a/carobstage-testbed/src/test/java/org/carobstage/testbed/local/FailoverFixture.java
+++ b/carobstage-testbed/src/test/java/org/carobstage/testbed/local/FailoverFixture.java
@@ -1,5 +1,6 @@
 package org.carobstage.testbed.local;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.sql.SQLException;
 import java.time.Duration;
 import java.time.Instant;
@@ -168,6 +169,7 @@
                         events,
                         instance -> group.backend(vm, instance),
                         spec -> new Share(5, 10),
+                        new SimpleMeterRegistry(),
                         setup);
         proxy.apply(new Configuration(Map.of(), Map.of(GROUP, group.spec())));
         return proxy;
--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -28,6 +28,16 @@
     ANNOUNCEMENT_FAILED(3008, Level.WARNING),
     /** This process was paused and has dropped what it had observed. */
     PAUSE_NOTICED(3009, Level.WARNING),
+    /** Connections that no longer answered while others did were closed together. */
+    CONNECTIONS_RETIRED(4001, Level.WARNING),
+    /** No connection to an instance could be opened. */
+    OPENING_FAILED(4002, Level.WARNING),
+    /** A connection could be opened again. */
+    OPENING_RECOVERED(4003, Level.INFO),
+    /** Statements are refused because their wait would exceed the patience. */
+    OVERLOAD_STARTED(4004, Level.WARNING),
+    /** No statement was refused for a while. */
+    OVERLOAD_ENDED(4005, Level.INFO),
     /** A transaction ended without its caller's commit or rollback. */
     TRANSACTION_ROLLED_BACK(5001, Level.INFO),
     /** The file of token keys was read. */
--- a/carobstage/src/main/java/org/carobstage/group/Group.java
+++ b/carobstage/src/main/java/org/carobstage/group/Group.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import java.util.function.Function;
-import java.util.function.Supplier;
 import org.carobstage.acknowledge.Confirmation;
 import org.carobstage.backend.Backend;
 import org.carobstage.backend.Standing;
@@ -15,7 +14,6 @@
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.InstanceSpec;
 import org.carobstage.pool.InstancePool;
-import org.carobstage.pool.Share;
 import org.carobstage.promotion.PromotionSetup;
 import org.carobstage.runtime.Clock;
 
@@ -30,7 +28,7 @@
     private Group(
             GroupSpec spec,
             Function<InstanceSpec, Backend> connect,
-            Supplier<Share> share,
+            Function<Backend, InstancePool> pool,
             PromotionSetup setup,
             Clock clock,
             Executor duty) {
@@ -38,7 +36,7 @@
         for (InstanceSpec instance : spec.instances()) {
             Backend backend = connect.apply(instance);
             backends.put(instance.id(), backend);
-            pools.put(instance.id(), InstancePool.of(backend, share, clock, duty));
+            pools.put(instance.id(), pool.apply(backend));
         }
         this.confirmation = Confirmation.of(backends.values(), clock, duty, this::see);
         this.keeper = new PrimaryKeeper(this, backends, this::isPrimaryAwaited, setup, clock, duty);
@@ -49,7 +47,7 @@
      *
      * @param spec the group
      * @param connect creates the client of an instance
-     * @param share this process's part of each instance's limits
+     * @param pool creates the pool of an instance
      * @param setup what promotions need
      * @param clock the runtime's clock
      * @param duty runs the group's decisions one at a time
@@ -58,12 +56,12 @@
     public static Group of(
             GroupSpec spec,
             Function<InstanceSpec, Backend> connect,
-            Supplier<Share> share,
+            Function<Backend, InstancePool> pool,
             PromotionSetup setup,
             Clock clock,
             Executor duty) {
         requireNonNull(spec, "spec is null");
-        Group group = new Group(spec, connect, share, setup, clock, duty);
+        Group group = new Group(spec, connect, pool, setup, clock, duty);
         group.keeper.start();
         return group;
     }
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -34,6 +34,8 @@
 
     private final Settings settings;
     private final Closer closer = Closer.empty();
+    private final PrometheusMeterRegistry metrics =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Clock clock;
     private final EventLog events;
     private final Platform platform;
@@ -52,7 +54,15 @@
         PromotionSetup promotion =
                 PromotionSetup.of(events).withAnnouncer(Announcer.of(platform, clock, events));
         this.proxy =
-                closer.add(Proxy.of(clock, duty, events, HttpBackend::of, this::share, promotion));
+                closer.add(
+                        Proxy.of(
+                                clock,
+                                duty,
+                                events,
+                                HttpBackend::of,
+                                this::share,
+                                metrics,
+                                promotion));
     }
 
     /**
@@ -95,7 +105,6 @@
         ConfigurationWatch watch = closer.add(ConfigurationWatch.of(platform, clock, proxy::apply));
         watch.first().toCompletableFuture().join();
         TokenCodec tokens = TokenCodec.of(closer.add(tokenKeys()));
-        PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         operator =
                 closer.add(
                         OperatorServer.of(
--- a/carobstage/src/test/java/org/carobstage/acknowledge/ConfirmationTest.java
+++ b/carobstage/src/test/java/org/carobstage/acknowledge/ConfirmationTest.java
@@ -103,7 +103,6 @@
 
             assertThat(results).allMatch(r -> r.isDone() && r.join());
             int exchanges = replicas.stream().mapToInt(r -> r.exchanges).sum();
-            System.out.println("XCH " + exchanges);
             assertThat(exchanges).isLessThan(writes / 4);
         }
     }
