--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -22,6 +22,24 @@
     MEMBER_DEAD(2013, Level.WARNING),
     /** This process did not run for a while. */
     PROCESS_PAUSED(2014, Level.WARNING),
+    /** The evidence that a group needs another primary has lasted long enough. */
+    PRIMARY_SUSPECTED(3001, Level.WARNING),
+    /** This process proposes a term. */
+    PROMOTION_STARTED(3002, Level.INFO),
+    /** A promotion that this process proposed is complete. */
+    PROMOTION_COMPLETED(3003, Level.INFO),
+    /** A promotion that this process proposed came to nothing. */
+    PROMOTION_ABANDONED(3004, Level.WARNING),
+    /** Too few instances of a group answer this process. */
+    GROUP_UNREACHABLE(3005, Level.WARNING),
+    /** A group has another primary than before. */
+    PRIMARY_CHANGED(3006, Level.INFO),
+    /** An instance is told to follow the primary. */
+    INSTANCE_REJOINED(3007, Level.INFO),
+    /** A promotion could not be recorded in the platform's key-value service. */
+    ANNOUNCEMENT_FAILED(3008, Level.WARNING),
+    /** This process was paused and has dropped what it had observed. */
+    PAUSE_NOTICED(3009, Level.WARNING),
     /** Connections that no longer answered while others did were closed together. */
     CONNECTIONS_RETIRED(4001, Level.WARNING),
     /** No connection to an instance could be opened. */
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -19,6 +19,8 @@
 import org.carobstage.platform.HttpPlatform;
 import org.carobstage.platform.Platform;
 import org.carobstage.pool.Share;
+import org.carobstage.promotion.Announcer;
+import org.carobstage.promotion.PromotionSetup;
 import org.carobstage.runtime.Clock;
 import org.carobstage.runtime.Closer;
 import org.carobstage.runtime.SerialExecutor;
@@ -37,6 +39,7 @@
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Clock clock;
     private final EventLog events;
+    private final Platform platform;
     private final Proxy proxy;
     private CallerServer caller;
     private OperatorServer operator;
@@ -49,8 +52,19 @@
         this.clock = Clock.of(executor);
         this.events = EventLog.of(settings.vm().id(), clock, EVENT_CAPACITY);
         SerialExecutor duty = closer.add(SerialExecutor.of("statements", RING_CAPACITY));
+        this.platform = closer.add(HttpPlatform.of(settings.platform().address()));
+        PromotionSetup promotion =
+                PromotionSetup.of(events).withAnnouncer(Announcer.of(platform, clock, events));
         this.proxy =
-                closer.add(Proxy.of(clock, duty, events, HttpBackend::of, this::share, metrics));
+                closer.add(
+                        Proxy.of(
+                                clock,
+                                duty,
+                                events,
+                                HttpBackend::of,
+                                this::share,
+                                metrics,
+                                promotion));
     }
 
     /**
@@ -90,7 +104,6 @@
     }
 
     private void start() {
-        Platform platform = closer.add(HttpPlatform.of(settings.platform().address()));
         ConfigurationWatch watch = closer.add(ConfigurationWatch.of(platform, clock, proxy::apply));
         watch.first().toCompletableFuture().join();
         TokenCodec tokens = TokenCodec.of(closer.add(tokenKeys()));
--- a/carobstage/src/main/java/org/carobstage/node/Proxy.java
+++ b/carobstage/src/main/java/org/carobstage/node/Proxy.java
@@ -37,6 +37,7 @@
 import org.carobstage.pool.PoolMetrics;
 import org.carobstage.pool.PoolRuntime;
 import org.carobstage.pool.Share;
+import org.carobstage.promotion.PromotionSetup;
 import org.carobstage.retry.RetryBudgets;
 import org.carobstage.runtime.BoundedExecutor;
 import org.carobstage.runtime.Clock;
@@ -57,6 +58,7 @@
     private final EventLog events;
     private final Function<InstanceSpec, Backend> connect;
     private final Function<GroupSpec, Share> shares;
+    private final PromotionSetup promotion;
     private final StatementRunner runner;
     private final MeterRegistry meters;
     private final RetryBudgets budgets;
@@ -71,7 +73,8 @@
             EventLog events,
             Function<InstanceSpec, Backend> connect,
             Function<GroupSpec, Share> shares,
-            MeterRegistry meters) {
+            MeterRegistry meters,
+            PromotionSetup promotion) {
         this.meters = meters;
         this.budgets = RetryBudgets.of(clock);
         this.random = new SplittableRandom(clock.nanoTime());
@@ -80,6 +83,7 @@
         this.events = events;
         this.connect = connect;
         this.shares = shares;
+        this.promotion = promotion;
         KeyFactory keys = KeyFactory.of(events.vm() + "/" + clock.instant().toEpochMilli());
         this.runner = StatementRunner.of(clock, duty, keys);
         this.transactions = Transactions.of(events.vm(), clock, duty, events, runner, keys);
@@ -101,11 +105,18 @@
             EventLog events,
             Function<InstanceSpec, Backend> connect,
             Function<GroupSpec, Share> shares) {
-        return of(clock, duty, events, connect, shares, new SimpleMeterRegistry());
+        return of(
+                clock,
+                duty,
+                events,
+                connect,
+                shares,
+                new SimpleMeterRegistry(),
+                PromotionSetup.of(events));
     }
 
     /**
-     * Creates a proxy without configuration.
+     * Creates a proxy without configuration that orders promotions together with others.
      *
      * @param clock the runtime's clock
      * @param duty runs the decisions one at a time
@@ -113,6 +124,7 @@
      * @param connect creates the client of an instance
      * @param shares this process's part of the limits of a group's instances, asked each time
      * @param meters keeps the meters
+     * @param promotion what promotions need
      * @return the proxy
      */
     public static Proxy of(
@@ -121,14 +133,16 @@
             EventLog events,
             Function<InstanceSpec, Backend> connect,
             Function<GroupSpec, Share> shares,
-            MeterRegistry meters) {
+            MeterRegistry meters,
+            PromotionSetup promotion) {
         requireNonNull(clock, "clock is null");
         requireNonNull(duty, "duty is null");
         requireNonNull(events, "events is null");
         requireNonNull(connect, "connect is null");
         requireNonNull(shares, "shares is null");
         requireNonNull(meters, "meters is null");
-        return new Proxy(clock, duty, events, connect, shares, meters);
+        requireNonNull(promotion, "promotion is null");
+        return new Proxy(clock, duty, events, connect, shares, meters, promotion);
     }
 
     /**
@@ -237,7 +251,8 @@
         if (current != null && current.view().spec().equals(spec)) {
             return;
         }
-        groups.put(spec.id(), Group.of(spec, connect, backend -> pool(spec, backend), clock, duty));
+        Function<Backend, InstancePool> pool = backend -> pool(spec, backend);
+        groups.put(spec.id(), Group.of(spec, connect, pool, promotion, clock, duty));
         Optional.ofNullable(current).ifPresent(Group::close);
     }
 
