Measure entry VMs under open-loop load and check every history

Cause: the targets of speed, replica reads and write latency had no figures. Change: testbed load (two workloads, Poisson arrivals with a seed, HdrHistogram from the due moment, JSON, table, SVG, optional part straight to replicas) and bin/measure with one line a figure. The stand-in's replicas stated a lag of 1.8e12 ms (monotonic time taken from the time of day), so that no read ever went to a replica; they now use their own time of day.

--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/cli/Main.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/cli/Main.java
@@ -12,6 +12,8 @@
 import org.carobstage.testbed.database.DatabaseInstance;
 import org.carobstage.testbed.database.InstanceServer;
 import org.carobstage.testbed.database.InstanceSettings;
+import org.carobstage.testbed.measure.LoadCommand;
+import org.carobstage.testbed.measure.MeasureCommand;
 import org.carobstage.testbed.platform.PlatformServer;
 import org.carobstage.testbed.platform.PlatformStore;
 
@@ -31,11 +33,15 @@
     public static void main(String[] args) throws InterruptedException, SQLException {
         PlatformCommand platform = new PlatformCommand();
         InstanceCommand instance = new InstanceCommand();
+        LoadCommand load = new LoadCommand();
+        MeasureCommand measure = new MeasureCommand();
         JCommander commander =
                 JCommander.newBuilder()
                         .programName("testbed")
                         .addCommand("platform", platform)
                         .addCommand("instance", instance)
+                        .addCommand("load", load)
+                        .addCommand("measure", measure)
                         .build();
         try {
             commander.parse(args);
@@ -47,6 +53,11 @@
             listening(platform.start());
         } else if ("instance".equals(commander.getParsedCommand())) {
             listening(instance.start());
+        } else if ("load".equals(commander.getParsedCommand())) {
+            System.exit(load.run() ? 0 : 1);
+        } else if ("measure".equals(commander.getParsedCommand())) {
+            measure.run();
+            System.exit(0);
         } else {
             commander.usage();
         }
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
@@ -65,6 +65,15 @@
         return settings;
     }
 
+    /**
+     * Returns the instance's time of day.
+     *
+     * @return the time in ms
+     */
+    public long now() {
+        return millis.getAsLong();
+    }
+
     /**
      * Opens a session if the limit of connections allows.
      *
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/LogFollower.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/LogFollower.java
@@ -5,7 +5,6 @@
 import java.lang.System.Logger.Level;
 import java.sql.SQLException;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.carobstage.backend.Standing;
 import org.carobstage.http.JsonClient;
@@ -73,7 +72,7 @@
                         standing.last().term().number(),
                         standing.last().offset(),
                         instance.settings().lagMillis());
-        long asked = executor.currentTime(TimeUnit.MILLISECONDS);
+        long asked = instance.now();
         primary.post("/log", read, LogMessages.Batch.class, TIMEOUT)
                 .afterFinally(() -> again(roundTerm))
                 .subscribe(batch -> take(read, batch, asked));
--- /dev/null
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/load/LoadFiles.java
@@ -0,0 +1,58 @@
+package org.carobstage.testbed.load;
+
+import static java.util.Objects.requireNonNull;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import org.carobstage.http.Json;
+import org.carobstage.testbed.history.Violation;
+
+/** Writes the results of a load run. */
+public final class LoadFiles {
+    private LoadFiles() {}
+
+    /**
+     * Writes the JSON file and beside it the plot, and prints the table.
+     *
+     * @param json the JSON file; the plot has the same name and {@code .svg} behind it
+     * @param plan the plan
+     * @param figures the figures
+     * @param violations what the history breaks
+     */
+    public static void write(
+            Path json, LoadPlan plan, LoadFigures figures, List<Violation> violations) {
+        requireNonNull(json, "json is null");
+        LoadFigures.Summary summary =
+                figures.summary(plan, violations.stream().map(Violation::toString).toList());
+        try {
+            Files.write(json, Json.write(summary));
+            Files.writeString(Path.of(json + ".svg"), SvgPlot.draw(figures));
+        } catch (IOException e) {
+            throw new UncheckedIOException("can't write " + json, e);
+        }
+        print(summary);
+    }
+
+    private static void print(LoadFigures.Summary summary) {
+        System.out.printf(
+                "%-14s %8s %9s %9s %9s %9s%n", "ms", "count", "p50", "p99", "p99.9", "max");
+        summary.latencies()
+                .forEach(
+                        (name, l) ->
+                                System.out.printf(
+                                        Locale.ROOT,
+                                        "%-14s %8d %9.3f %9.3f %9.3f %9.3f%n",
+                                        name,
+                                        l.count(),
+                                        l.p50(),
+                                        l.p99(),
+                                        l.p999(),
+                                        l.max()));
+        System.out.println("outcomes " + summary.outcomes() + " errors " + summary.errors());
+        System.out.println("violations " + summary.violations().size());
+    }
+}
--- /dev/null
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/load/SvgPlot.java
@@ -0,0 +1,81 @@
+package org.carobstage.testbed.load;
+
+import java.util.Locale;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.HdrHistogram.Histogram;
+
+/** Draws latencies over percentiles, both axes logarithmic. */
+final class SvgPlot {
+    private static final int WIDTH = 640;
+    private static final int HEIGHT = 400;
+    private static final int MARGIN = 50;
+    private static final int STEPS_PER_NINE = 8;
+    private static final int NINES = 4;
+    private static final double LEAST_MILLIS = 0.01;
+    private static final int DECADES = 6;
+
+    private SvgPlot() {}
+
+    static String draw(LoadFigures figures) {
+        String frame =
+                "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%d\" height=\"%d\""
+                        + " font-family=\"sans-serif\" font-size=\"11\">%n";
+        return String.format(Locale.ROOT, frame, WIDTH, HEIGHT)
+                + grid()
+                + line(figures.all(), "#1f6fb4", "through an entry VM", 1)
+                + line(figures.direct(), "#c0504d", "direct", 2)
+                + "</svg>\n";
+    }
+
+    private static String grid() {
+        String rows =
+                IntStream.rangeClosed(0, DECADES)
+                        .mapToDouble(i -> LEAST_MILLIS * Math.pow(10, i))
+                        .mapToObj(millis -> text(5, y(millis), String.format("%.5g ms", millis)))
+                        .collect(Collectors.joining());
+        String columns =
+                IntStream.rangeClosed(0, NINES)
+                        .mapToObj(
+                                nines ->
+                                        text(
+                                                x(nines),
+                                                HEIGHT - MARGIN / 2.0,
+                                                "p" + 100 * (1 - Math.pow(10, -nines))))
+                        .collect(Collectors.joining());
+        return rows + columns;
+    }
+
+    private static String line(Histogram histogram, String color, String name, int row) {
+        if (histogram.getTotalCount() == 0) {
+            return "";
+        }
+        String points =
+                IntStream.rangeClosed(0, NINES * STEPS_PER_NINE)
+                        .mapToDouble(i -> (double) i / STEPS_PER_NINE)
+                        .mapToObj(nines -> point(histogram, nines))
+                        .collect(Collectors.joining(" "));
+        return String.format(
+                        "<polyline fill=\"none\" stroke=\"%s\" points=\"%s\"/>%n", color, points)
+                + String.format("<g fill=\"%s\">%s</g>%n", color, text(MARGIN * 2, row * 15, name));
+    }
+
+    private static String point(Histogram histogram, double nines) {
+        double percentile = 100 * (1 - Math.pow(10, -nines));
+        double millis = LoadFigures.millis(histogram, percentile);
+        return String.format(Locale.ROOT, "%.1f,%.1f", x(nines), y(millis));
+    }
+
+    private static double x(double nines) {
+        return MARGIN + nines / NINES * (WIDTH - 2 * MARGIN);
+    }
+
+    private static double y(double millis) {
+        double decades = Math.log10(Math.max(millis, LEAST_MILLIS) / LEAST_MILLIS);
+        return HEIGHT - MARGIN - decades / DECADES * (HEIGHT - 2 * MARGIN);
+    }
+
+    private static String text(double x, double y, String content) {
+        return String.format(Locale.ROOT, "<text x=\"%.1f\" y=\"%.1f\">%s</text>%n", x, y, content);
+    }
+}
--- /dev/null
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/measure/Measurement.java
@@ -0,0 +1,17 @@
+package org.carobstage.testbed.measure;
+
+import java.time.Duration;
+import java.util.List;
+
+/** Measures some figures on a stand. */
+@FunctionalInterface
+public interface Measurement {
+    /**
+     * Measures.
+     *
+     * @param stand the running processes
+     * @param duration how long each part of it lasts
+     * @return the figures
+     */
+    List<Figure> measure(Stand stand, Duration duration);
+}
--- /dev/null
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Figures of running processes beside their targets. */
+package org.carobstage.testbed.measure;
