--- a/carobstage/src/main/java/org/carobstage/node/Proxy.java
+++ b/carobstage/src/main/java/org/carobstage/node/Proxy.java
@@ -2,17 +2,23 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import org.carobstage.backend.Backend;
 import org.carobstage.caller.StatementService;
 import org.carobstage.config.Configuration;
 import org.carobstage.document.RequestPolicy;
+import org.carobstage.document.RequestPolicy.Access;
 import org.carobstage.document.TeamDocument;
 import org.carobstage.error.CodedException;
 import org.carobstage.error.ErrorCode;
@@ -22,24 +28,39 @@
 import org.carobstage.group.Group;
 import org.carobstage.model.GroupId;
 import org.carobstage.model.GroupSpec;
+import org.carobstage.model.IdempotencyKey;
 import org.carobstage.model.InstanceSpec;
 import org.carobstage.model.RequestClass;
 import org.carobstage.model.ServiceName;
+import org.carobstage.pool.InstancePool;
+import org.carobstage.pool.PoolMetrics;
+import org.carobstage.pool.PoolRuntime;
 import org.carobstage.pool.Share;
+import org.carobstage.retry.RetryBudgets;
 import org.carobstage.runtime.BoundedExecutor;
 import org.carobstage.runtime.Clock;
+import org.carobstage.statement.KeyFactory;
 import org.carobstage.statement.Outcome;
 import org.carobstage.statement.StatementRequest;
 import org.carobstage.statement.StatementRunner;
+import org.carobstage.transaction.BeginResult;
+import org.carobstage.transaction.Transactions;
 
 /** The decisions of an entry VM's process, without its servers: tests run it on a paused clock. */
 public final class Proxy implements AutoCloseable, StatementService {
+    private static final RequestPolicy LOOK_UP_POLICY =
+            new RequestPolicy(Access.WRITE, Duration.ZERO, false, Duration.ofMillis(300));
+
     private final Clock clock;
     private final BoundedExecutor duty;
     private final EventLog events;
     private final Function<InstanceSpec, Backend> connect;
     private final Function<GroupSpec, Share> shares;
     private final StatementRunner runner;
+    private final MeterRegistry meters;
+    private final RetryBudgets budgets;
+    private final RandomGenerator random;
+    private final Transactions transactions;
     private final Map<GroupId, Group> groups = new ConcurrentHashMap<>();
     private volatile Configuration configuration = Configuration.empty();
 
@@ -48,13 +69,19 @@
             BoundedExecutor duty,
             EventLog events,
             Function<InstanceSpec, Backend> connect,
-            Function<GroupSpec, Share> shares) {
+            Function<GroupSpec, Share> shares,
+            MeterRegistry meters) {
+        this.meters = meters;
+        this.budgets = RetryBudgets.of(clock);
+        this.random = new SplittableRandom(clock.nanoTime());
         this.clock = clock;
         this.duty = duty;
         this.events = events;
         this.connect = connect;
         this.shares = shares;
-        this.runner = StatementRunner.of(clock, duty);
+        KeyFactory keys = KeyFactory.of(events.vm() + "/" + clock.instant().toEpochMilli());
+        this.runner = StatementRunner.of(clock, duty, keys);
+        this.transactions = Transactions.of(events.vm(), clock, duty, events, runner, keys);
     }
 
     /**
@@ -73,12 +100,34 @@
             EventLog events,
             Function<InstanceSpec, Backend> connect,
             Function<GroupSpec, Share> shares) {
+        return of(clock, duty, events, connect, shares, new SimpleMeterRegistry());
+    }
+
+    /**
+     * Creates a proxy without configuration.
+     *
+     * @param clock the runtime's clock
+     * @param duty runs the decisions one at a time
+     * @param events records what is decided
+     * @param connect creates the client of an instance
+     * @param shares this process's part of the limits of a group's instances, asked each time
+     * @param meters keeps the meters
+     * @return the proxy
+     */
+    public static Proxy of(
+            Clock clock,
+            BoundedExecutor duty,
+            EventLog events,
+            Function<InstanceSpec, Backend> connect,
+            Function<GroupSpec, Share> shares,
+            MeterRegistry meters) {
         requireNonNull(clock, "clock is null");
         requireNonNull(duty, "duty is null");
         requireNonNull(events, "events is null");
         requireNonNull(connect, "connect is null");
         requireNonNull(shares, "shares is null");
-        return new Proxy(clock, duty, events, connect, shares);
+        requireNonNull(meters, "meters is null");
+        return new Proxy(clock, duty, events, connect, shares, meters);
     }
 
     /**
@@ -125,16 +174,30 @@
 
     @Override
     public CompletionStage<Outcome> run(StatementRequest request) {
-        Group group = groups.get(request.group());
-        if (group == null) {
-            throw CodedException.of(ErrorCode.UNKNOWN_GROUP, "no group " + request.group());
-        }
-        CompletableFuture<Outcome> outcome = new CompletableFuture<>();
-        boolean taken = duty.offer(() -> runner.run(group, request).thenAccept(outcome::complete));
-        if (!taken) {
-            throw CodedException.of(ErrorCode.OVERLOADED, "too many statements wait");
-        }
-        return outcome;
+        Group group = required(request.group());
+        return onDuty(() -> runner.run(group, request));
+    }
+
+    @Override
+    public CompletionStage<Outcome> lookUp(ServiceName service, GroupId id, IdempotencyKey key) {
+        Group group = required(id);
+        StatementRequest request =
+                StatementRequest.lookUp(
+                        service, id, LOOK_UP_POLICY, key, deadline(LOOK_UP_POLICY.patience()));
+        return onDuty(() -> runner.resolve(group, request, group.view().term()));
+    }
+
+    @Override
+    public CompletionStage<BeginResult> begin(
+            ServiceName service, GroupId id, RequestPolicy policy) {
+        Group group = required(id);
+        return onDuty(() -> transactions.begin(group, service, policy));
+    }
+
+    @Override
+    public CompletionStage<Outcome> inTransaction(
+            Function<Transactions, CompletionStage<Outcome>> step) {
+        return onDuty(() -> step.apply(transactions));
     }
 
     @Override
@@ -142,12 +205,33 @@
         groups.values().forEach(Group::close);
     }
 
+    private Group required(GroupId id) {
+        return group(id)
+                .orElseThrow(() -> CodedException.of(ErrorCode.UNKNOWN_GROUP, "no group " + id));
+    }
+
+    private <T> CompletionStage<T> onDuty(Supplier<CompletionStage<T>> work) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        boolean taken = duty.offer(() -> work.get().thenAccept(result::complete));
+        if (!taken) {
+            throw CodedException.of(ErrorCode.OVERLOADED, "too many statements wait");
+        }
+        return result;
+    }
+
     private void startGroup(GroupSpec spec) {
         Group current = groups.get(spec.id());
         if (current != null && current.view().spec().equals(spec)) {
             return;
         }
-        groups.put(spec.id(), Group.of(spec, connect, () -> shares.apply(spec), clock, duty));
+        groups.put(spec.id(), Group.of(spec, connect, backend -> pool(spec, backend), clock, duty));
         Optional.ofNullable(current).ifPresent(Group::close);
     }
+
+    private InstancePool pool(GroupSpec spec, Backend backend) {
+        PoolMetrics metrics = PoolMetrics.of(meters, spec.id(), backend.spec().id());
+        PoolRuntime runtime =
+                new PoolRuntime(spec.id(), clock, duty, events, metrics, budgets, random);
+        return InstancePool.of(backend, () -> shares.apply(spec), runtime);
+    }
 }
