--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import org.carobstage.backend.Answer;
 import org.carobstage.backend.BackendMessages.Execute;
@@ -31,14 +30,16 @@
     private final LongSupplier millis;
     private final SqlStore store;
     private final ReplicatedLog log = new ReplicatedLog();
-    private final AtomicInteger busySlots = new AtomicInteger();
-    private final AtomicInteger openSessions = new AtomicInteger();
+    private final UsageLimit slots;
+    private final UsageLimit connections;
     private Term promised = Term.ZERO;
     private boolean primary;
     private long freshMillis = UNKNOWN_LAG;
 
     private DatabaseInstance(InstanceSettings settings, LongSupplier millis, SqlStore store) {
         this.settings = settings;
+        this.slots = UsageLimit.of(settings.slots());
+        this.connections = UsageLimit.of(settings.connections());
         this.millis = millis;
         this.store = store;
     }
@@ -72,8 +73,7 @@
      * @throws SQLException if the SQL store fails
      */
     public Optional<Session> open() throws SQLException {
-        if (openSessions.incrementAndGet() > settings.connections()) {
-            openSessions.decrementAndGet();
+        if (!connections.take()) {
             return Optional.empty();
         }
         return Optional.of(new Session(store.connect()));
@@ -85,16 +85,12 @@
      * @return false if all slots are busy
      */
     public boolean takeSlot() {
-        if (busySlots.incrementAndGet() > settings.slots()) {
-            busySlots.decrementAndGet();
-            return false;
-        }
-        return true;
+        return slots.take();
     }
 
     /** Gives a slot back. */
     public void freeSlot() {
-        busySlots.decrementAndGet();
+        slots.free();
     }
 
     /**
@@ -103,7 +99,25 @@
      * @return the number of open sessions
      */
     public int openSessions() {
-        return openSessions.get();
+        return connections.used();
+    }
+
+    /**
+     * Returns the use of the slots.
+     *
+     * @return the counters
+     */
+    public UsageLimit slots() {
+        return slots;
+    }
+
+    /**
+     * Returns the use of the connections.
+     *
+     * @return the counters
+     */
+    public UsageLimit connections() {
+        return connections;
     }
 
     /**
@@ -364,7 +378,7 @@
         public synchronized void close() throws SQLException {
             if (!closed) {
                 closed = true;
-                openSessions.decrementAndGet();
+                connections.free();
                 sql.rollback();
                 sql.close();
             }
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalBackend.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalBackend.java
@@ -102,7 +102,7 @@
             if (session.isPresent()) {
                 LocalConnection connection =
                         new LocalConnection(group, clock, vm, spec.id(), session.get());
-                clock.schedule(() -> opened.complete(connection), LATENCY);
+                clock.schedule(() -> deliver(opened, connection), LATENCY);
             } else {
                 opened.completeExceptionally(new IllegalStateException("no connection is free"));
             }
@@ -111,6 +111,13 @@
         }
     }
 
+    private static void deliver(
+            CompletableFuture<BackendConnection> opened, LocalConnection connection) {
+        if (!opened.complete(connection)) {
+            connection.close();
+        }
+    }
+
     private void poll(
             CompletableFuture<Optional<Standing>> answer, LogPosition atLeast, long untilNanos) {
         if (answer.isDone()) {
--- a/carobstage/src/main/java/org/carobstage/pool/Connections.java
+++ b/carobstage/src/main/java/org/carobstage/pool/Connections.java
@@ -18,8 +18,9 @@
 
 /**
  * The open connections to one instance. When one is lost, those that have not answered since are
- * set aside and pinged, and a fresh one is opened; if that answers and they don't, they are retired
- * together. All methods run on the duty.
+ * set aside and pinged, and fresh ones are opened; those set aside that stay silent once another
+ * has answered are pinged again, and retired together if they don't answer that either. All methods
+ * run on the duty.
  */
 final class Connections {
     static final Duration OPEN_TIMEOUT = Duration.ofMillis(1_000);
@@ -125,8 +126,11 @@
         idle.stream()
                 .min(Comparator.comparingLong(p -> p.provenNanos() - now))
                 .filter(p -> p.provenNanos() - before <= 0)
-                .ifPresent(this::ping);
-        suspects.stream().filter(p -> p.askedNanos() - before <= 0).toList().forEach(this::ping);
+                .ifPresent(p -> ping(p, false));
+        suspects.stream()
+                .filter(p -> p.askedNanos() - before <= 0)
+                .toList()
+                .forEach(p -> ping(p, false));
     }
 
     void close() {
@@ -160,6 +164,7 @@
     private void prove(Pooled pooled) {
         aliveNanos = clock.nanoTime();
         pooled.prove(aliveNanos);
+        suspects.stream().filter(this::isOverdue).toList().forEach(p -> ping(p, true));
     }
 
     private void closeOne() {
@@ -173,20 +178,21 @@
     private void suspectUnproven(long sinceNanos) {
         List<Pooled> unproven =
                 idle.stream().filter(p -> p.provenNanos() - sinceNanos < 0).toList();
-        unproven.forEach(this::ping);
+        unproven.forEach(p -> ping(p, false));
     }
 
-    private void ping(Pooled pooled) {
+    private void ping(Pooled pooled, boolean instanceAnswers) {
         idle.remove(pooled);
         suspects.add(pooled);
-        pooled.ask(clock.nanoTime());
+        long asked = clock.nanoTime();
+        pooled.ask(asked, instanceAnswers);
         pooled.connection()
                 .ping(PING_TIMEOUT)
-                .thenAcceptAsync(answer -> pinged(pooled, answer), runtime.duty());
+                .thenAcceptAsync(answer -> pinged(pooled, answer, asked), runtime.duty());
     }
 
-    private void pinged(Pooled pooled, Answer answer) {
-        if (!suspects.contains(pooled)) {
+    private void pinged(Pooled pooled, Answer answer, long asked) {
+        if (!suspects.contains(pooled) || pooled.askedNanos() != asked) {
             return;
         }
         if (answer instanceof Answer.Done) {
@@ -194,17 +200,25 @@
             prove(pooled);
             idle.addLast(pooled);
         } else {
-            suspectUnproven(pooled.askedNanos());
+            suspectUnproven(asked);
+            judge(pooled);
         }
-        retireSilent();
         changed.run();
     }
 
-    /** Retires the suspects that did not answer while another connection has answered since. */
+    /** Pings once more if another connection has answered since the last ping, then retires. */
+    private void judge(Pooled pooled) {
+        if (pooled.isJudged()) {
+            retireSilent();
+        } else if (aliveNanos - pooled.askedNanos() > 0) {
+            ping(pooled, true);
+        }
+    }
+
+    /** Retires together the suspects that did not answer while another connection did. */
     private void retireSilent() {
-        List<Pooled> silent =
-                suspects.stream().filter(p -> aliveNanos - p.askedNanos() > 0).toList();
-        if (silent.isEmpty() || !suspects.stream().allMatch(this::isOverdue)) {
+        List<Pooled> silent = suspects.stream().filter(Pooled::isJudged).toList();
+        if (silent.isEmpty() || !silent.stream().allMatch(this::isOverdue)) {
             return;
         }
         silent.forEach(this::closeSuspect);
@@ -219,9 +233,9 @@
             record(EventCode.OPENING_RECOVERED, "after " + failures + " failures");
         }
         failures = 0;
-        aliveNanos = now;
-        idle.push(new Pooled(connection, now));
-        retireSilent();
+        Pooled fresh = new Pooled(connection, now);
+        idle.push(fresh);
+        prove(fresh);
     }
 
     private void failed(Throwable error, long startedNanos) {
--- a/carobstage/src/main/java/org/carobstage/pool/InstancePool.java
+++ b/carobstage/src/main/java/org/carobstage/pool/InstancePool.java
@@ -212,9 +212,7 @@
         while (running.size() < share.get().slots()) {
             Optional<Ticket<Waiter>> next = resuming.poll();
             if (next.isPresent()) {
-                Lease lease = next.get().payload().lease().get();
-                lease.resume();
-                grant(next.get(), lease);
+                resume(next.get());
                 continue;
             }
             if (waiting.size() == 0) {
@@ -229,6 +227,17 @@
         }
     }
 
+    private void resume(Ticket<Waiter> ticket) {
+        Waiter waiter = ticket.payload();
+        Lease lease = waiter.lease().get();
+        if (lease.isEnded()) {
+            refuse(waiter, Grant.Status.UNREACHABLE, CALM);
+        } else {
+            lease.resume();
+            grant(ticket, lease);
+        }
+    }
+
     private void grant(Ticket<Waiter> ticket, Lease lease) {
         Waiter waiter = ticket.payload();
         running.add(lease);
--- a/carobstage/src/main/java/org/carobstage/pool/Lease.java
+++ b/carobstage/src/main/java/org/carobstage/pool/Lease.java
@@ -100,6 +100,10 @@
         grantedNanos = now();
     }
 
+    boolean isEnded() {
+        return ended;
+    }
+
     /** Ends the lease; false if it had ended before. */
     boolean end() {
         boolean first = !ended;
--- a/carobstage/src/main/java/org/carobstage/pool/Pooled.java
+++ b/carobstage/src/main/java/org/carobstage/pool/Pooled.java
@@ -7,6 +7,7 @@
     private final BackendConnection connection;
     private long provenNanos;
     private long askedNanos;
+    private boolean judged;
 
     Pooled(BackendConnection connection, long now) {
         this.connection = connection;
@@ -31,7 +32,13 @@
         return askedNanos;
     }
 
-    void ask(long now) {
+    void ask(long now, boolean instanceAnswers) {
         askedNanos = now;
+        judged = instanceAnswers;
+    }
+
+    /** Tells whether the last ping was sent when another connection had just answered. */
+    boolean isJudged() {
+        return judged;
     }
 }
--- a/carobstage/src/main/java/org/carobstage/transaction/OpenTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/transaction/OpenTransaction.java
@@ -3,12 +3,14 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
+import java.util.concurrent.CompletionStage;
 import org.carobstage.backend.BackendConnection;
 import org.carobstage.document.RequestPolicy;
 import org.carobstage.group.Group;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.ServiceName;
 import org.carobstage.model.Term;
+import org.carobstage.pool.Grant;
 import org.carobstage.runtime.Clock;
 
 /** The state of one open transaction; changes only on the duty. */
@@ -78,10 +80,16 @@
         timer.cancel();
     }
 
-    /** Marks the exchange as ended; the idle timeout starts. */
+    /** Takes a slot for a statement or the commit. */
+    CompletionStage<Grant> takeSlot() {
+        return group.pool(primary).resume(connection, patience());
+    }
+
+    /** Marks the exchange as ended; the slot is free and the idle timeout starts. */
     void endExchange(Clock.Timer idleTimer) {
         busy = false;
         timer = idleTimer;
+        group.pool(primary).pause(connection);
     }
 
     /** Gives the connection back; it is closed unless its state is known to be clean. */
--- a/carobstage/src/main/java/org/carobstage/transaction/Transactions.java
+++ b/carobstage/src/main/java/org/carobstage/transaction/Transactions.java
@@ -25,6 +25,7 @@
 import org.carobstage.model.LogPosition;
 import org.carobstage.model.ServiceName;
 import org.carobstage.model.VmId;
+import org.carobstage.pool.Grant;
 import org.carobstage.runtime.BoundedExecutor;
 import org.carobstage.runtime.Clock;
 import org.carobstage.statement.KeyFactory;
@@ -127,7 +128,7 @@
      */
     public CompletionStage<Outcome> execute(
             TransactionId id, ServiceName service, String sql, List<Object> parameters) {
-        return use(
+        return useInSlot(
                 id,
                 service,
                 transaction -> {
@@ -158,7 +159,7 @@
             TransactionId id, ServiceName service, Optional<IdempotencyKey> key) {
         IdempotencyKey callerKey = key.orElseGet(keys::generate);
         IdempotencyKey recorded = KeyFactory.scope(service, callerKey);
-        return use(
+        return useInSlot(
                 id,
                 service,
                 transaction -> {
@@ -232,6 +233,33 @@
         return work.apply(transaction);
     }
 
+    private CompletionStage<Outcome> useInSlot(
+            TransactionId id,
+            ServiceName service,
+            Function<OpenTransaction, CompletionStage<Outcome>> work) {
+        return use(
+                id,
+                service,
+                transaction ->
+                        transaction
+                                .takeSlot()
+                                .thenComposeAsync(
+                                        grant ->
+                                                grant.connection().isPresent()
+                                                        ? work.apply(transaction)
+                                                        : refusedSlot(id, transaction, grant),
+                                        duty));
+    }
+
+    /** The statement did not run; the transaction stays open. */
+    private CompletionStage<Outcome> refusedSlot(
+            TransactionId id, OpenTransaction transaction, Grant grant) {
+        transaction.endExchange(idleTimer(id, transaction.patience()));
+        String detail = "no slot is free within the patience";
+        Optional<Duration> retryAfter = Optional.of(grant.retryAfter());
+        return completed(new Outcome.NotRun(ErrorCode.OVERLOADED, detail, retryAfter));
+    }
+
     private CompletionStage<Outcome> executed(
             TransactionId id, OpenTransaction transaction, Answer answer) {
         if (answer instanceof Answer.Done done) {
