--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -6,8 +6,6 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Executors;
-import java.nio.charset.StandardCharsets;
-import java.util.List;
 import org.carobstage.backend.HttpBackend;
 import org.carobstage.caller.CallerServer;
 import org.carobstage.config.ConfigurationWatch;
@@ -16,6 +14,7 @@
 import org.carobstage.event.EventScope;
 import org.carobstage.model.Address;
 import org.carobstage.model.GroupSpec;
+import org.carobstage.operator.OperatorPages;
 import org.carobstage.operator.OperatorServer;
 import org.carobstage.platform.HttpPlatform;
 import org.carobstage.platform.Platform;
@@ -23,6 +22,7 @@
 import org.carobstage.runtime.Clock;
 import org.carobstage.runtime.Closer;
 import org.carobstage.runtime.SerialExecutor;
+import org.carobstage.security.TokenKeys;
 import org.carobstage.session.TokenCodec;
 import org.carobstage.settings.Settings;
 
@@ -40,13 +40,14 @@
     private final Proxy proxy;
     private CallerServer caller;
     private OperatorServer operator;
+    private volatile boolean ready;
 
     private Node(Settings settings) {
         this.settings = settings;
         Executor executor = Executors.newCachedThreadExecutor();
         closer.add(() -> executor.closeAsync().subscribe());
         this.clock = Clock.of(executor);
-        this.events = EventLog.of(settings.vm(), clock, EVENT_CAPACITY);
+        this.events = EventLog.of(settings.vm().id(), clock, EVENT_CAPACITY);
         SerialExecutor duty = closer.add(SerialExecutor.of("statements", RING_CAPACITY));
         this.proxy =
                 closer.add(Proxy.of(clock, duty, events, HttpBackend::of, this::share, metrics));
@@ -89,24 +90,37 @@
     }
 
     private void start() {
-        Platform platform = closer.add(HttpPlatform.of(settings.platform()));
+        Platform platform = closer.add(HttpPlatform.of(settings.platform().address()));
         ConfigurationWatch watch = closer.add(ConfigurationWatch.of(platform, clock, proxy::apply));
         watch.first().toCompletableFuture().join();
-        byte[] key = settings.tokenKey().getBytes(StandardCharsets.UTF_8);
-        TokenCodec tokens = TokenCodec.of(() -> List.of(key));
-        operator = closer.add(OperatorServer.of(settings.operator(), metrics, events, () -> true));
+        TokenCodec tokens = TokenCodec.of(closer.add(tokenKeys()));
+        OperatorPages pages =
+                new OperatorPages(
+                        metrics, events, () -> ready, () -> NodeStatus.of(settings, proxy, ready));
+        operator = closer.add(OperatorServer.of(settings.operator(), pages));
         caller =
                 closer.add(
                         CallerServer.of(
-                                settings.caller(), proxy, tokens, settings.maxStatementBytes()));
+                                settings.caller().listen(),
+                                proxy,
+                                tokens,
+                                settings.caller().limits().maxBodyBytes()));
+        ready = true;
         events.record(
                 EventCode.PROCESS_STARTED,
                 EventScope.empty(),
                 "callers at " + caller.address() + ", operators at " + operator.address());
     }
 
+    private TokenKeys tokenKeys() {
+        return settings.session()
+                .tokenKeysFile()
+                .map(file -> TokenKeys.ofFile(file, clock, events))
+                .orElseGet(() -> TokenKeys.of(settings.session().tokenKey().orElseThrow()));
+    }
+
     private Share share(GroupSpec spec) {
-        int vms = settings.entryVms();
+        int vms = settings.vm().entryVms();
         int slots = Math.max(1, spec.slots() / vms);
         return new Share(slots, Math.max(1, spec.connections() / vms));
     }
