--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
@@ -169,7 +169,8 @@
             return new LogMessages.Batch(LogMessages.Status.REFUSED, List.of(), last);
         }
         if (!log.matches(from)) {
-            return new LogMessages.Batch(LogMessages.Status.MISMATCH, List.of(), last);
+            long common = log.lastCommon(from);
+            return new LogMessages.Batch(LogMessages.Status.MISMATCH, List.of(), common);
         }
         long until = millis.getAsLong() - request.lagMillis();
         List<LogEntry> entries = log.after(from.offset(), until, LOG_BATCH);
@@ -194,7 +195,7 @@
         }
         contactMillis = askedMillis;
         if (batch.status() == LogMessages.Status.MISMATCH) {
-            log.dropLastTerm();
+            log.dropAfter(batch.primaryOffset());
             store.rebuild(log.all());
             freshMillis = UNKNOWN_LAG;
             return;
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/LogMessages.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/LogMessages.java
@@ -31,7 +31,8 @@
      *
      * @param status what the primary says
      * @param entries the entries
-     * @param primaryOffset the offset of the primary's last entry
+     * @param primaryOffset the offset of the primary's last entry; at a mismatch, of the last one
+     *     that may be the same in both logs
      */
     public record Batch(Status status, List<LogEntry> entries, long primaryOffset) {}
 }
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/ReplicatedLog.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/ReplicatedLog.java
@@ -41,10 +41,18 @@
                 .toList();
     }
 
-    /** Drops the entries of the last term. */
-    void dropLastTerm() {
-        long term = last().term().number();
-        while (!entries.isEmpty() && entries.get(entries.size() - 1).term() == term) {
+    /** Returns the offset of the last entry, up to a position, that may be the same in its log. */
+    long lastCommon(LogPosition position) {
+        int offset = (int) Math.min(position.offset(), entries.size());
+        while (positionAt(offset).term().isAfter(position.term())) {
+            offset--;
+        }
+        return offset;
+    }
+
+    /** Drops the entries after an offset. */
+    void dropAfter(long offset) {
+        while (entries.size() > offset) {
             LogEntry dropped = entries.remove(entries.size() - 1);
             Optional.ofNullable(dropped.key()).ifPresent(byKey::remove);
         }
--- a/carobstage-testbed/src/test/java/org/carobstage/testbed/database/DatabaseInstanceTest.java
+++ b/carobstage-testbed/src/test/java/org/carobstage/testbed/database/DatabaseInstanceTest.java
@@ -57,6 +57,21 @@
 
     @Nested
     class Take {
+        @Test
+        void shouldKeepAtEachStepWhatThePrimaryHoldsWhenOldPrimaryFollows() throws SQLException {
+            startTermOne();
+            a.open().orElseThrow().execute(write(1, "CREATE TABLE t (id INT)", null));
+            replicate(a, b, 1);
+            a.open().orElseThrow().execute(write(1, "INSERT INTO t VALUES (1)", null));
+            a.promise(TWO);
+            b.promise(TWO);
+            b.promote(TWO);
+
+            replicate(b, a, 2);
+
+            assertThat(a.standing().last()).isEqualTo(LogPosition.of(1, 2));
+        }
+
         @Test
         void shouldDropWhatNoMajorityHadWhenOldPrimaryFollows() throws SQLException {
             startTermOne();
