Spread the configuration from a few watchers over the peers

Cause: a watch for each process costs the platform a call per waiter, and a process that starts in an outage, or asks a platform that answers old, must not serve from less than its peers know.

Change: two members of each region watch the platform; fresh entries go to four peers, which pass them on; digests in the pings find what was missed; versions only grow; nobody serves before a peer was compared with, or the platform answered and no peer was found in time. Backend servers that the list or an operator drains are part of the configuration. Node starts the fleet's parts in Control.

--- /dev/null
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** A fleet of processes in one, on a paused clock, without sockets. */
+package org.carobstage.testbed.fleet;
--- a/carobstage/src/main/java/org/carobstage/config/Configuration.java
+++ b/carobstage/src/main/java/org/carobstage/config/Configuration.java
@@ -1,10 +1,13 @@
 package org.carobstage.config;
 
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.carobstage.document.TeamDocument;
 import org.carobstage.model.GroupId;
 import org.carobstage.model.GroupSpec;
+import org.carobstage.model.InstanceId;
 import org.carobstage.model.ServiceName;
 
 /**
@@ -12,15 +15,29 @@
  *
  * @param documents the documents by service
  * @param groups the groups
+ * @param drains the keys of the drains in force
  */
 public record Configuration(
-        Map<ServiceName, TeamDocument> documents, Map<GroupId, GroupSpec> groups) {
-    private static final Configuration EMPTY = new Configuration(Map.of(), Map.of());
+        Map<ServiceName, TeamDocument> documents,
+        Map<GroupId, GroupSpec> groups,
+        Set<String> drains) {
+    private static final Configuration EMPTY = new Configuration(Map.of(), Map.of(), Set.of());
 
     /** Checks the configuration. */
     public Configuration {
         documents = Map.copyOf(documents);
         groups = Map.copyOf(groups);
+        drains = Set.copyOf(drains);
+    }
+
+    /**
+     * Creates a configuration without drains.
+     *
+     * @param documents the documents by service
+     * @param groups the groups
+     */
+    public Configuration(Map<ServiceName, TeamDocument> documents, Map<GroupId, GroupSpec> groups) {
+        this(documents, groups, Set.of());
     }
 
     /**
@@ -41,7 +58,7 @@
     public Configuration with(TeamDocument document) {
         Map<ServiceName, TeamDocument> next = new TreeMap<>(documents);
         next.put(document.service(), document);
-        return new Configuration(next, groups);
+        return new Configuration(next, groups, drains);
     }
 
     /**
@@ -53,6 +70,28 @@
     public Configuration with(GroupSpec group) {
         Map<GroupId, GroupSpec> next = new TreeMap<>(groups);
         next.put(group.id(), group);
-        return new Configuration(documents, next);
+        return new Configuration(documents, next, drains);
+    }
+
+    /**
+     * Tells whether a backend server gets no new work, as an operator or the platform's list says.
+     *
+     * @param group its group
+     * @param instance its instance
+     * @return true if it is drained
+     */
+    public boolean drained(GroupId group, InstanceId instance) {
+        return drains.contains(ConfigurationKeys.drain(group, instance))
+                || drains.contains(ConfigurationKeys.LISTED + group + "/" + instance);
+    }
+
+    Configuration withDrain(String key, boolean draining) {
+        Set<String> next = new HashSet<>(drains);
+        if (draining) {
+            next.add(key);
+        } else {
+            next.remove(key);
+        }
+        return new Configuration(documents, groups, next);
     }
 }
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -8,7 +8,6 @@
 import io.servicetalk.concurrent.api.Executors;
 import org.carobstage.backend.HttpBackend;
 import org.carobstage.caller.CallerServer;
-import org.carobstage.config.ConfigurationWatch;
 import org.carobstage.event.EventCode;
 import org.carobstage.event.EventLog;
 import org.carobstage.event.EventScope;
@@ -37,6 +36,7 @@
     private final Clock clock;
     private final EventLog events;
     private final Proxy proxy;
+    private Control control;
     private CallerServer caller;
     private OperatorServer operator;
 
@@ -89,8 +89,8 @@
 
     private void start() {
         Platform platform = closer.add(HttpPlatform.of(settings.platform().address()));
-        ConfigurationWatch watch = closer.add(ConfigurationWatch.of(platform, clock, proxy::apply));
-        watch.first().toCompletableFuture().join();
+        control = closer.add(Control.of(settings, platform, clock, events, proxy));
+        control.ready().toCompletableFuture().join();
         TokenCodec tokens = TokenCodec.of(closer.add(tokenKeys()));
         operator =
                 closer.add(
--- a/carobstage/src/main/java/org/carobstage/peer/PeerNetwork.java
+++ b/carobstage/src/main/java/org/carobstage/peer/PeerNetwork.java
@@ -31,6 +31,32 @@
     @Override
     void close();
 
+    /**
+     * Creates the network of a process that has no peers.
+     *
+     * @param address the address to name
+     * @return a network that carries nothing
+     */
+    static PeerNetwork none(Address address) {
+        return new PeerNetwork() {
+            @Override
+            public Address address() {
+                return address;
+            }
+
+            @Override
+            public boolean send(Address to, PeerMessage message) {
+                return false;
+            }
+
+            @Override
+            public void listen(Listener listener) {}
+
+            @Override
+            public void close() {}
+        };
+    }
+
     /** Takes messages of peers. */
     @FunctionalInterface
     interface Listener {
--- a/carobstage/src/main/java/org/carobstage/peer/PeerSecret.java
+++ b/carobstage/src/main/java/org/carobstage/peer/PeerSecret.java
@@ -27,15 +27,11 @@
     /**
      * Creates a secret.
      *
-     * @param text the text from the settings
+     * @param key the bytes from the settings
      * @return the secret
-     * @throws IllegalArgumentException if the text is blank
      */
-    public static PeerSecret of(String text) {
-        if (requireNonNull(text, "text is null").isBlank()) {
-            throw new IllegalArgumentException("text is blank");
-        }
-        return new PeerSecret(text.getBytes(UTF_8));
+    public static PeerSecret of(byte[] key) {
+        return new PeerSecret(requireNonNull(key, "key is null").clone());
     }
 
     byte[] nonce() {
--- a/carobstage/src/main/java/org/carobstage/settings/SettingsReader.java
+++ b/carobstage/src/main/java/org/carobstage/settings/SettingsReader.java
@@ -88,7 +88,8 @@
         VmId id = section.required("id", VmId::of);
         FailureDomain domain = section.required("domain", FailureDomain::of);
         int vms = section.optional("entry-vms", Values.integer(1, MAX_ENTRY_VMS)).orElse(1);
-        return () -> new VmSettings(id, domain, vms);
+        String region = section.optional("region", Function.identity()).orElse("");
+        return () -> new VmSettings(id, domain, region, vms);
     }
 
     private static Supplier<CallerSettings> caller(Section section) {
--- a/carobstage/src/main/java/org/carobstage/settings/VmSettings.java
+++ b/carobstage/src/main/java/org/carobstage/settings/VmSettings.java
@@ -10,12 +10,14 @@
  *
  * @param id the VM
  * @param domain the failure domain it runs in
+ * @param region the region of that failure domain
  * @param entryVms how many entry VMs share the limits of the instances
  */
-public record VmSettings(VmId id, FailureDomain domain, int entryVms) {
+public record VmSettings(VmId id, FailureDomain domain, String region, int entryVms) {
     /** Checks the settings. */
     public VmSettings {
         requireNonNull(id, "id is null");
         requireNonNull(domain, "domain is null");
+        requireNonNull(region, "region is null");
     }
 }
--- a/carobstage/src/test/java/org/carobstage/peer/PeerHandlerTest.java
+++ b/carobstage/src/test/java/org/carobstage/peer/PeerHandlerTest.java
@@ -133,7 +133,7 @@
 
     private PeerHandler handler(String secret, boolean initiator) {
         return new PeerHandler(
-                PeerSecret.of(secret),
+                PeerSecret.of(secret.getBytes(ISO_8859_1)),
                 SELF,
                 initiator,
                 (from, bytes) -> received.add(bytes),
@@ -142,7 +142,7 @@
 
     private PeerHandler decoding() {
         return new PeerHandler(
-                PeerSecret.of("secret"),
+                PeerSecret.of("secret".getBytes(ISO_8859_1)),
                 SELF,
                 false,
                 (from, bytes) -> {
