--- a/carobstage-testbed/src/test/java/org/carobstage/testbed/local/FailoverFixture.java
+++ b/carobstage-testbed/src/test/java/org/carobstage/testbed/local/FailoverFixture.java
@@ -28,7 +28,6 @@
 import org.carobstage.model.VmId;
 import org.carobstage.node.Proxy;
 import org.carobstage.pool.Share;
-import org.carobstage.promotion.Announcement;
 import org.carobstage.promotion.PromotionSetup;
 import org.carobstage.promotion.ProposerRank;
 import org.carobstage.runtime.PausedClock;
@@ -51,10 +50,11 @@
     final Map<VmId, PausableVm> vms = new LinkedHashMap<>();
     final Map<VmId, EventLog> logs = new LinkedHashMap<>();
     final List<Acknowledged> acknowledged = new ArrayList<>();
+    final List<Long> completedNanos = new ArrayList<>();
     private final Random random;
     private int rows;
 
-    FailoverFixture(long seed, long lagMillis, Consumer<Announcement> announce, String... vms) {
+    private FailoverFixture(long seed, long lagMillis, boolean ranked, String... vms) {
         random = new Random(seed);
         group =
                 LocalGroup.of(
@@ -65,14 +65,23 @@
         for (String vm : vms) {
             live.add(VmId.of(vm));
         }
-        live.forEach(vm -> proxies.put(vm, proxy(vm, live, announce)));
+        live.forEach(vm -> proxies.put(vm, proxy(vm, ranked ? live : new TreeSet<>())));
         run(Duration.ofMillis(600));
         write(live.first(), "CREATE TABLE t (id INT)", o -> {});
         run(Duration.ofMillis(100));
     }
 
     static FailoverFixture of(long seed, String... vms) {
-        return new FailoverFixture(seed, 0, announcement -> {}, vms);
+        return new FailoverFixture(seed, 0, true, vms);
+    }
+
+    /** Every entry VM takes itself for the first that may propose. */
+    static FailoverFixture unranked(long seed, String... vms) {
+        return new FailoverFixture(seed, 0, false, vms);
+    }
+
+    static FailoverFixture lagging(long lagMillis, String... vms) {
+        return new FailoverFixture(1, lagMillis, true, vms);
     }
 
     /** A write that a caller was told is done. */
@@ -121,6 +130,10 @@
         return acknowledged.stream().map(Acknowledged::row).toList();
     }
 
+    long lastAcknowledgedNanos() {
+        return acknowledged.get(acknowledged.size() - 1).nanos();
+    }
+
     private void writeNext(VmId vm) {
         int row = ++rows;
         write(
@@ -152,7 +165,7 @@
         proxy.run(request).thenAccept(then);
     }
 
-    private Proxy proxy(VmId vm, TreeSet<VmId> live, Consumer<Announcement> announce) {
+    private Proxy proxy(VmId vm, TreeSet<VmId> live) {
         PausableVm machine = new PausableVm(clock);
         vms.put(vm, machine);
         EventLog events = EventLog.of(vm, clock, 1_000);
@@ -161,7 +174,7 @@
                 PromotionSetup.of(events)
                         .withTags(random::nextInt)
                         .withRank(ProposerRank.byHash(vm, () -> live))
-                        .withAnnouncer(announce);
+                        .withAnnouncer(a -> completedNanos.add(clock.nanoTime()));
         Proxy proxy =
                 Proxy.of(
                         machine,
--- a/carobstage/src/main/java/org/carobstage/group/PrimaryKeeper.java
+++ b/carobstage/src/main/java/org/carobstage/group/PrimaryKeeper.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import org.carobstage.backend.Backend;
 import org.carobstage.backend.Standing;
 import org.carobstage.event.EventCode;
@@ -66,7 +67,7 @@
     private long proposeFromNanos;
     private long activeNanos;
     private boolean isolationNoted;
-    private boolean closed;
+    private volatile boolean closed;
 
     PrimaryKeeper(
             Group group,
@@ -105,6 +106,11 @@
 
     /** Replaces a primary that serves by another instance, once that has caught up. */
     CompletionStage<Boolean> switchTo(InstanceId next) {
+        return CompletableFuture.supplyAsync(() -> startSwitch(next), duty)
+                .thenCompose(Function.identity());
+    }
+
+    private CompletionStage<Boolean> startSwitch(InstanceId next) {
         Optional<Standing> current = group.view().primary();
         boolean possible =
                 current.isPresent()
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/promotion/AnnouncerTest.java
@@ -0,0 +1,136 @@
+package org.carobstage.promotion;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.carobstage.event.EventCode;
+import org.carobstage.event.EventLog;
+import org.carobstage.model.GroupId;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.Term;
+import org.carobstage.model.VmId;
+import org.carobstage.platform.CasResult;
+import org.carobstage.platform.Entry;
+import org.carobstage.platform.ListedVm;
+import org.carobstage.platform.Platform;
+import org.carobstage.runtime.PausedClock;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class AnnouncerTest {
+    private static final GroupId GROUP = GroupId.of("varas-1");
+
+    private final PausedClock clock = PausedClock.of(Instant.EPOCH);
+    private final EventLog events = EventLog.of(VmId.of("one"), clock, 10);
+    private final Store store = new Store();
+    private final Announcer announcer = Announcer.of(store, clock, events);
+
+    @Nested
+    class Accept {
+        @Test
+        void shouldRecordWhenStoreComesBack() {
+            store.down = true;
+            announcer.accept(announcement(5));
+            clock.advance(Duration.ofSeconds(10));
+            store.down = false;
+            clock.advance(Duration.ofSeconds(2));
+
+            assertThat(store.entry().value()).isEqualTo("5 b one");
+        }
+
+        @Test
+        void shouldWriteOnceWhenAnswerIsLost() {
+            store.losesAnswers = true;
+            announcer.accept(announcement(5));
+            clock.advance(Duration.ofSeconds(10));
+
+            assertThat(store.entry()).isEqualTo(new Entry("promotion/varas-1", 1, "5 b one"));
+        }
+
+        @Test
+        void shouldKeepLaterPromotionWhenItIsRecordedFirst() {
+            announcer.accept(announcement(6));
+            announcer.accept(announcement(5));
+            clock.advance(Duration.ofSeconds(2));
+
+            assertThat(store.entry().value()).startsWith("6 ");
+        }
+
+        @Test
+        void shouldGiveUpWithAnEventWhenStoreStaysDown() {
+            store.down = true;
+            announcer.accept(announcement(5));
+            clock.advance(Duration.ofSeconds(60));
+
+            assertThat(events.events())
+                    .extracting(e -> e.code())
+                    .containsExactly(EventCode.ANNOUNCEMENT_FAILED);
+        }
+    }
+
+    private static Announcement announcement(long term) {
+        return new Announcement(GROUP, Term.of(term), InstanceId.of("b"), "one");
+    }
+
+    /** A key-value service that may be down or lose the answers to changes. */
+    private static final class Store implements Platform {
+        private final Map<String, Entry> entries = new HashMap<>();
+        private boolean down;
+        private boolean losesAnswers;
+
+        private Entry entry() {
+            return entries.get("promotion/varas-1");
+        }
+
+        @Override
+        public CompletionStage<Optional<Entry>> get(String key) {
+            Entry entry = entries.getOrDefault(key, Entry.absent(key));
+            return done(down ? Optional.empty() : Optional.of(entry));
+        }
+
+        @Override
+        public CompletionStage<CasResult> compareAndSwap(
+                String key, long expectedVersion, String value) {
+            Entry current = entries.getOrDefault(key, Entry.absent(key));
+            if (current.version() != expectedVersion) {
+                return done(new CasResult.Conflict(current));
+            }
+            Entry next = new Entry(key, expectedVersion + 1, value);
+            entries.put(key, next);
+            return done(
+                    losesAnswers ? new CasResult.Unanswered("lost") : new CasResult.Swapped(next));
+        }
+
+        @Override
+        public CompletionStage<Optional<Changes>> watch(
+                String prefix, long afterRevision, Duration wait) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletionStage<Optional<Boolean>> lease(String key, String holder, Duration ttl) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletionStage<Optional<List<ListedVm>>> vms() {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void close() {
+            // Nothing is held open.
+        }
+
+        private static <T> CompletionStage<T> done(T value) {
+            return CompletableFuture.completedFuture(value);
+        }
+    }
+}
