Divide the limits of instances over the owners of a group by agreement

Cause: the fixed share of the settings does not follow joins and deaths, and a fleet cut in two must not use more than an instance allows.

--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/fleet/LocalFleet.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/fleet/LocalFleet.java
@@ -12,11 +12,14 @@
 import org.carobstage.membership.Fleet;
 import org.carobstage.model.Address;
 import org.carobstage.model.FailureDomain;
+import org.carobstage.model.GroupId;
 import org.carobstage.model.Member;
 import org.carobstage.model.MemberState;
 import org.carobstage.model.VmId;
+import org.carobstage.pool.Share;
 import org.carobstage.runtime.BoundedExecutor;
 import org.carobstage.runtime.PausedClock;
+import org.carobstage.share.Shares;
 
 /** The control parts of many processes on one paused clock. */
 public final class LocalFleet {
@@ -129,13 +132,15 @@
         private final Duty duty = new Duty();
         private final Fleet fleet;
         private final ConfigurationWatch watch;
+        private final Shares shares;
         private final List<Configuration> applied = new ArrayList<>();
 
         private Process(Member self) {
             EventLog events = EventLog.of(self.vm(), clock, EVENTS);
             List<Address> seeds = List.of(address(0), address(1));
             fleet = Fleet.of(self, seeds, network.at(self.peer()), clock, duty, events);
-            watch = ConfigurationWatch.of(platform, clock, duty, fleet, events, applied::add);
+            watch = ConfigurationWatch.of(platform, clock, duty, fleet, events, this::apply);
+            shares = Shares.of(platform, clock, duty, fleet, events, g -> used(g.id()));
             fleet.onMessage(watch::received);
             fleet.onDigest(watch::digest, watch::seen);
         }
@@ -149,6 +154,25 @@
             return fleet;
         }
 
+        /**
+         * Returns its shares.
+         *
+         * @return the shares
+         */
+        public Shares shares() {
+            return shares;
+        }
+
+        private void apply(Configuration next) {
+            applied.add(next);
+            shares.configure(next.groups().values());
+        }
+
+        /** A process always uses all that it may, until it may less. */
+        private Share used(GroupId group) {
+            return shares.share(group);
+        }
+
         /**
          * Returns its watch of the configuration.
          *
--- a/carobstage/src/main/java/org/carobstage/event/EventLog.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventLog.java
@@ -48,15 +48,6 @@
         return new EventLog(vm, clock, capacity);
     }
 
-    /**
-     * Returns the VM of this process.
-     *
-     * @return the VM
-     */
-    public VmId vm() {
-        return vm;
-    }
-
     /**
      * Records an event that follows from no other.
      *
@@ -69,6 +60,15 @@
         return record(code, scope, detail, Optional.empty());
     }
 
+    /**
+     * Returns the VM of this process.
+     *
+     * @return the VM
+     */
+    public VmId vm() {
+        return vm;
+    }
+
     /**
      * Records an event.
      *
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -13,10 +13,13 @@
 import org.carobstage.event.EventScope;
 import org.carobstage.model.Address;
 import org.carobstage.model.GroupSpec;
+import org.carobstage.operator.OperatorPages;
 import org.carobstage.operator.OperatorServer;
 import org.carobstage.platform.HttpPlatform;
 import org.carobstage.platform.Platform;
 import org.carobstage.pool.Share;
+import org.carobstage.promotion.Announcer;
+import org.carobstage.promotion.PromotionSetup;
 import org.carobstage.runtime.Clock;
 import org.carobstage.runtime.Closer;
 import org.carobstage.runtime.SerialExecutor;
@@ -35,10 +38,12 @@
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Clock clock;
     private final EventLog events;
+    private final Platform platform;
     private final Proxy proxy;
     private Control control;
     private CallerServer caller;
     private OperatorServer operator;
+    private volatile boolean ready;
 
     private Node(Settings settings) {
         this.settings = settings;
@@ -47,8 +52,19 @@
         this.clock = Clock.of(executor);
         this.events = EventLog.of(settings.vm().id(), clock, EVENT_CAPACITY);
         SerialExecutor duty = closer.add(SerialExecutor.of("statements", RING_CAPACITY));
+        this.platform = closer.add(HttpPlatform.of(settings.platform().address()));
+        PromotionSetup promotion =
+                PromotionSetup.of(events).withAnnouncer(Announcer.of(platform, clock, events));
         this.proxy =
-                closer.add(Proxy.of(clock, duty, events, HttpBackend::of, this::share, metrics));
+                closer.add(
+                        Proxy.of(
+                                clock,
+                                duty,
+                                events,
+                                HttpBackend::of,
+                                this::share,
+                                metrics,
+                                promotion));
     }
 
     /**
@@ -88,14 +104,13 @@
     }
 
     private void start() {
-        Platform platform = closer.add(HttpPlatform.of(settings.platform().address()));
         control = closer.add(Control.of(settings, platform, clock, events, proxy));
         control.ready().toCompletableFuture().join();
         TokenCodec tokens = TokenCodec.of(closer.add(tokenKeys()));
-        operator =
-                closer.add(
-                        OperatorServer.of(
-                                settings.operator().listen(), metrics, events, () -> true));
+        OperatorPages pages =
+                new OperatorPages(
+                        metrics, events, () -> ready, () -> NodeStatus.of(settings, proxy, ready));
+        operator = closer.add(OperatorServer.of(settings.operator(), pages));
         caller =
                 closer.add(
                         CallerServer.of(
@@ -103,6 +118,7 @@
                                 proxy,
                                 tokens,
                                 settings.caller().limits().maxBodyBytes()));
+        ready = true;
         events.record(
                 EventCode.PROCESS_STARTED,
                 EventScope.empty(),
