--- a/carobstage/src/main/java/org/carobstage/ownership/Ownership.java
+++ b/carobstage/src/main/java/org/carobstage/ownership/Ownership.java
@@ -69,7 +69,8 @@
         requireNonNull(group, "group is null");
         int base = members.size() <= ALL_OWN ? members.size() : owners;
         int count = Math.min(Math.max(1, slots), Math.min(base, members.size()));
-        return spread(byWeight(group), count);
+        List<Member> first = firstOfDomains(group);
+        return first.size() >= count ? first.subList(0, count) : spread(byWeight(group), count);
     }
 
     /**
@@ -84,6 +85,23 @@
         return owners(group, slots).stream().anyMatch(m -> m.vm().equals(vm));
     }
 
+    /** Returns the first member of each failure domain, which saves sorting all members. */
+    private List<Member> firstOfDomains(GroupId group) {
+        long subject = Rendezvous.hash(group.value());
+        Map<FailureDomain, Weighed> first = new HashMap<>();
+        for (Member member : members) {
+            Weighed weighed = new Weighed(member, Rendezvous.weight(subject, member.vm()));
+            Weighed best = first.get(member.domain());
+            if (best == null || weighed.weight() < best.weight()) {
+                first.put(member.domain(), weighed);
+            }
+        }
+        return first.values().stream()
+                .sorted(Comparator.comparingLong(Weighed::weight))
+                .map(Weighed::member)
+                .toList();
+    }
+
     private List<Member> byWeight(GroupId group) {
         long subject = Rendezvous.hash(group.value());
         return members.stream()
