--- /dev/null
+++ b/carobstage-testbed/src/test/java/org/carobstage/testbed/local/ProxyLimitsTest.java
@@ -0,0 +1,89 @@
+package org.carobstage.testbed.local;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.carobstage.testbed.local.LocalSystem.GROUP;
+import static org.carobstage.testbed.local.LocalSystem.ONCE;
+import static org.carobstage.testbed.local.LocalSystem.SERVICE;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.carobstage.document.RequestPolicy;
+import org.carobstage.document.RequestPolicy.Access;
+import org.carobstage.error.ErrorCode;
+import org.carobstage.node.Proxy;
+import org.carobstage.pool.Share;
+import org.carobstage.statement.Outcome;
+import org.carobstage.transaction.BeginResult;
+import org.carobstage.transaction.TransactionId;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ProxyLimitsTest {
+    private static final RequestPolicy HASTY =
+            new RequestPolicy(Access.READ, Duration.ZERO, true, Duration.ofMillis(50));
+
+    private final LocalSystem system = LocalSystem.of(20);
+
+    @Nested
+    class Run {
+        @Test
+        void shouldRefuseAtOnceWithTimeToComeBackWhenWaitExceedsPatience() {
+            Proxy proxy = system.proxy("one", new Share(1, 5));
+            IntStream.range(0, 20).forEach(i -> system.run(proxy, "SELECT 1", HASTY, null));
+
+            List<CompletableFuture<Outcome>> outcomes =
+                    IntStream.range(0, 100)
+                            .mapToObj(i -> system.start(proxy, "SELECT 1", HASTY, null, null))
+                            .toList();
+
+            List<Outcome.NotRun> refused =
+                    outcomes.stream()
+                            .filter(CompletableFuture::isDone)
+                            .map(outcome -> (Outcome.NotRun) outcome.join())
+                            .toList();
+            assertThat(refused).hasSizeBetween(60, 90);
+            assertThat(refused).allMatch(r -> r.code() == ErrorCode.OVERLOADED);
+            assertThat(refused).allMatch(r -> r.retryAfter().isPresent());
+            system.clock().advance(Duration.ofMillis(100));
+            assertThat(outcomes).allMatch(CompletableFuture::isDone);
+        }
+    }
+
+    @Nested
+    class Transaction {
+        @Test
+        void shouldLeaveTheSlotToOthersWhenIdleBetweenStatements() {
+            Proxy proxy = system.proxy("one", new Share(1, 5));
+            system.done(proxy, "CREATE TABLE t (id INT)", ONCE);
+            TransactionId first = begin(proxy);
+            TransactionId second = begin(proxy);
+
+            Outcome plain = system.run(proxy, "SELECT 1", HASTY, null);
+            List<Outcome> outcomes =
+                    List.of(
+                            insert(proxy, first, 1),
+                            insert(proxy, second, 2),
+                            commit(proxy, first),
+                            commit(proxy, second));
+
+            assertThat(plain).isInstanceOf(Outcome.Done.class);
+            assertThat(outcomes).allMatch(outcome -> outcome instanceof Outcome.Done);
+        }
+
+        private TransactionId begin(Proxy proxy) {
+            return ((BeginResult.Begun) system.await(proxy.begin(SERVICE, GROUP, ONCE))).id();
+        }
+
+        private Outcome insert(Proxy proxy, TransactionId id, int value) {
+            String sql = "INSERT INTO t VALUES (" + value + ")";
+            return system.await(proxy.inTransaction(t -> t.execute(id, SERVICE, sql, List.of())));
+        }
+
+        private Outcome commit(Proxy proxy, TransactionId id) {
+            return system.await(proxy.inTransaction(t -> t.commit(id, SERVICE, Optional.empty())));
+        }
+    }
+}
