Send a statement elsewhere at once while this process has no slot there

Cause: a share without slots (at the start, during a hand-over) refused every statement as overloaded with the longest time to come back. Change: such a request is refused as UNREACHABLE, so the statement goes to another instance or tries again within its patience. Figures: PoolLimitsTest; with the check off shouldSendElsewhereAtOnceWhenShareHasNoSlot fails. Conclusion: a hand-over of shares is no overload.

--- a/carobstage-testbed/src/test/java/org/carobstage/testbed/local/PoolLimitsTest.java
+++ b/carobstage-testbed/src/test/java/org/carobstage/testbed/local/PoolLimitsTest.java
@@ -8,6 +8,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.carobstage.model.ServiceName;
+import org.carobstage.pool.Grant;
 import org.carobstage.pool.InstancePool;
 import org.carobstage.pool.Share;
 import org.carobstage.testbed.local.PoolFleet.Run;
@@ -119,6 +120,20 @@
             assertThat(fleet.instance().openSessions()).isEqualTo(1);
         }
 
+        @Test
+        void shouldSendElsewhereAtOnceWhenShareHasNoSlot() {
+            PoolFleet fleet = PoolFleet.of(3, 20, 10, 20);
+            List<Share> share = new ArrayList<>(List.of(NOTHING));
+            InstancePool pool = fleet.pool("one", () -> share.get(0));
+            Run without = fleet.start(pool, 1_000);
+            share.set(0, new Share(1, 5));
+            Run with = fleet.start(pool, 1_000);
+            fleet.advance(100);
+
+            assertThat(without.grant().join().status()).isEqualTo(Grant.Status.UNREACHABLE);
+            assertThat(with.isDoneInTime()).isTrue();
+        }
+
         private void load(PoolFleet fleet, long millis, InstancePool... pools) {
             for (int i = 0; i < millis; i++) {
                 Stream.of(pools).forEach(pool -> fleet.start(pool, 200));
--- a/carobstage/src/main/java/org/carobstage/pool/Grant.java
+++ b/carobstage/src/main/java/org/carobstage/pool/Grant.java
@@ -35,7 +35,7 @@
         GRANTED,
         /** It is not expected to run within the caller's patience. */
         OVERLOADED,
-        /** No connection to the instance can be opened; another instance may do. */
+        /** This process has no slot or connection there for now; another instance may do. */
         UNREACHABLE
     }
 }
--- a/carobstage/src/main/java/org/carobstage/pool/InstancePool.java
+++ b/carobstage/src/main/java/org/carobstage/pool/InstancePool.java
@@ -186,7 +186,7 @@
     private CompletionStage<Grant> admit(
             AdmissionQueue<Waiter> queue, Waiter waiter, Duration patience) {
         long now = clock.nanoTime();
-        if (closed) {
+        if (closed || mustGoElsewhere()) {
             refuse(waiter, Grant.Status.UNREACHABLE, CALM);
             return waiter.grant();
         }
@@ -258,13 +258,18 @@
 
     private void sweep() {
         long now = clock.nanoTime();
-        while (connections.isUnreachable() && waiting.size() > 0) {
+        while (mustGoElsewhere() && waiting.size() > 0) {
             refuse(waiting.poll().get().payload(), Grant.Status.UNREACHABLE, CALM);
         }
         reject(waiting.sweep(currentLoad(now), now));
         reject(resuming.sweep(currentLoad(now), now));
     }
 
+    /** Tells whether nothing can run here for now, whatever the patience. */
+    private boolean mustGoElsewhere() {
+        return share.get().slots() == 0 || connections.isUnreachable();
+    }
+
     private void reject(List<Rejection<Waiter>> rejections) {
         rejections.forEach(this::reject);
     }
--- a/carobstage/src/test/java/org/carobstage/pool/InstancePoolTest.java
+++ b/carobstage/src/test/java/org/carobstage/pool/InstancePoolTest.java
@@ -120,6 +120,9 @@
         return fake(
                 BackendConnection.class,
                 (proxy, method, arguments) -> {
+                    if (method.getName().equals("toString")) {
+                        return "connection";
+                    }
                     if (method.getName().equals("equals")) {
                         return proxy == arguments[0];
                     }
