Run scenarios of the promises on a paused clock, each history checked

Cause: the promises were tested one mechanism at a time, never as a caller's story. Stand-ins tell busy slots, and a test can make instances follow a new primary.

--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
@@ -106,6 +106,15 @@
         busySlots.decrementAndGet();
     }
 
+    /**
+     * Returns how many slots are busy.
+     *
+     * @return the number of busy slots
+     */
+    public int busySlots() {
+        return busySlots.get();
+    }
+
     /**
      * Returns how many sessions are open.
      *
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/load/CallerClient.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/load/CallerClient.java
@@ -13,10 +13,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.carobstage.caller.CallerMessages.DoneMessage;
-import org.carobstage.caller.CallerMessages.Problem;
 import org.carobstage.caller.CallerMessages.StatementMessage;
 import org.carobstage.caller.CallerServer;
 import org.carobstage.http.Json;
+import org.carobstage.http.Problem;
 import org.carobstage.model.Address;
 import org.carobstage.testbed.history.Operation.Outcome;
 
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalGroup.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalGroup.java
@@ -109,6 +109,16 @@
         return new LocalBackend(this, clock, vm, instance);
     }
 
+    /**
+     * Makes instances read the log of a primary.
+     *
+     * @param primary the primary
+     * @param followers the instances
+     */
+    public void startFollowing(InstanceId primary, List<InstanceId> followers) {
+        followers.forEach(id -> follow(id, primary));
+    }
+
     void follow(InstanceId replica, InstanceId primary) {
         followed.put(replica, primary);
     }
--- /dev/null
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/scenario/Layout.java
@@ -0,0 +1,33 @@
+package org.carobstage.testbed.scenario;
+
+import org.carobstage.model.InstanceId;
+import org.carobstage.testbed.database.InstanceSettings;
+
+/** The sizes and the document of a team. */
+enum Layout {
+    /** The group varas-familia. */
+    AGRESTE("agreste/familia-forms.ini", 3, 20, 10),
+    /** The group aftercare-db. */
+    LUZON("luzon/aftercare.ini", 5, 60, 30);
+
+    private final String document;
+    private final int slots;
+    private final int connections;
+    private final long openMillis;
+
+    Layout(String document, int slots, int connections, long openMillis) {
+        this.document = document;
+        this.slots = slots;
+        this.connections = connections;
+        this.openMillis = openMillis;
+    }
+
+    String document() {
+        return document;
+    }
+
+    InstanceSettings limits(long lagMillis) {
+        InstanceId any = InstanceId.of("any");
+        return new InstanceSettings(any, slots, connections, openMillis, lagMillis, 0);
+    }
+}
--- /dev/null
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/scenario/Running.java
@@ -0,0 +1,27 @@
+package org.carobstage.testbed.scenario;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.carobstage.statement.Outcome;
+
+/**
+ * An operation that was started.
+ *
+ * @param startNanos when it was started
+ * @param outcome its outcome and when it arrived, once it has
+ */
+record Running(long startNanos, CompletableFuture<Ended> outcome) {
+    /**
+     * The end of an operation.
+     *
+     * @param outcome the outcome
+     * @param endNanos when it arrived
+     */
+    record Ended(Outcome outcome, long endNanos) {
+        List<Long> ids() {
+            return outcome instanceof Outcome.Done done
+                    ? done.rows().stream().map(row -> ((Number) row.get(0)).longValue()).toList()
+                    : List.of();
+        }
+    }
+}
