--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/LogFollower.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/LogFollower.java
@@ -72,7 +72,7 @@
                         standing.last().term().number(),
                         standing.last().offset(),
                         instance.settings().lagMillis());
-        long asked = instance.now();
+        long asked = instance.nowMillis();
         primary.post("/log", read, LogMessages.Batch.class, TIMEOUT)
                 .afterFinally(() -> again(roundTerm))
                 .subscribe(batch -> take(read, batch, asked));
