--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
@@ -33,6 +33,7 @@
     private final ReplicatedLog log = new ReplicatedLog();
     private final AtomicInteger busySlots = new AtomicInteger();
     private final AtomicInteger openSessions = new AtomicInteger();
+    private final AtomicInteger refusals = new AtomicInteger();
     private Term promised = Term.ZERO;
     private boolean primary;
     private long freshMillis = UNKNOWN_LAG;
@@ -84,6 +85,7 @@
     public Optional<Session> open() throws SQLException {
         if (openSessions.incrementAndGet() > settings.connections()) {
             openSessions.decrementAndGet();
+            refusals.incrementAndGet();
             return Optional.empty();
         }
         return Optional.of(new Session(store.connect()));
@@ -97,6 +99,7 @@
     public boolean takeSlot() {
         if (busySlots.incrementAndGet() > settings.slots()) {
             busySlots.decrementAndGet();
+            refusals.incrementAndGet();
             return false;
         }
         return true;
@@ -107,6 +110,15 @@
         busySlots.decrementAndGet();
     }
 
+    /**
+     * Returns how often a slot or a connection was asked for above the limits.
+     *
+     * @return the number of refusals
+     */
+    public int refusals() {
+        return refusals.get();
+    }
+
     /**
      * Returns how many slots are busy.
      *
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/history/LimitSample.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/history/LimitSample.java
@@ -10,19 +10,21 @@
  * @param slots the limit of statements at once
  * @param open connections at once
  * @param connections the limit of connections at once
+ * @param refusals how often more than the limits was asked for
  */
-public record LimitSample(String instance, int busy, int slots, int open, int connections) {
+public record LimitSample(
+        String instance, int busy, int slots, int open, int connections, int refusals) {
     /** Checks the sample. */
     public LimitSample {
         requireNonNull(instance, "instance is null");
     }
 
     /**
-     * Tells whether both limits were kept.
+     * Tells whether both limits were kept by the callers of the instance.
      *
-     * @return true if neither was passed
+     * @return true if nothing above them was borne or asked for
      */
     public boolean isKept() {
-        return busy <= slots && open <= connections;
+        return busy <= slots && open <= connections && refusals == 0;
     }
 }
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/scenario/LineReader.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/scenario/LineReader.java
@@ -145,12 +145,19 @@
         }
         if (words.skipIf("from")) {
             boolean replica = words.next("replica or primary").equals("replica");
-            checks.add(s -> require(isFrom(s.await(label).outcome(), replica), "other instance"));
+            checks.add(
+                    s ->
+                            require(
+                                    isFrom(s.await(label).outcome(), replica),
+                                    "the outcome is " + s.await(label).outcome()));
         }
         if (words.skipIf("sees")) {
             List<Long> ids = numbers(words);
             checks.add(
-                    s -> require(s.await(label).ids().equals(ids), "sees " + s.await(label).ids()));
+                    s ->
+                            require(
+                                    s.await(label).ids().equals(ids),
+                                    "the outcome is " + s.await(label).outcome()));
         }
         return s -> checks.forEach(check -> check.run(s));
     }
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/scenario/World.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/scenario/World.java
@@ -156,7 +156,8 @@
                         instance.busySlots(),
                         instance.settings().slots(),
                         instance.openSessions(),
-                        instance.settings().connections()));
+                        instance.settings().connections(),
+                        instance.refusals()));
     }
 
     private static List<List<Object>> rows(DatabaseInstance instance, String sql, boolean read) {
--- a/carobstage-testbed/src/test/java/org/carobstage/testbed/history/HistoryTest.java
+++ b/carobstage-testbed/src/test/java/org/carobstage/testbed/history/HistoryTest.java
@@ -28,7 +28,7 @@
             list("bia", 7, 30, TEN);
             list("bia", 10, 12, NONE, 1, 2, 3);
             list("ana", 31, 32, NONE, 1, 2, 3);
-            history.add(new LimitSample("a", 3, 3, 20, 20));
+            history.add(new LimitSample("a", 3, 3, 20, 20, 0));
 
             assertThat(kinds(1, 2, 3)).isEmpty();
         }
@@ -134,10 +134,11 @@
 
         @Test
         void shouldFindInstanceOverItsLimits() {
-            history.add(new LimitSample("a", 4, 3, 20, 20));
-            history.add(new LimitSample("a", 3, 3, 21, 20));
+            history.add(new LimitSample("a", 4, 3, 20, 20, 0));
+            history.add(new LimitSample("a", 3, 3, 21, 20, 0));
+            history.add(new LimitSample("a", 3, 3, 20, 20, 1));
 
-            assertThat(kinds()).containsExactly(Kind.LIMIT, Kind.LIMIT);
+            assertThat(kinds()).containsExactly(Kind.LIMIT, Kind.LIMIT, Kind.LIMIT);
         }
     }
 
