--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import org.carobstage.backend.Answer;
 import org.carobstage.backend.BackendMessages.Execute;
@@ -31,9 +30,8 @@
     private final LongSupplier millis;
     private final SqlStore store;
     private final ReplicatedLog log = new ReplicatedLog();
-    private final AtomicInteger busySlots = new AtomicInteger();
-    private final AtomicInteger openSessions = new AtomicInteger();
-    private final AtomicInteger refusals = new AtomicInteger();
+    private final UsageLimit slots;
+    private final UsageLimit connections;
     private Term promised = Term.ZERO;
     private boolean primary;
     private long freshMillis = UNKNOWN_LAG;
@@ -41,6 +39,8 @@
 
     private DatabaseInstance(InstanceSettings settings, LongSupplier millis, SqlStore store) {
         this.settings = settings;
+        this.slots = UsageLimit.of(settings.slots());
+        this.connections = UsageLimit.of(settings.connections());
         this.millis = millis;
         this.store = store;
     }
@@ -83,9 +83,7 @@
      * @throws SQLException if the SQL store fails
      */
     public Optional<Session> open() throws SQLException {
-        if (openSessions.incrementAndGet() > settings.connections()) {
-            openSessions.decrementAndGet();
-            refusals.incrementAndGet();
+        if (!connections.take()) {
             return Optional.empty();
         }
         return Optional.of(new Session(store.connect()));
@@ -97,17 +95,12 @@
      * @return false if all slots are busy
      */
     public boolean takeSlot() {
-        if (busySlots.incrementAndGet() > settings.slots()) {
-            busySlots.decrementAndGet();
-            refusals.incrementAndGet();
-            return false;
-        }
-        return true;
+        return slots.take();
     }
 
     /** Gives a slot back. */
     public void freeSlot() {
-        busySlots.decrementAndGet();
+        slots.free();
     }
 
     /**
@@ -115,8 +108,8 @@
      *
      * @return the number of refusals
      */
-    public int refusals() {
-        return refusals.get();
+    public long refusals() {
+        return slots.refusals() + connections.refusals();
     }
 
     /**
@@ -125,7 +118,7 @@
      * @return the number of busy slots
      */
     public int busySlots() {
-        return busySlots.get();
+        return slots.used();
     }
 
     /**
@@ -134,7 +127,25 @@
      * @return the number of open sessions
      */
     public int openSessions() {
-        return openSessions.get();
+        return connections.used();
+    }
+
+    /**
+     * Returns the use of the slots.
+     *
+     * @return the counters
+     */
+    public UsageLimit slots() {
+        return slots;
+    }
+
+    /**
+     * Returns the use of the connections.
+     *
+     * @return the counters
+     */
+    public UsageLimit connections() {
+        return connections;
     }
 
     /**
@@ -190,7 +201,8 @@
             return new LogMessages.Batch(LogMessages.Status.REFUSED, List.of(), last);
         }
         if (!log.matches(from)) {
-            return new LogMessages.Batch(LogMessages.Status.MISMATCH, List.of(), last);
+            long common = log.lastCommon(from);
+            return new LogMessages.Batch(LogMessages.Status.MISMATCH, List.of(), common);
         }
         long until = millis.getAsLong() - request.lagMillis();
         List<LogEntry> entries = log.after(from.offset(), until, LOG_BATCH);
@@ -215,7 +227,7 @@
         }
         contactMillis = askedMillis;
         if (batch.status() == LogMessages.Status.MISMATCH) {
-            log.dropLastTerm();
+            log.dropAfter(batch.primaryOffset());
             store.rebuild(log.all());
             freshMillis = UNKNOWN_LAG;
             return;
@@ -399,7 +411,7 @@
         public synchronized void close() throws SQLException {
             if (!closed) {
                 closed = true;
-                openSessions.decrementAndGet();
+                connections.free();
                 sql.rollback();
                 sql.close();
             }
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/history/LimitSample.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/history/LimitSample.java
@@ -13,7 +13,7 @@
  * @param refusals how often more than the limits was asked for
  */
 public record LimitSample(
-        String instance, int busy, int slots, int open, int connections, int refusals) {
+        String instance, int busy, int slots, int open, int connections, long refusals) {
     /** Checks the sample. */
     public LimitSample {
         requireNonNull(instance, "instance is null");
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/measure/MeasureCommand.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/measure/MeasureCommand.java
@@ -16,6 +16,7 @@
                     "throughput", Speed::throughput,
                     "latency", Speed::latency,
                     "workloads", Workloads::measure,
+                    "failover", Failover::measure,
                     "lag", Workloads::writeLatency);
 
     @Parameter(names = "--part", required = true, description = "what to measure")
