--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/measure/Workloads.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/measure/Workloads.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import org.carobstage.testbed.history.History;
+import org.carobstage.testbed.history.Operation.Outcome;
 import org.carobstage.testbed.history.Violation;
 import org.carobstage.testbed.load.LoadFigures;
 import org.carobstage.testbed.load.LoadPlan;
@@ -33,6 +34,8 @@
             figures.add(Figure.atLeast(name + "_replica", share, "%", TARGET_REPLICA_PERCENT));
         }
         List<Violation> violations = stand.check(history);
+        long done = history.operations().stream().filter(o -> o.outcome() == Outcome.DONE).count();
+        figures.add(Figure.atLeast("checked_operations", done, "operations", 1));
         violations.stream().limit(3).forEach(System.err::println);
         figures.add(Figure.atMost("violations", violations.size(), "-", 0));
         return figures;
