--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
@@ -103,6 +103,24 @@
         slots.free();
     }
 
+    /**
+     * Returns how often a slot or a connection was asked for above the limits.
+     *
+     * @return the number of refusals
+     */
+    public long refusals() {
+        return slots.refusals() + connections.refusals();
+    }
+
+    /**
+     * Returns how many slots are busy.
+     *
+     * @return the number of busy slots
+     */
+    public int busySlots() {
+        return slots.used();
+    }
+
     /**
      * Returns how many sessions are open.
      *
