--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalBackend.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalBackend.java
@@ -51,6 +51,7 @@
     @Override
     public CompletionStage<Optional<Standing>> standing(
             LogPosition atLeast, Duration wait, Duration timeout) {
+        group.countStandingCall();
         CompletableFuture<Optional<Standing>> answer = withTimeout(timeout);
         clock.schedule(() -> poll(answer, atLeast, clock.nanoTime() + wait.toNanos()), LATENCY);
         return answer;
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalGroup.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalGroup.java
@@ -35,6 +35,7 @@
     private final LocalFaults faults = LocalFaults.empty();
     private final Map<InstanceId, DatabaseInstance> instances = new LinkedHashMap<>();
     private final Map<InstanceId, InstanceId> followed = new HashMap<>();
+    private long standingCalls;
 
     private LocalGroup(Clock clock, GroupSpec spec) {
         this.clock = clock;
@@ -109,6 +110,19 @@
         return new LocalBackend(this, clock, vm, instance);
     }
 
+    /**
+     * Returns how often entry VMs have asked instances for their standing.
+     *
+     * @return the number of calls
+     */
+    public long standingCalls() {
+        return standingCalls;
+    }
+
+    void countStandingCall() {
+        standingCalls++;
+    }
+
     void follow(InstanceId replica, InstanceId primary) {
         followed.put(replica, primary);
     }
--- a/carobstage-testbed/src/test/java/org/carobstage/testbed/local/PromotionOverLocalGroupTest.java
+++ b/carobstage-testbed/src/test/java/org/carobstage/testbed/local/PromotionOverLocalGroupTest.java
@@ -68,6 +68,7 @@
             fixture.run(FAILOVER);
 
             assertNothingLost(fixture, old);
+            System.out.println("gap of a cut in ms: " + gapMillis(fixture, old));
             assertThat(gapMillis(fixture, old)).isLessThanOrEqualTo(5_000);
         }
 
@@ -220,6 +221,33 @@
         }
     }
 
+    @Nested
+    class Watch {
+        @Test
+        void shouldAskEachInstanceAboutOnceASecondWhenNoStatementsCome() {
+            FailoverFixture fixture = FailoverFixture.of(13, "one");
+            fixture.run(FAILOVER);
+            long before = fixture.group.standingCalls();
+            fixture.run(Duration.ofSeconds(10));
+            long calls = fixture.group.standingCalls() - before;
+            System.out.println("calls for standings in 10 s of an idle group: " + calls);
+
+            assertThat(calls).isLessThanOrEqualTo(36);
+        }
+
+        @Test
+        void shouldTellInstanceToFollowWhenItHearsNothingFromThePrimary() {
+            FailoverFixture fixture = FailoverFixture.of(14, "one");
+            InstanceId lost = other(fixture, fixture.primary("one"));
+            fixture.run(FAILOVER);
+            fixture.group.follow(lost, lost);
+            fixture.run(Duration.ofSeconds(5));
+
+            assertThat(fixture.group.instance(lost).standing().contactMillis()).isLessThan(100);
+            assertThat(fixture.count(EventCode.PROMOTION_STARTED)).isOne();
+        }
+    }
+
     @Nested
     class Switch {
         @Test
--- a/carobstage/src/main/java/org/carobstage/promotion/Detector.java
+++ b/carobstage/src/main/java/org/carobstage/promotion/Detector.java
@@ -23,7 +23,7 @@
     public static final Duration SILENT_LIMIT = Duration.ofMillis(250);
 
     /** How long a majority must have had no contact with a primary that answers here. */
-    public static final Duration CUT_LIMIT = Duration.ofMillis(1_000);
+    public static final Duration CUT_LIMIT = Duration.ofMillis(2_000);
 
     /** How long a group must have no primary, in which another proposer may finish. */
     public static final Duration VACANT_LIMIT = Duration.ofMillis(150);
@@ -37,6 +37,8 @@
     /** How much longer each rank waits before it proposes. */
     public static final Duration STAGGER = Duration.ofMillis(100);
 
+    private static final Duration FOLLOW_LIMIT = Duration.ofMillis(500);
+    private static final Duration FOLLOW_WINDOW = Duration.ofSeconds(2);
     private static final int TICKS_NEEDED = 3;
 
     private final GroupSpec spec;
@@ -121,12 +123,11 @@
      */
     public static boolean needsFollow(Sighting sighting, Term term, long nowNanos) {
         Standing standing = sighting.standing();
-        boolean fresh = nowNanos - sighting.askedNanos() <= FRESH.toNanos();
+        boolean recent = nowNanos - sighting.askedNanos() <= FOLLOW_WINDOW.toNanos();
         boolean outOfTouch =
-                standing.contactMillis() < 0
-                        || standing.contactMillis() > SILENT_LIMIT.toMillis() / 2;
+                standing.contactMillis() < 0 || standing.contactMillis() > FOLLOW_LIMIT.toMillis();
         boolean same = standing.promised().equals(term);
-        return fresh && (term.isAfter(standing.promised()) || same && outOfTouch);
+        return recent && (term.isAfter(standing.promised()) || same && outOfTouch);
     }
 
     private static Term highest(Collection<Sighting> sightings) {
