--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalGroup.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalGroup.java
@@ -35,6 +35,7 @@
     private final LocalFaults faults = LocalFaults.empty();
     private final Map<InstanceId, DatabaseInstance> instances = new LinkedHashMap<>();
     private final Map<InstanceId, InstanceId> followed = new HashMap<>();
+    private long standingCalls;
 
     private LocalGroup(Clock clock, GroupSpec spec) {
         this.clock = clock;
@@ -119,6 +120,19 @@
         followers.forEach(id -> follow(id, primary));
     }
 
+    /**
+     * Returns how often entry VMs have asked instances for their standing.
+     *
+     * @return the number of calls
+     */
+    public long standingCalls() {
+        return standingCalls;
+    }
+
+    void countStandingCall() {
+        standingCalls++;
+    }
+
     void follow(InstanceId replica, InstanceId primary) {
         followed.put(replica, primary);
     }
