--- a/carobstage/src/main/java/org/carobstage/pool/InstancePool.java
+++ b/carobstage/src/main/java/org/carobstage/pool/InstancePool.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 import org.carobstage.admission.AdmissionQueue;
-import org.carobstage.admission.ConcurrencyLimit;
 import org.carobstage.admission.Load;
 import org.carobstage.admission.Rejection;
 import org.carobstage.admission.ServiceTime;
@@ -44,7 +43,6 @@
     private final AdmissionQueue<Waiter> resuming = AdmissionQueue.of(MAX_WAITING);
     private final Set<Lease> running = new LinkedHashSet<>();
     private final ExchangeTimeout timeout = ExchangeTimeout.empty();
-    private ConcurrencyLimit limit = ConcurrencyLimit.none();
     private ServiceTime serviceTime = ServiceTime.empty();
     private long lastRefusalNanos;
     private long refusals;
@@ -211,7 +209,7 @@
         grantAll();
         sweep();
         Share limits = share.get();
-        int freeSlots = Math.max(0, slots() - running.size());
+        int freeSlots = Math.max(0, limits.slots() - running.size());
         int spare = Math.max(1, limits.slots()) + SPARE_CONNECTIONS - connections.lent();
         int wanted = Math.max(spare, Math.min(waiting.size(), freeSlots));
         connections.adjust(wanted, limits.connections());
@@ -220,7 +218,7 @@
     }
 
     private void grantAll() {
-        while (running.size() < slots()) {
+        while (running.size() < share.get().slots()) {
             Optional<Ticket<Waiter>> next = resuming.poll();
             if (next.isPresent()) {
                 resume(next.get());
@@ -306,10 +304,6 @@
         clock.schedule(() -> runtime.duty().execute(this::tick), TICK);
     }
 
-    private int slots() {
-        return limit.bound(share.get().slots());
-    }
-
     private Load currentLoad(long now) {
         long service = serviceTime.nanos();
         long remaining =
@@ -317,14 +311,13 @@
                         .mapToLong(lease -> service - (now - lease.grantedNanos()))
                         .filter(nanos -> nanos > 0)
                         .sum();
-        return new Load(slots(), running.size(), remaining, service);
+        return new Load(share.get().slots(), running.size(), remaining, service);
     }
 
     private void measure(Lease lease) {
         long held = clock.nanoTime() - lease.grantedNanos();
         serviceTime = serviceTime.with(held);
         timeout.record(held);
-        limit = limit.with(lease.isLimited(), share.get().slots());
     }
 
     private void record(EventCode code, String detail) {
--- a/carobstage/src/main/java/org/carobstage/pool/Lease.java
+++ b/carobstage/src/main/java/org/carobstage/pool/Lease.java
@@ -30,7 +30,6 @@
     private long grantedNanos;
     private boolean paused;
     private boolean ended;
-    private boolean limited;
 
     Lease(Pooled pooled, ServiceName service, PoolRuntime runtime) {
         this.pooled = pooled;
@@ -96,14 +95,8 @@
         paused = true;
     }
 
-    /** Tells whether the instance has refused the current statement for want of a slot. */
-    boolean isLimited() {
-        return limited;
-    }
-
     void resume() {
         paused = false;
-        limited = false;
         grantedNanos = now();
     }
 
@@ -142,7 +135,6 @@
             return CompletableFuture.completedFuture(answer);
         }
         runtime.metrics().limitRefused();
-        limited = true;
         Duration delay = backoff.delay(number);
         boolean fits = now() + delay.toNanos() - deadline < 0;
         if (!fits || !budget.tryRetry(now())) {
