Forward statements to an owner and use agreed shares in the running process

Cause: with three slots and five entry VMs two of these have no part of a group; callers reach them all the same.

Change: Forwarder hands a statement to an owner with its session, key and remaining patience, one hop only; Node takes its shares from the agreement when [peer] listen is set, and keeps the fixed division by entry-vms without it.

Transactions and look-ups of keys are not forwarded yet: on an entry VM without a part they are refused as not run.

--- a/carobstage/src/main/java/org/carobstage/node/Control.java
+++ b/carobstage/src/main/java/org/carobstage/node/Control.java
@@ -4,14 +4,20 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ThreadLocalRandom;
+import org.carobstage.caller.StatementService;
 import org.carobstage.config.Configuration;
 import org.carobstage.config.ConfigurationWatch;
 import org.carobstage.event.EventLog;
 import org.carobstage.membership.Fleet;
 import org.carobstage.model.Address;
+import org.carobstage.model.GroupId;
 import org.carobstage.model.Member;
 import org.carobstage.model.MemberState;
+import org.carobstage.ownership.Forwarder;
+import org.carobstage.ownership.Ownership;
 import org.carobstage.peer.PeerNetwork;
 import org.carobstage.peer.PeerSecret;
 import org.carobstage.peer.TcpPeerNetwork;
@@ -22,6 +28,7 @@
 import org.carobstage.runtime.Closer;
 import org.carobstage.runtime.SerialExecutor;
 import org.carobstage.settings.Settings;
+import org.carobstage.share.Shares;
 
 /** What a process agrees with the rest of the fleet: members and configuration. */
 public final class Control implements AutoCloseable {
@@ -31,18 +38,27 @@
     private final Closer closer = Closer.empty();
     private final Fleet fleet;
     private final ConfigurationWatch watch;
+    private final Proxy proxy;
+    private final boolean inFleet;
+    private final Shares shares;
+    private final Forwarder forwarder;
 
     private Control(
             Settings settings, Platform platform, Clock clock, EventLog events, Proxy proxy) {
+        this.proxy = proxy;
+        this.inFleet = settings.peer().listen().isPresent();
         SerialExecutor duty = closer.add(SerialExecutor.of("fleet", RING_CAPACITY));
         PeerNetwork network = closer.add(network(settings, events));
         Member self = self(settings, network.address(), clock);
         List<Address> seeds = settings.peer().seeds();
         this.fleet = closer.add(Fleet.of(self, seeds, network, clock, duty, events));
+        this.shares = closer.add(Shares.of(platform, clock, duty, fleet, events, proxy::used));
         this.watch =
                 closer.add(
-                        ConfigurationWatch.of(platform, clock, duty, fleet, events, proxy::apply));
+                        ConfigurationWatch.of(platform, clock, duty, fleet, events, this::apply));
+        this.forwarder = Forwarder.of(fleet, clock, this::serves, this::owner, proxy::run);
         fleet.onMessage(watch::received);
+        fleet.onMessage(forwarder::received);
         fleet.onDigest(watch::digest, watch::seen);
         watch.onList(this::listed);
     }
@@ -91,12 +107,60 @@
         return watch.entries();
     }
 
+    /**
+     * Returns the agreed parts of the groups' limits.
+     *
+     * @return the shares
+     */
+    public Shares shares() {
+        return shares;
+    }
+
+    /**
+     * Returns who owns which group in the current view.
+     *
+     * @return the ownership
+     */
+    public Ownership ownership() {
+        return Ownership.of(fleet.members(), Shares.OWNERS);
+    }
+
+    /**
+     * Returns what serves callers: here, or at an owner of the group.
+     *
+     * @return the service
+     */
+    public StatementService service() {
+        return inFleet ? new RoutedService(proxy, forwarder) : proxy;
+    }
+
     /** Tells the peers of the stop and leaves the fleet. */
     @Override
     public void close() {
         closer.close();
     }
 
+    private void apply(Configuration next) {
+        proxy.apply(next);
+        shares.configure(next.groups().values());
+    }
+
+    private boolean serves(GroupId group) {
+        return proxy.group(group).isEmpty() || shares.share(group).slots() > 0;
+    }
+
+    private Optional<Member> owner(GroupId group) {
+        int slots = proxy.group(group).map(g -> g.view().spec().slots()).orElse(1);
+        List<Member> owners =
+                ownership().owners(group, slots).stream()
+                        .filter(m -> !m.vm().equals(fleet.self().vm()))
+                        .toList();
+        int size = owners.size();
+        return size == 0
+                ? Optional.empty()
+                : Optional.of(owners.get(ThreadLocalRandom.current().nextInt(size)));
+    }
+
     private void listed(List<ListedVm> vms) {
         fleet.seed(vms.stream().map(ListedVm::peer).filter(Objects::nonNull).toList());
     }
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -26,6 +26,7 @@
 import org.carobstage.security.TokenKeys;
 import org.carobstage.session.TokenCodec;
 import org.carobstage.settings.Settings;
+import org.carobstage.share.ShareRecord;
 
 /** The running process of an entry VM: the proxy with its servers and clients. */
 public final class Node implements AutoCloseable {
@@ -40,7 +41,7 @@
     private final EventLog events;
     private final Platform platform;
     private final Proxy proxy;
-    private Control control;
+    private volatile Control control;
     private CallerServer caller;
     private OperatorServer operator;
     private volatile boolean ready;
@@ -115,7 +116,7 @@
                 closer.add(
                         CallerServer.of(
                                 settings.caller().listen(),
-                                proxy,
+                                control.service(),
                                 tokens,
                                 settings.caller().limits().maxBodyBytes()));
         ready = true;
@@ -133,6 +134,10 @@
     }
 
     private Share share(GroupSpec spec) {
+        if (settings.peer().listen().isPresent()) {
+            Control current = control;
+            return current == null ? ShareRecord.NONE : current.shares().share(spec.id());
+        }
         int vms = settings.vm().entryVms();
         int slots = Math.max(1, spec.slots() / vms);
         return new Share(slots, Math.max(1, spec.connections() / vms));
--- a/carobstage/src/main/java/org/carobstage/node/Proxy.java
+++ b/carobstage/src/main/java/org/carobstage/node/Proxy.java
@@ -181,6 +181,20 @@
                 .toList();
     }
 
+    /**
+     * Returns what is in use of a group's limits at its busiest instance.
+     *
+     * @param spec the group
+     * @return the slots and connections in use
+     */
+    public Share used(GroupSpec spec) {
+        Optional<Group> group = group(spec.id());
+        return spec.instances().stream()
+                .flatMap(i -> group.map(g -> g.pool(i.id())).stream())
+                .map(InstancePool::used)
+                .reduce(new Share(0, 0), Proxy::larger);
+    }
+
     @Override
     public RequestPolicy policy(ServiceName service, RequestClass requestClass) {
         TeamDocument document = configuration.documents().get(service);
@@ -232,6 +246,12 @@
         groups.values().forEach(Group::close);
     }
 
+    private static Share larger(Share one, Share other) {
+        return new Share(
+                Math.max(one.slots(), other.slots()),
+                Math.max(one.connections(), other.connections()));
+    }
+
     private Group required(GroupId id) {
         return group(id)
                 .orElseThrow(() -> CodedException.of(ErrorCode.UNKNOWN_GROUP, "no group " + id));
