Ping each 250 ms and suspect after 600 ms

Change: one ping each 250 ms instead of 500, suspicion after 600 ms instead of 1 s; the time of a suspicion stays as it was.

--- a/carobstage/src/main/java/org/carobstage/membership/MembershipTimes.java
+++ b/carobstage/src/main/java/org/carobstage/membership/MembershipTimes.java
@@ -8,11 +8,14 @@
     static final Duration TICK = Duration.ofMillis(100);
 
     /** How often a member pings another one. */
-    static final long PROBE_NANOS = Duration.ofMillis(500).toNanos();
+    static final long PROBE_NANOS = Duration.ofMillis(250).toNanos();
 
     /** How long a direct ping may take before others are asked to help. */
     static final long DIRECT_NANOS = Duration.ofMillis(200).toNanos();
 
+    /** How long a ping may take in all before the member is suspected. */
+    static final long VERDICT_NANOS = Duration.ofMillis(600).toNanos();
+
     /** How often news is sent on while there is any. */
     static final long GOSSIP_NANOS = Duration.ofMillis(200).toNanos();
 
@@ -40,6 +43,7 @@
     /** How many reports of members one message carries. */
     static final int MAX_UPDATES = 32;
 
+    private static final long SUSPICION_NANOS = Duration.ofMillis(1_000).toNanos();
     private static final long MIN_SUSPICION_NANOS = Duration.ofMillis(1_500).toNanos();
 
     private MembershipTimes() {}
@@ -51,7 +55,7 @@
      * @return the time in ns, which grows with the logarithm of the fleet
      */
     static long suspicionNanos(int members) {
-        return Math.max(MIN_SUSPICION_NANOS, (long) (2 * Math.log10(members + 1) * PROBE_NANOS));
+        return Math.max(MIN_SUSPICION_NANOS, (long) (Math.log10(members + 1) * SUSPICION_NANOS));
     }
 
     /**
--- a/carobstage/src/main/java/org/carobstage/membership/Probes.java
+++ b/carobstage/src/main/java/org/carobstage/membership/Probes.java
@@ -26,7 +26,7 @@
     }
 
     long relay(Address requester, PingRequest request, long now) {
-        relays.values().removeIf(r -> now - r.since() > MembershipTimes.PROBE_NANOS);
+        relays.values().removeIf(r -> now - r.since() > MembershipTimes.VERDICT_NANOS);
         long number = ++numbers;
         relays.put(number, new Relay(requester, request.number(), now));
         return number;
@@ -52,7 +52,7 @@
     List<Probe> failed(long now) {
         List<Probe> failed = new ArrayList<>();
         for (Probe probe : own.values()) {
-            if (now - probe.since() >= 2 * MembershipTimes.PROBE_NANOS) {
+            if (now - probe.since() >= MembershipTimes.VERDICT_NANOS) {
                 failed.add(probe);
             }
         }
