Begin a load with 20 sessions in place of 500

Cause: a session's first read has no token and goes to the primary, so a run with fewer requests than sessions showed 0 % of reads at replicas and overloaded the primary (35 of 331 requests refused). Change: the load begins with 20 sessions and adds one when none is idle. Run: compile and format check only.

--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/load/LoadRun.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/load/LoadRun.java
@@ -23,7 +23,7 @@
  * stall shows in the latencies.
  */
 public final class LoadRun {
-    private static final int FIRST_SESSIONS = 500;
+    private static final int FIRST_SESSIONS = 20;
     private static final double NANOS_PER_SECOND = 1e9;
     private static final AtomicLong IDS = new AtomicLong();
 
