Stop gracefully: announce, finish what is in progress, then close

Cause: Node.close closed everything at once and in no order. JsonServer bounds bodies while they are read, headers and silent connections, and answers each failure with a coded problem.

--- /dev/null
+++ b/carobstage-testbed/src/test/java/org/carobstage/node/NodeFixture.java
@@ -0,0 +1,147 @@
+package org.carobstage.node;
+
+import io.servicetalk.concurrent.api.Executor;
+import io.servicetalk.concurrent.api.Executors;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.carobstage.backend.BackendMessages.Follow;
+import org.carobstage.backend.BackendMessages.Termed;
+import org.carobstage.http.Json;
+import org.carobstage.model.Address;
+import org.carobstage.model.InstanceId;
+import org.carobstage.platform.PlatformMessages.Swap;
+import org.carobstage.runtime.Closer;
+import org.carobstage.settings.SettingsReader;
+import org.carobstage.testbed.database.DatabaseInstance;
+import org.carobstage.testbed.database.InstanceServer;
+import org.carobstage.testbed.database.InstanceSettings;
+import org.carobstage.testbed.platform.PlatformServer;
+import org.carobstage.testbed.platform.PlatformStore;
+
+/** The servers of a platform and of one group, and a node before them, all on free ports. */
+final class NodeFixture implements AutoCloseable {
+    static final String KEY = "an-operator-key-for-tests";
+
+    private static final Address ANY = Address.of("127.0.0.1", 0);
+    private static final String DOCUMENT =
+            """
+            [service]
+            name = forms
+            patience = 10 s
+            time-zone = America/Recife
+            [class save]
+            access = write
+            idempotent = yes
+            """;
+
+    private final Closer closer = Closer.empty();
+    private final Executor executor = Executors.newCachedThreadExecutor();
+    private final HttpClient http = HttpClient.newHttpClient();
+    private final Address platform;
+
+    private NodeFixture(long serviceMillis) throws Exception {
+        closer.add(() -> executor.closeAsync().subscribe());
+        PlatformStore store = PlatformStore.empty(System::currentTimeMillis);
+        platform = closer.add(PlatformServer.of(store, ANY, executor)).address();
+        store.swap(new Swap("config/documents/forms", 0, DOCUMENT));
+        StringBuilder group = new StringBuilder("[group]\nid = g\nslots = 3\nconnections = 20\n");
+        List<Address> instances = new ArrayList<>();
+        for (String id : List.of("a", "b", "c")) {
+            Address address = instance(id, serviceMillis);
+            instances.add(address);
+            group.append("[instance %s]%naddress = %s%ndomain = d%n".formatted(id, address));
+        }
+        startTermOne(instances);
+        store.swap(new Swap("config/groups/g", 0, group.toString()));
+    }
+
+    static NodeFixture of(long serviceMillis) throws Exception {
+        return new NodeFixture(serviceMillis);
+    }
+
+    Node node(String moreSettings) {
+        String text =
+                """
+                [vm]
+                id = one
+                domain = d
+                [operator]
+                listen = 127.0.0.1:0
+                key = %s
+                [platform]
+                address = %s
+                [session]
+                token-key = a-token-key-for-tests
+                [caller]
+                listen = 127.0.0.1:0
+                %s
+                """
+                        .formatted(KEY, platform, moreSettings);
+        return Node.of(SettingsReader.check("test", text).value().orElseThrow());
+    }
+
+    CompletableFuture<HttpResponse<String>> statement(Node node, String sql) {
+        return statement(http, URI.create("http://" + node.callerAddress()), sql);
+    }
+
+    CompletableFuture<HttpResponse<String>> statement(HttpClient client, URI base, String sql) {
+        String body = Json.text(Map.of("group", "g", "sql", sql));
+        HttpRequest request =
+                HttpRequest.newBuilder(base.resolve("/v1/statements"))
+                        .timeout(Duration.ofSeconds(10))
+                        .header("carobstage-service", "forms")
+                        .header("carobstage-class", "save")
+                        .POST(BodyPublishers.ofString(body))
+                        .build();
+        return client.sendAsync(request, BodyHandlers.ofString());
+    }
+
+    HttpResponse<String> post(Address address, String path, Object body) throws Exception {
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create("http://" + address + path))
+                        .POST(BodyPublishers.ofString(Json.text(body)))
+                        .build();
+        return http.send(request, BodyHandlers.ofString());
+    }
+
+    /** Sends a statement until the node knows the primary. */
+    void untilServed(Node node) {
+        for (int i = 0; i < 100; i++) {
+            if (statement(node, "SELECT 1").join().statusCode() == 200) {
+                return;
+            }
+        }
+        throw new AssertionError("the node serves no statement");
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+
+    private Address instance(String id, long serviceMillis) throws Exception {
+        InstanceSettings settings =
+                new InstanceSettings(InstanceId.of(id), 3, 20, 0, 0, serviceMillis);
+        DatabaseInstance database = DatabaseInstance.of(settings, System::currentTimeMillis);
+        return closer.add(InstanceServer.of(database, ANY, executor)).address();
+    }
+
+    private void startTermOne(List<Address> instances) throws Exception {
+        for (Address address : instances) {
+            post(address, "/promise", new Termed(1, null));
+        }
+        post(instances.get(0), "/promote", new Termed(1, null));
+        for (Address address : instances.subList(1, instances.size())) {
+            post(address, "/follow", new Follow(1, "a", instances.get(0).toString()));
+        }
+    }
+}
--- /dev/null
+++ b/carobstage-testbed/src/test/java/org/carobstage/node/NodeTest.java
@@ -0,0 +1,81 @@
+package org.carobstage.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class NodeTest {
+    private static final long SERVICE_MILLIS = 200;
+    private static final int REQUESTS = 6;
+
+    private NodeFixture fixture;
+
+    @BeforeEach
+    void start() throws Exception {
+        fixture = NodeFixture.of(SERVICE_MILLIS);
+    }
+
+    @AfterEach
+    void stop() {
+        fixture.close();
+    }
+
+    @Nested
+    class Close {
+        @Test
+        void shouldAnswerAllRequestsInProgressWhenClosed() throws Exception {
+            Node node = fixture.node("[stop]\nnotice = 0 s\nlimit = 10 s");
+            fixture.untilServed(node);
+            List<CompletableFuture<HttpResponse<String>>> answers =
+                    IntStream.range(0, REQUESTS)
+                            .mapToObj(i -> fixture.statement(node, "SELECT " + i))
+                            .toList();
+            while (node.requestsInProgress() < REQUESTS) {
+                Thread.onSpinWait();
+            }
+
+            node.close();
+
+            for (CompletableFuture<HttpResponse<String>> answer : answers) {
+                assertThat(answer.get(5, TimeUnit.SECONDS).body()).contains("\"done\"");
+                assertThat(answer.join().headers().firstValue("connection")).contains("close");
+            }
+            assertThat(fixture.statement(node, "SELECT 1")).failsWithin(5, TimeUnit.SECONDS);
+        }
+
+        @Test
+        void shouldServeNewRequestsDuringNoticeWhenClosed() throws Exception {
+            Node node = fixture.node("[stop]\nnotice = 2 s\nlimit = 10 s");
+            fixture.untilServed(node);
+
+            CompletableFuture<Void> closing = CompletableFuture.runAsync(node::close);
+            while (node.ready()) {
+                Thread.onSpinWait();
+            }
+
+            HttpResponse<String> answer = fixture.statement(node, "SELECT 1").join();
+            assertThat(answer.statusCode()).isEqualTo(200);
+            closing.get(20, TimeUnit.SECONDS);
+        }
+
+        @Test
+        void shouldCutAfterLimitWhenRequestTakesLonger() throws Exception {
+            Node node = fixture.node("[stop]\nnotice = 0 s\nlimit = 20 ms");
+            fixture.untilServed(node);
+            fixture.statement(node, "SELECT 1");
+            while (node.requestsInProgress() == 0) {
+                Thread.onSpinWait();
+            }
+
+            assertThat(CompletableFuture.runAsync(node::close)).succeedsWithin(5, TimeUnit.SECONDS);
+        }
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/caller/CallerServer.java
+++ b/carobstage/src/main/java/org/carobstage/caller/CallerServer.java
@@ -10,17 +10,23 @@
 import io.servicetalk.http.api.HttpServiceContext;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.carobstage.caller.CallerMessages.StatementMessage;
 import org.carobstage.error.CodedException;
 import org.carobstage.error.ErrorCode;
 import org.carobstage.http.JsonServer;
+import org.carobstage.http.ServerLimits;
+import org.carobstage.http.ServerOptions;
 import org.carobstage.model.Address;
 import org.carobstage.model.GroupId;
 import org.carobstage.model.IdempotencyKey;
 import org.carobstage.model.ServiceName;
 import org.carobstage.session.SessionPositions;
 import org.carobstage.session.TokenCodec;
+import org.carobstage.settings.CallerSettings;
 import org.carobstage.statement.StatementRequest;
 import org.carobstage.transaction.TransactionId;
 
@@ -46,7 +52,8 @@
     private final StatementService service;
     private final TokenCodec tokens;
     private final CallerReader reader;
-    private JsonServer server;
+    private final List<JsonServer> servers = new ArrayList<>();
+    private volatile boolean refusesNewWork;
 
     private CallerServer(StatementService service, TokenCodec tokens, int maxBytes) {
         this.service = service;
@@ -65,10 +72,32 @@
      */
     public static CallerServer of(
             Address address, StatementService service, TokenCodec tokens, int maxBytes) {
+        ServerLimits limits = ServerLimits.standard().withMaxBodyBytes(maxBytes);
+        CallerSettings settings =
+                new CallerSettings(address, Optional.empty(), limits, Optional.empty());
+        return of(settings, service, tokens);
+    }
+
+    /**
+     * Starts the server.
+     *
+     * @param settings where to listen and what to accept
+     * @param service runs the statements
+     * @param tokens reads and writes session tokens
+     * @return the running server
+     */
+    public static CallerServer of(
+            CallerSettings settings, StatementService service, TokenCodec tokens) {
+        requireNonNull(settings, "settings is null");
         requireNonNull(service, "service is null");
         requireNonNull(tokens, "tokens is null");
-        CallerServer caller = new CallerServer(service, tokens, maxBytes);
-        caller.server = JsonServer.of(address, caller::handle);
+        CallerServer caller = new CallerServer(service, tokens, settings.limits().maxBodyBytes());
+        ServerOptions options = ServerOptions.standard().withLimits(settings.limits());
+        ServerOptions first = options.withTls(settings.tls());
+        caller.servers.add(JsonServer.of(settings.listen(), first, caller::handle));
+        settings.http2Listen()
+                .map(address -> JsonServer.of(address, options.withHttp2(), caller::handle))
+                .ifPresent(caller.servers::add);
         return caller;
     }
 
@@ -78,12 +107,50 @@
      * @return the address
      */
     public Address address() {
-        return server.address();
+        return servers.get(0).address();
+    }
+
+    /**
+     * Returns where the server listens for HTTP/2 by prior knowledge.
+     *
+     * @return the address, or empty if the settings name none
+     */
+    public Optional<Address> http2Address() {
+        return servers.stream().skip(1).findFirst().map(JsonServer::address);
     }
 
+    /**
+     * Returns how many requests are in progress.
+     *
+     * @return the number of requests whose answers have not been written yet
+     */
+    public int inProgress() {
+        return servers.stream().mapToInt(JsonServer::inProgress).sum();
+    }
+
+    /** Asks each caller with its next answer to go elsewhere. */
+    public void startStopping() {
+        servers.forEach(JsonServer::startStopping);
+    }
+
+    /** Refuses statements and new transactions; open transactions go on. */
+    public void refuseNewWork() {
+        refusesNewWork = true;
+    }
+
+    /** Closes the server once the requests in progress have been answered. */
     @Override
     public void close() {
-        server.close();
+        servers.forEach(JsonServer::close);
+    }
+
+    /**
+     * Closes the server once the requests in progress have been answered, and waits for that.
+     *
+     * @param limit how long to wait; after that the connections are cut
+     */
+    public void close(Duration limit) {
+        servers.forEach(server -> server.close(limit));
     }
 
     private Single<HttpResponse> handle(
@@ -103,6 +170,9 @@
     private Single<HttpResponse> route(HttpRequest request, CallerWriter writer) {
         String path = request.path();
         boolean isPost = request.method().equals(HttpRequestMethod.POST);
+        if (refusesNewWork && (path.equals(STATEMENTS) || path.equals(TRANSACTIONS))) {
+            throw CodedException.of(ErrorCode.STOPPING, "this process is stopping");
+        }
         if (path.equals(STATEMENTS) && isPost) {
             return statement(request, writer);
         }
--- a/carobstage/src/main/java/org/carobstage/error/ErrorCode.java
+++ b/carobstage/src/main/java/org/carobstage/error/ErrorCode.java
@@ -20,6 +20,10 @@
     KEY_REUSED("CS-1008", 422),
     /** The request class demands an idempotency key. */
     KEY_REQUIRED("CS-1009", 428),
+    /** The headers are longer than the settings allow. */
+    HEADERS_TOO_LARGE("CS-1010", 431),
+    /** The body did not arrive in time. */
+    REQUEST_TOO_SLOW("CS-1011", 408),
     /** No instance could take the statement within the caller's patience. */
     NO_INSTANCE("CS-2001", 503),
     /** The wait for a slot would exceed the caller's patience. */
--- a/carobstage/src/main/java/org/carobstage/http/JsonServer.java
+++ b/carobstage/src/main/java/org/carobstage/http/JsonServer.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.servicetalk.concurrent.api.Executors;
 import io.servicetalk.http.api.Http2Settings;
 import io.servicetalk.http.api.Http2SettingsBuilder;
 import io.servicetalk.http.api.HttpExecutionStrategy;
@@ -12,6 +13,10 @@
 import io.servicetalk.http.netty.HttpServers;
 import io.servicetalk.transport.api.ServerContext;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.carobstage.error.CodedException;
 import org.carobstage.error.ErrorCode;
 import org.carobstage.model.Address;
@@ -19,9 +24,13 @@
 /** An HTTP server on one address. */
 public final class JsonServer implements AutoCloseable {
     private final ServerContext context;
+    private final RequestGuard guard;
+    private final IdleConnections connections;
 
-    private JsonServer(ServerContext context) {
+    private JsonServer(ServerContext context, RequestGuard guard, IdleConnections connections) {
         this.context = context;
+        this.guard = guard;
+        this.connections = connections;
     }
 
     /**
@@ -63,8 +72,15 @@
         requireNonNull(address, "address is null");
         requireNonNull(options, "options is null");
         requireNonNull(service, "service is null");
+        IdleConnections connections =
+                IdleConnections.of(Executors.global(), options.limits().idleTimeout());
+        RequestGuard guard = RequestGuard.of(options.limits(), connections);
         try {
-            return new JsonServer(builder(address, options).listenAndAwait(service));
+            HttpServerBuilder builder =
+                    builder(address, options)
+                            .appendConnectionAcceptorFilter(connections)
+                            .appendServiceFilter(guard);
+            return new JsonServer(builder.listenAndAwait(service), guard, connections);
         } catch (Exception e) {
             throw CodedException.of(ErrorCode.BAD_SETTINGS, "can't listen on " + address, e);
         }
@@ -80,12 +96,52 @@
         return Address.of(bound.getAddress().getHostAddress(), bound.getPort());
     }
 
+    /**
+     * Returns how many requests are in progress.
+     *
+     * @return the number of requests whose answers have not been written yet
+     */
+    public int inProgress() {
+        return guard.inProgress();
+    }
+
+    /**
+     * Returns how many connections are open.
+     *
+     * @return the number of connections
+     */
+    public int connections() {
+        return connections.size();
+    }
+
+    /** Asks each client with its next answer to close the connection and go elsewhere. */
+    public void startStopping() {
+        guard.startStopping();
+    }
+
     /** Closes the server once the requests in progress have been answered. */
     @Override
     public void close() {
+        connections.close();
         context.closeAsyncGracefully().subscribe();
     }
 
+    /**
+     * Closes the server once the requests in progress have been answered, and waits for that.
+     *
+     * @param limit how long to wait; after that the connections are cut
+     */
+    public void close(Duration limit) {
+        connections.close();
+        try {
+            context.closeAsyncGracefully().toFuture().get(limit.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            context.closeAsync().subscribe();
+        }
+    }
+
     private static HttpServerBuilder builder(Address address, ServerOptions options) {
         HttpServerBuilder builder =
                 HttpServers.forAddress(address.toSocketAddress())
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.carobstage.backend.HttpBackend;
 import org.carobstage.caller.CallerServer;
 import org.carobstage.config.ConfigurationWatch;
@@ -40,6 +41,7 @@
     private final Proxy proxy;
     private CallerServer caller;
     private OperatorServer operator;
+    private final AtomicBoolean stopping = new AtomicBoolean();
     private volatile boolean ready;
 
     private Node(Settings settings) {
@@ -83,10 +85,32 @@
         return operator.address();
     }
 
+    /**
+     * Tells whether callers may be sent here.
+     *
+     * @return true after the start and before the shutdown
+     */
+    public boolean ready() {
+        return ready;
+    }
+
+    /**
+     * Returns how many requests of callers are in progress.
+     *
+     * @return the number of requests whose answers have not been written yet
+     */
+    public int requestsInProgress() {
+        return caller.inProgress();
+    }
+
+    /** Shuts down gracefully; returns once callers have no more work here. */
     @Override
     public void close() {
-        events.record(EventCode.SHUTDOWN_STARTED, EventScope.empty(), "");
-        closer.close();
+        if (stopping.compareAndSet(false, true)) {
+            ready = false;
+            Shutdown.of(settings.stop(), clock, events, caller, proxy).run();
+            closer.close();
+        }
     }
 
     private void start() {
@@ -98,13 +122,7 @@
                 new OperatorPages(
                         metrics, events, () -> ready, () -> NodeStatus.of(settings, proxy, ready));
         operator = closer.add(OperatorServer.of(settings.operator(), pages));
-        caller =
-                closer.add(
-                        CallerServer.of(
-                                settings.caller().listen(),
-                                proxy,
-                                tokens,
-                                settings.caller().limits().maxBodyBytes()));
+        caller = closer.add(CallerServer.of(settings.caller(), proxy, tokens));
         ready = true;
         events.record(
                 EventCode.PROCESS_STARTED,
--- a/carobstage/src/main/java/org/carobstage/node/Proxy.java
+++ b/carobstage/src/main/java/org/carobstage/node/Proxy.java
@@ -167,6 +167,15 @@
                 .toList();
     }
 
+    /**
+     * Returns how many transactions are open.
+     *
+     * @return a stage with the number
+     */
+    public CompletionStage<Integer> openTransactions() {
+        return CompletableFuture.supplyAsync(transactions::size, duty);
+    }
+
     @Override
     public RequestPolicy policy(ServiceName service, RequestClass requestClass) {
         TeamDocument document = configuration.documents().get(service);
