--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import org.carobstage.backend.Answer;
 import org.carobstage.backend.BackendMessages.Execute;
@@ -31,14 +30,17 @@
     private final LongSupplier millis;
     private final SqlStore store;
     private final ReplicatedLog log = new ReplicatedLog();
-    private final AtomicInteger busySlots = new AtomicInteger();
-    private final AtomicInteger openSessions = new AtomicInteger();
+    private final UsageLimit slots;
+    private final UsageLimit connections;
     private Term promised = Term.ZERO;
     private boolean primary;
     private long freshMillis = UNKNOWN_LAG;
+    private long contactMillis = UNKNOWN_LAG;
 
     private DatabaseInstance(InstanceSettings settings, LongSupplier millis, SqlStore store) {
         this.settings = settings;
+        this.slots = UsageLimit.of(settings.slots());
+        this.connections = UsageLimit.of(settings.connections());
         this.millis = millis;
         this.store = store;
     }
@@ -65,6 +67,15 @@
         return settings;
     }
 
+    /**
+     * Returns the time by which lag and contact are reckoned.
+     *
+     * @return the instance's time of day in ms
+     */
+    public long nowMillis() {
+        return millis.getAsLong();
+    }
+
     /**
      * Opens a session if the limit of connections allows.
      *
@@ -72,8 +83,7 @@
      * @throws SQLException if the SQL store fails
      */
     public Optional<Session> open() throws SQLException {
-        if (openSessions.incrementAndGet() > settings.connections()) {
-            openSessions.decrementAndGet();
+        if (!connections.take()) {
             return Optional.empty();
         }
         return Optional.of(new Session(store.connect()));
@@ -85,16 +95,12 @@
      * @return false if all slots are busy
      */
     public boolean takeSlot() {
-        if (busySlots.incrementAndGet() > settings.slots()) {
-            busySlots.decrementAndGet();
-            return false;
-        }
-        return true;
+        return slots.take();
     }
 
     /** Gives a slot back. */
     public void freeSlot() {
-        busySlots.decrementAndGet();
+        slots.free();
     }
 
     /**
@@ -103,7 +109,25 @@
      * @return the number of open sessions
      */
     public int openSessions() {
-        return openSessions.get();
+        return connections.used();
+    }
+
+    /**
+     * Returns the use of the slots.
+     *
+     * @return the counters
+     */
+    public UsageLimit slots() {
+        return slots;
+    }
+
+    /**
+     * Returns the use of the connections.
+     *
+     * @return the counters
+     */
+    public UsageLimit connections() {
+        return connections;
     }
 
     /**
@@ -112,11 +136,9 @@
      * @return the standing now
      */
     public synchronized Standing standing() {
-        long lag = primary ? 0 : UNKNOWN_LAG;
-        if (!primary && freshMillis != UNKNOWN_LAG) {
-            lag = millis.getAsLong() - freshMillis;
-        }
-        return new Standing(settings.id(), promised, primary, log.last(), lag);
+        long lag = primary ? 0 : since(freshMillis);
+        long contact = primary ? 0 : since(contactMillis);
+        return new Standing(settings.id(), promised, primary, log.last(), lag, contact);
     }
 
     /**
@@ -129,6 +151,7 @@
         if (term.isAfter(promised)) {
             promised = term;
             primary = false;
+            contactMillis = UNKNOWN_LAG;
         }
         return standing();
     }
@@ -160,7 +183,8 @@
             return new LogMessages.Batch(LogMessages.Status.REFUSED, List.of(), last);
         }
         if (!log.matches(from)) {
-            return new LogMessages.Batch(LogMessages.Status.MISMATCH, List.of(), last);
+            long common = log.lastCommon(from);
+            return new LogMessages.Batch(LogMessages.Status.MISMATCH, List.of(), common);
         }
         long until = millis.getAsLong() - request.lagMillis();
         List<LogEntry> entries = log.after(from.offset(), until, LOG_BATCH);
@@ -183,8 +207,9 @@
         if (primary || !current || batch.status() == LogMessages.Status.REFUSED) {
             return;
         }
+        contactMillis = askedMillis;
         if (batch.status() == LogMessages.Status.MISMATCH) {
-            log.dropLastTerm();
+            log.dropAfter(batch.primaryOffset());
             store.rebuild(log.all());
             freshMillis = UNKNOWN_LAG;
             return;
@@ -217,6 +242,10 @@
         store.close();
     }
 
+    private long since(long moment) {
+        return moment == UNKNOWN_LAG ? UNKNOWN_LAG : millis.getAsLong() - moment;
+    }
+
     private Answer termRefusal() {
         return new Answer.Refused(Refusal.TERM, "stands at term " + promised + ", " + primary);
     }
@@ -364,7 +393,7 @@
         public synchronized void close() throws SQLException {
             if (!closed) {
                 closed = true;
-                openSessions.decrementAndGet();
+                connections.free();
                 sql.rollback();
                 sql.close();
             }
@@ -382,7 +411,8 @@
                             after.promised(),
                             after.primary(),
                             after.last(),
-                            before.lagMillis());
+                            before.lagMillis(),
+                            before.contactMillis());
             return new Answer.Done(result.columns(), result.rows(), 0, false, seen);
         }
 
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.carobstage.backend.HttpBackend;
 import org.carobstage.caller.CallerServer;
-import org.carobstage.config.ConfigurationWatch;
 import org.carobstage.event.EventCode;
 import org.carobstage.event.EventLog;
 import org.carobstage.event.EventScope;
@@ -20,6 +19,8 @@
 import org.carobstage.platform.HttpPlatform;
 import org.carobstage.platform.Platform;
 import org.carobstage.pool.Share;
+import org.carobstage.promotion.Announcer;
+import org.carobstage.promotion.PromotionSetup;
 import org.carobstage.runtime.Clock;
 import org.carobstage.runtime.Closer;
 import org.carobstage.runtime.SerialExecutor;
@@ -38,7 +39,9 @@
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Clock clock;
     private final EventLog events;
+    private final Platform platform;
     private final Proxy proxy;
+    private Control control;
     private CallerServer caller;
     private OperatorServer operator;
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -51,8 +54,19 @@
         this.clock = Clock.of(executor);
         this.events = EventLog.of(settings.vm().id(), clock, EVENT_CAPACITY);
         SerialExecutor duty = closer.add(SerialExecutor.of("statements", RING_CAPACITY));
+        this.platform = closer.add(HttpPlatform.of(settings.platform().address()));
+        PromotionSetup promotion =
+                PromotionSetup.of(events).withAnnouncer(Announcer.of(platform, clock, events));
         this.proxy =
-                closer.add(Proxy.of(clock, duty, events, HttpBackend::of, this::share, metrics));
+                closer.add(
+                        Proxy.of(
+                                clock,
+                                duty,
+                                events,
+                                HttpBackend::of,
+                                this::share,
+                                metrics,
+                                promotion));
     }
 
     /**
@@ -114,9 +128,8 @@
     }
 
     private void start() {
-        Platform platform = closer.add(HttpPlatform.of(settings.platform().address()));
-        ConfigurationWatch watch = closer.add(ConfigurationWatch.of(platform, clock, proxy::apply));
-        watch.first().toCompletableFuture().join();
+        control = closer.add(Control.of(settings, platform, clock, events, proxy));
+        control.ready().toCompletableFuture().join();
         TokenCodec tokens = TokenCodec.of(closer.add(tokenKeys()));
         OperatorPages pages =
                 new OperatorPages(
