--- a/carobstage/src/main/java/org/carobstage/http/IdleConnections.java
+++ b/carobstage/src/main/java/org/carobstage/http/IdleConnections.java
@@ -58,6 +58,11 @@
         }
     }
 
+    /** Returns how many requests are in progress; those of a closed connection count no more. */
+    int inProgress() {
+        return open.values().stream().mapToInt(c -> c.inProgress.get()).sum();
+    }
+
     int size() {
         return open.size();
     }
--- a/carobstage/src/main/java/org/carobstage/http/RequestGuard.java
+++ b/carobstage/src/main/java/org/carobstage/http/RequestGuard.java
@@ -23,7 +23,6 @@
 import java.util.Map;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.carobstage.error.CodedException;
 import org.carobstage.error.ErrorCode;
@@ -35,10 +34,10 @@
 final class RequestGuard implements StreamingHttpServiceFilterFactory {
     private static final Logger LOGGER = System.getLogger(RequestGuard.class.getName());
     private static final int HEADER_OVERHEAD_BYTES = 4;
+    private static final int DROPPED_FACTOR = 16;
 
     private final ServerLimits limits;
     private final IdleConnections connections;
-    private final AtomicInteger inProgress = new AtomicInteger();
     private volatile boolean stopping;
 
     private RequestGuard(ServerLimits limits, IdleConnections connections) {
@@ -57,7 +56,7 @@
     }
 
     int inProgress() {
-        return inProgress.get();
+        return connections.inProgress();
     }
 
     @Override
@@ -80,7 +79,6 @@
                 HttpServiceContext context,
                 StreamingHttpRequest request,
                 StreamingHttpResponseFactory responses) {
-            inProgress.incrementAndGet();
             connections.requestStarted(context);
             return Single.defer(() -> guarded(context, request, responses))
                     .onErrorResume(e -> Single.succeeded(problem(context, responses, e)))
@@ -105,7 +103,6 @@
     }
 
     private void ended(HttpServiceContext context) {
-        inProgress.decrementAndGet();
         connections.requestEnded(context);
     }
 
@@ -137,14 +134,23 @@
         }
     }
 
-    /** Ends the body with a failure as soon as it is too long or its next part is late. */
+    /**
+     * Drops what is past the limit and then fails the body; a cancelled body would close the
+     * connection before the answer.
+     */
     private Publisher<Buffer> bounded(Publisher<Buffer> body) {
         AtomicLong bytes = new AtomicLong();
-        return body.takeWhile(b -> bytes.addAndGet(b.readableBytes()) <= limits.maxBodyBytes())
+        return body.map(b -> keep(b, bytes))
+                .takeWhile(b -> bytes.get() <= (long) limits.maxBodyBytes() * DROPPED_FACTOR)
                 .concat(Completable.defer(() -> end(bytes.get())))
                 .timeoutTerminal(limits.idleTimeout());
     }
 
+    private Buffer keep(Buffer part, AtomicLong bytes) {
+        boolean fits = bytes.addAndGet(part.readableBytes()) <= limits.maxBodyBytes();
+        return fits ? part : part.skipBytes(part.readableBytes());
+    }
+
     private Completable end(long bytes) {
         return bytes > limits.maxBodyBytes() ? failed(tooLarge()) : completed();
     }
