--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -8,6 +8,10 @@
     PROCESS_STARTED(1001, Level.INFO),
     /** The process has begun a graceful shutdown. */
     SHUTDOWN_STARTED(1002, Level.INFO),
+    /** Everything in progress has ended; the process closes its connections. */
+    SHUTDOWN_ENDED(1003, Level.INFO),
+    /** The limit of the shutdown has passed with work still in progress. */
+    SHUTDOWN_CUT(1004, Level.WARNING),
     /** A configuration is in force. */
     CONFIGURATION_APPLIED(2001, Level.INFO),
     /** An entry of the configuration does not check and is not applied. */
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.carobstage.backend.HttpBackend;
 import org.carobstage.caller.CallerServer;
 import org.carobstage.event.EventCode;
@@ -44,6 +45,7 @@
     private volatile Control control;
     private CallerServer caller;
     private OperatorServer operator;
+    private final AtomicBoolean stopping = new AtomicBoolean();
     private volatile boolean ready;
 
     private Node(Settings settings) {
@@ -98,10 +100,32 @@
         return operator.address();
     }
 
+    /**
+     * Tells whether callers may be sent here.
+     *
+     * @return true after the start and before the shutdown
+     */
+    public boolean ready() {
+        return ready;
+    }
+
+    /**
+     * Returns how many requests of callers are in progress.
+     *
+     * @return the number of requests whose answers have not been written yet
+     */
+    public int requestsInProgress() {
+        return caller.inProgress();
+    }
+
+    /** Shuts down gracefully; returns once callers have no more work here. */
     @Override
     public void close() {
-        events.record(EventCode.SHUTDOWN_STARTED, EventScope.empty(), "");
-        closer.close();
+        if (stopping.compareAndSet(false, true)) {
+            ready = false;
+            Shutdown.of(settings.stop(), clock, events, caller, proxy).run();
+            closer.close();
+        }
     }
 
     private void start() {
@@ -112,13 +136,7 @@
                 new OperatorPages(
                         metrics, events, () -> ready, () -> NodeStatus.of(settings, proxy, ready));
         operator = closer.add(OperatorServer.of(settings.operator(), pages));
-        caller =
-                closer.add(
-                        CallerServer.of(
-                                settings.caller().listen(),
-                                control.service(),
-                                tokens,
-                                settings.caller().limits().maxBodyBytes()));
+        caller = closer.add(CallerServer.of(settings.caller(), control.service(), tokens));
         ready = true;
         events.record(
                 EventCode.PROCESS_STARTED,
--- a/carobstage/src/main/java/org/carobstage/node/Proxy.java
+++ b/carobstage/src/main/java/org/carobstage/node/Proxy.java
@@ -195,6 +195,15 @@
                 .reduce(new Share(0, 0), Proxy::larger);
     }
 
+    /**
+     * Returns how many transactions are open.
+     *
+     * @return a stage with the number
+     */
+    public CompletionStage<Integer> openTransactions() {
+        return CompletableFuture.supplyAsync(transactions::size, duty);
+    }
+
     @Override
     public RequestPolicy policy(ServiceName service, RequestClass requestClass) {
         TeamDocument document = configuration.documents().get(service);
