Stop waiting for a replaced primary; give a leaving instance no new work

Cause: a statement under way when its primary died waited a third of its patience for the answer, or for a connection, though the new primary was known earlier; drains were known everywhere and obeyed nowhere; all entry VMs proposed at once, since nobody passed them a rank. Change: the group calls back when a primary of a higher term is seen, and statements give up the old exchange or opening and look up their key at the new one. A drained instance gets no new reads, and the entry VM of the first rank replaces a drained primary. Ranks come from the members.

--- a/carobstage-testbed/src/test/java/org/carobstage/testbed/local/StatementPathTest.java
+++ b/carobstage-testbed/src/test/java/org/carobstage/testbed/local/StatementPathTest.java
@@ -10,6 +10,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import org.carobstage.error.ErrorCode;
 import org.carobstage.model.IdempotencyKey;
 import org.carobstage.model.InstanceId;
@@ -150,6 +151,35 @@
         }
     }
 
+    @Nested
+    class Replacement {
+        @Test
+        void shouldStopWaitingWhenPrimaryWasReplaced() {
+            system.run(one, "INSERT INTO t VALUES (7)", ONCE, null);
+            system.group().faults().freeze(A, true);
+            long start = system.clock().nanoTime();
+
+            Outcome outcome = system.run(one, "INSERT INTO t VALUES (8)", ONCE, "filing-2");
+
+            assertThat(outcome).isInstanceOf(Outcome.Done.class);
+            assertThat(Duration.ofNanos(system.clock().nanoTime() - start))
+                    .isLessThan(Duration.ofSeconds(1));
+        }
+
+        @Test
+        void shouldGiveNoNewWorkWhenInstanceIsLeaving() {
+            one.group(GROUP).orElseThrow().drain(Set.of(A));
+            two.group(GROUP).orElseThrow().drain(Set.of(A));
+            system.clock().advance(Duration.ofSeconds(3));
+
+            Outcome.Done written = system.done(one, "INSERT INTO t VALUES (7)", ONCE);
+            Outcome.Done read = readOld(two, written);
+
+            assertThat(written.instance()).isNotEqualTo(A);
+            assertThat(read.instance()).isNotEqualTo(A);
+        }
+    }
+
     @Nested
     class LookUp {
         @Test
--- a/carobstage/src/main/java/org/carobstage/group/Group.java
+++ b/carobstage/src/main/java/org/carobstage/group/Group.java
@@ -2,8 +2,12 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import java.util.function.Function;
@@ -13,8 +17,10 @@
 import org.carobstage.model.GroupSpec;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.InstanceSpec;
+import org.carobstage.model.Term;
 import org.carobstage.pool.InstancePool;
 import org.carobstage.promotion.PromotionSetup;
+import org.carobstage.promotion.ProposerRank;
 import org.carobstage.runtime.Clock;
 
 /** One database group: its clients, its pools and the view of it. State changes on its duty. */
@@ -23,6 +29,11 @@
     private final Map<InstanceId, InstancePool> pools = new LinkedHashMap<>();
     private final Confirmation confirmation;
     private final PrimaryKeeper keeper;
+    private final Map<Object, Runnable> waiting = new LinkedHashMap<>();
+    private final ProposerRank rank;
+    private final Executor duty;
+    private Term primaryTerm = Term.ZERO;
+    private volatile Set<InstanceId> drained = Set.of();
     private volatile GroupView view;
 
     private Group(
@@ -33,6 +44,8 @@
             Clock clock,
             Executor duty) {
         this.view = GroupView.of(spec);
+        this.rank = setup.rank();
+        this.duty = duty;
         for (InstanceSpec instance : spec.instances()) {
             Backend backend = connect.apply(instance);
             backends.put(instance.id(), backend);
@@ -124,8 +137,67 @@
         backends.values().forEach(Backend::close);
     }
 
+    /**
+     * Calls back once when a primary of a higher term is seen, so that nobody waits for one that
+     * has been replaced.
+     *
+     * @param callback called on the duty
+     * @return forgets the callback
+     */
+    public Runnable onReplaced(Runnable callback) {
+        requireNonNull(callback, "callback is null");
+        Object handle = new Object();
+        waiting.put(handle, callback);
+        return () -> waiting.remove(handle);
+    }
+
+    /**
+     * Names the instances that are leaving: they get no new reads, and a primary among them is
+     * replaced.
+     *
+     * @param leaving the instances
+     */
+    public void drain(Set<InstanceId> leaving) {
+        Set<InstanceId> copy = Set.copyOf(leaving);
+        duty.execute(() -> applyDrain(copy));
+    }
+
+    /**
+     * Tells whether an instance is leaving.
+     *
+     * @param instance the instance
+     * @return true if it gets no new reads
+     */
+    public boolean isDrained(InstanceId instance) {
+        return drained.contains(instance);
+    }
+
+    private void applyDrain(Set<InstanceId> leaving) {
+        drained = leaving;
+        view.primary()
+                .filter(primary -> leaving.contains(primary.instance()))
+                .filter(primary -> rank.rank(view.spec().id(), primary.promised()) == 0)
+                .flatMap(primary -> successor())
+                .ifPresent(keeper::switchTo);
+    }
+
+    /** Returns the furthest replica that stays. */
+    private Optional<InstanceId> successor() {
+        return view.observed().values().stream()
+                .map(GroupView.Observation::standing)
+                .filter(s -> !s.primary() && !isDrained(s.instance()))
+                .max(Comparator.comparing(Standing::last))
+                .map(Standing::instance);
+    }
+
     void see(Standing standing, long nanos) {
         view = view.observe(standing, nanos);
+        if (standing.primary() && standing.promised().isAfter(primaryTerm)) {
+            primaryTerm = standing.promised();
+            List<Runnable> callbacks = List.copyOf(waiting.values());
+            waiting.clear();
+            callbacks.forEach(Runnable::run);
+        }
     }
 
     private boolean isPrimaryAwaited() {
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Executors;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.carobstage.backend.HttpBackend;
 import org.carobstage.caller.CallerServer;
@@ -14,6 +15,8 @@
 import org.carobstage.event.EventScope;
 import org.carobstage.model.Address;
 import org.carobstage.model.GroupSpec;
+import org.carobstage.model.Member;
+import org.carobstage.model.VmId;
 import org.carobstage.operator.OperatorPages;
 import org.carobstage.operator.OperatorServer;
 import org.carobstage.platform.HttpPlatform;
@@ -21,6 +24,7 @@
 import org.carobstage.pool.Share;
 import org.carobstage.promotion.Announcer;
 import org.carobstage.promotion.PromotionSetup;
+import org.carobstage.promotion.ProposerRank;
 import org.carobstage.runtime.Clock;
 import org.carobstage.runtime.Closer;
 import org.carobstage.runtime.SerialExecutor;
@@ -57,7 +61,9 @@
         SerialExecutor duty = closer.add(SerialExecutor.of("statements", RING_CAPACITY));
         this.platform = closer.add(HttpPlatform.of(settings.platform().address()));
         PromotionSetup promotion =
-                PromotionSetup.of(events).withAnnouncer(Announcer.of(platform, clock, events));
+                PromotionSetup.of(events)
+                        .withAnnouncer(Announcer.of(platform, clock, events))
+                        .withRank(ProposerRank.byHash(settings.vm().id(), this::liveVms));
         this.proxy =
                 closer.add(
                         Proxy.of(
@@ -151,6 +157,13 @@
                 .orElseGet(() -> TokenKeys.of(settings.session().tokenKey().orElseThrow()));
     }
 
+    private List<VmId> liveVms() {
+        Control current = control;
+        return current == null
+                ? List.of(settings.vm().id())
+                : current.ownership().members().stream().map(Member::vm).toList();
+    }
+
     private Share share(GroupSpec spec) {
         if (settings.peer().listen().isPresent()) {
             Control current = control;
--- a/carobstage/src/main/java/org/carobstage/node/Proxy.java
+++ b/carobstage/src/main/java/org/carobstage/node/Proxy.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -15,6 +16,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.carobstage.backend.Backend;
 import org.carobstage.caller.StatementService;
 import org.carobstage.config.Configuration;
@@ -30,6 +32,7 @@
 import org.carobstage.model.GroupId;
 import org.carobstage.model.GroupSpec;
 import org.carobstage.model.IdempotencyKey;
+import org.carobstage.model.InstanceId;
 import org.carobstage.model.InstanceSpec;
 import org.carobstage.model.RequestClass;
 import org.carobstage.model.ServiceName;
@@ -153,6 +156,7 @@
     public void apply(Configuration next) {
         next.groups().values().forEach(this::startGroup);
         configuration = next;
+        next.groups().values().forEach(spec -> drain(spec, next));
         events.record(
                 EventCode.CONFIGURATION_APPLIED,
                 EventScope.empty(),
@@ -285,6 +289,15 @@
         Optional.ofNullable(current).ifPresent(Group::close);
     }
 
+    private void drain(GroupSpec spec, Configuration next) {
+        Set<InstanceId> leaving =
+                spec.instances().stream()
+                        .map(InstanceSpec::id)
+                        .filter(id -> next.drained(spec.id(), id))
+                        .collect(Collectors.toSet());
+        groups.get(spec.id()).drain(leaving);
+    }
+
     private InstancePool pool(GroupSpec spec, Backend backend) {
         PoolMetrics metrics = PoolMetrics.of(meters, spec.id(), backend.spec().id());
         PoolRuntime runtime =
--- a/carobstage/src/main/java/org/carobstage/pool/Grant.java
+++ b/carobstage/src/main/java/org/carobstage/pool/Grant.java
@@ -21,6 +21,15 @@
         requireNonNull(retryAfter, "retryAfter is null");
     }
 
+    /**
+     * Creates the refusal of an instance that is not to be waited for.
+     *
+     * @return the refusal
+     */
+    public static Grant unreachable() {
+        return refused(Status.UNREACHABLE, Duration.ZERO);
+    }
+
     static Grant of(BackendConnection connection) {
         return new Grant(Status.GRANTED, Optional.of(connection), Duration.ZERO);
     }
--- a/carobstage/src/main/java/org/carobstage/read/ReplicaChoice.java
+++ b/carobstage/src/main/java/org/carobstage/read/ReplicaChoice.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.carobstage.backend.Standing;
 import org.carobstage.group.GroupView;
@@ -23,6 +24,7 @@
      * @param staleness how old the data may be
      * @param nowNanos the time now, in ns of the runtime's clock
      * @param cost the cost of a read at an instance; the lowest wins
+     * @param drained tells whether an instance is leaving and gets no new reads
      * @return the replica, or empty if none is known to fit
      */
     public static Optional<InstanceId> choose(
@@ -30,7 +32,8 @@
             LogPosition atLeast,
             Duration staleness,
             long nowNanos,
-            ToLongFunction<InstanceId> cost) {
+            ToLongFunction<InstanceId> cost,
+            Predicate<InstanceId> drained) {
         Term term = view.primary().map(Standing::promised).orElse(Term.ZERO);
         return view.observed().values().stream()
                 .filter(o -> !o.standing().primary())
@@ -38,6 +41,7 @@
                 .filter(o -> o.standing().last().covers(atLeast))
                 .filter(o -> isFresh(o, staleness, nowNanos))
                 .map(o -> o.standing().instance())
+                .filter(drained.negate())
                 .min(Comparator.comparingLong(cost).thenComparing(Comparator.naturalOrder()));
     }
 
--- a/carobstage/src/main/java/org/carobstage/statement/StatementRunner.java
+++ b/carobstage/src/main/java/org/carobstage/statement/StatementRunner.java
@@ -17,6 +17,7 @@
 import org.carobstage.model.IdempotencyKey;
 import org.carobstage.model.Term;
 import org.carobstage.pool.Grant;
+import org.carobstage.pool.InstancePool;
 import org.carobstage.runtime.BoundedExecutor;
 import org.carobstage.runtime.Clock;
 
@@ -26,6 +27,7 @@
     private static final Duration MAX_DELAY = Duration.ofMillis(40);
     private static final Duration MIN_EXCHANGE = Duration.ofMillis(100);
     private static final int EXCHANGES_PER_PATIENCE = 3;
+    private static final Answer REPLACED = new Answer.Lost(true, "the primary was replaced");
 
     private final Clock clock;
     private final BoundedExecutor duty;
@@ -135,7 +137,8 @@
                             request,
                             progress.primaryOnly(),
                             clock.nanoTime(),
-                            id -> group.pool(id).load());
+                            id -> group.pool(id).load(),
+                            group::isDrained);
             if (target.isEmpty()) {
                 take(new Step.Send(progress.refused(ErrorCode.NO_INSTANCE, "no primary")));
                 return;
@@ -153,17 +156,14 @@
                             target.atLeast(),
                             key);
             long sent = clock.nanoTime();
-            connection
-                    .execute(statement, exchangeTimeout())
-                    .thenAcceptAsync(
-                            answer -> {
-                                release(target, connection, answer);
-                                observe(answer, sent);
-                                take(
-                                        AttemptDecision.afterAnswer(
-                                                request, progress, target, answer));
-                            },
-                            duty);
+            await(
+                    target,
+                    connection,
+                    connection.execute(statement, exchangeTimeout()),
+                    answer -> {
+                        observe(answer, sent);
+                        take(AttemptDecision.afterAnswer(request, progress, target, answer));
+                    });
         }
 
         private void lookUp() {
@@ -179,14 +179,11 @@
         }
 
         private void lookUp(Target target, BackendConnection connection) {
-            connection
-                    .lookup(target.term(), key.orElseThrow(), exchangeTimeout())
-                    .thenAcceptAsync(
-                            answer -> {
-                                release(target, connection, answer);
-                                lookedUp(target, answer);
-                            },
-                            duty);
+            await(
+                    target,
+                    connection,
+                    connection.lookup(target.term(), key.orElseThrow(), exchangeTimeout()),
+                    answer -> lookedUp(target, answer));
         }
 
         private void lookedUp(Target target, Answer answer) {
@@ -214,15 +211,44 @@
                             duty);
         }
 
+        /** Waits for an answer, but no longer than the primary that owes it stands. */
+        private void await(
+                Target target,
+                BackendConnection connection,
+                CompletionStage<Answer> exchange,
+                Consumer<Answer> next) {
+            CompletableFuture<Answer> first = new CompletableFuture<>();
+            Runnable forget = unlessReplaced(target, () -> first.complete(REPLACED));
+            exchange.thenAcceptAsync(first::complete, duty);
+            first.thenAccept(
+                    answer -> {
+                        forget.run();
+                        release(target, connection, answer);
+                        next.accept(answer);
+                    });
+        }
+
         private void acquire(Target target, Consumer<BackendConnection> use) {
-            group.pool(target.instance())
-                    .acquire(request.service(), left())
+            InstancePool pool = group.pool(target.instance());
+            CompletableFuture<Grant> first = new CompletableFuture<>();
+            Runnable forget = unlessReplaced(target, () -> first.complete(Grant.unreachable()));
+            pool.acquire(request.service(), left())
                     .thenAcceptAsync(
-                            grant ->
-                                    grant.connection()
-                                            .ifPresentOrElse(
-                                                    use, () -> noConnection(target, grant)),
+                            grant -> {
+                                if (!first.complete(grant)) {
+                                    grant.connection().ifPresent(c -> pool.release(c, true));
+                                }
+                            },
                             duty);
+            first.thenAccept(
+                    grant -> {
+                        forget.run();
+                        grant.connection().ifPresentOrElse(use, () -> noConnection(target, grant));
+                    });
+        }
+
+        private Runnable unlessReplaced(Target target, Runnable callback) {
+            return target.replica() ? () -> {} : group.onReplaced(callback);
         }
 
         private void noConnection(Target target, Grant grant) {
--- a/carobstage/src/main/java/org/carobstage/statement/TargetChoice.java
+++ b/carobstage/src/main/java/org/carobstage/statement/TargetChoice.java
@@ -1,6 +1,7 @@
 package org.carobstage.statement;
 
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.carobstage.backend.Standing;
 import org.carobstage.document.RequestPolicy.Access;
@@ -23,6 +24,7 @@
      * @param primaryOnly true if no replica may be chosen
      * @param nowNanos the time now, in ns of the runtime's clock
      * @param cost the cost of a read at an instance
+     * @param drained tells whether an instance is leaving and gets no new reads
      * @return the target, or empty if no primary is known
      */
     public static Optional<Target> choose(
@@ -30,7 +32,8 @@
             StatementRequest request,
             boolean primaryOnly,
             long nowNanos,
-            ToLongFunction<InstanceId> cost) {
+            ToLongFunction<InstanceId> cost,
+            Predicate<InstanceId> drained) {
         LogPosition atLeast =
                 request.session().orElse(SessionPositions.empty()).of(request.group());
         Optional<Standing> primary = view.primary();
@@ -39,7 +42,12 @@
                 primaryOnly || !allowsReplica(request)
                         ? Optional.empty()
                         : ReplicaChoice.choose(
-                                        view, atLeast, request.policy().staleness(), nowNanos, cost)
+                                        view,
+                                        atLeast,
+                                        request.policy().staleness(),
+                                        nowNanos,
+                                        cost,
+                                        drained)
                                 .map(id -> new Target(id, term, atLeast, true));
         return atReplica.or(() -> primary.map(p -> new Target(p.instance(), term, atLeast, false)));
     }
--- a/carobstage/src/test/java/org/carobstage/read/ReplicaChoiceTest.java
+++ b/carobstage/src/test/java/org/carobstage/read/ReplicaChoiceTest.java
@@ -3,8 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.carobstage.backend.Standing;
 import org.carobstage.group.GroupView;
@@ -25,8 +27,18 @@
     private static final Duration STALENESS = Duration.ofMillis(100);
     private static final LogPosition SEEN = LogPosition.of(2, 10);
 
+    private final Set<InstanceId> drained = new HashSet<>();
+
     @Nested
     class Choose {
+        @Test
+        void shouldSkipReplicaWhenItIsLeaving() {
+            GroupView view = view(replica("b", 2, 10, 0), replica("c", 2, 10, 0));
+            drained.add(C);
+
+            assertThat(choose(view, 0)).contains(B);
+        }
+
         @Test
         void shouldChooseCheapestReplicaWhenBothFit() {
             GroupView view = view(replica("b", 2, 10, 0), replica("c", 2, 11, 0));
@@ -65,8 +77,9 @@
         }
     }
 
-    private static Optional<InstanceId> choose(GroupView view, long nowNanos) {
-        return ReplicaChoice.choose(view, SEEN, STALENESS, nowNanos, id -> id.equals(B) ? 2 : 1);
+    private Optional<InstanceId> choose(GroupView view, long nowNanos) {
+        return ReplicaChoice.choose(
+                view, SEEN, STALENESS, nowNanos, id -> id.equals(B) ? 2 : 1, drained::contains);
     }
 
     private static Standing replica(String id, long term, long offset, long lagMillis) {
