--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/InstanceServer.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/InstanceServer.java
@@ -33,6 +33,7 @@
 
 /** Serves a {@link DatabaseInstance} over HTTP and plays faults. */
 public final class InstanceServer implements AutoCloseable {
+    private static final Duration FROZEN_INTERVAL = Duration.ofMillis(10);
     private static final Duration ASK_INTERVAL = Duration.ofMillis(1);
 
     private final DatabaseInstance instance;
@@ -86,9 +87,13 @@
             return setFault(Json.read(request.payloadBody(), FaultMessage.class), responses);
         }
         track(context);
-        if (faults.contains(Fault.FROZEN) || silent.contains(context.remoteAddress())) {
+        if (silent.contains(context.remoteAddress())) {
             return Single.never();
         }
+        if (faults.contains(Fault.FROZEN)) {
+            return executor.timer(FROZEN_INTERVAL)
+                    .concat(Single.defer(() -> handle(context, request, responses)));
+        }
         return route(context, request)
                 .map(
                         body ->
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/measure/Speed.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/measure/Speed.java
@@ -17,6 +17,7 @@
     private static final double TARGET_P99_MILLIS = 2;
     private static final double MEDIAN = 50;
     private static final double P99 = 99;
+    private static final Duration WARM_UP = Duration.ofSeconds(15);
     private static final int CALLERS = 128;
     private static final int DIRECT_CONNECTIONS = 32;
     private static final double DIRECT_SHARE = 0.1;
@@ -27,7 +28,7 @@
     static List<Figure> throughput(Stand stand, Duration duration) {
         CallerClient entry = stand.entries().get(0);
         String token = stand.token();
-        ClosedLoop.run(entry, stand.group(), token, CALLERS, duration);
+        ClosedLoop.run(entry, stand.group(), token, CALLERS, WARM_UP);
         double rate = ClosedLoop.run(entry, stand.group(), token, CALLERS, duration);
         return List.of(Figure.atLeast("throughput", rate, "statements/s", TARGET_PER_SECOND));
     }
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/measure/Stand.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/measure/Stand.java
@@ -23,6 +23,7 @@
 
 /** Running entry VMs and one database group, ready for load. */
 public final class Stand implements AutoCloseable {
+    private static final int SHOWN_VIOLATIONS = 5;
     private static final Duration RETRY = Duration.ofMillis(100);
     private static final int TRIES = 100;
 
@@ -109,7 +110,9 @@
      */
     public List<Violation> check(History history) {
         history.finish(lastEntries());
-        return history.check();
+        List<Violation> violations = history.check();
+        violations.stream().limit(SHOWN_VIOLATIONS).forEach(System.err::println);
+        return violations;
     }
 
     /**
--- a/carobstage-testbed/src/test/java/org/carobstage/testbed/local/StatementPathTest.java
+++ b/carobstage-testbed/src/test/java/org/carobstage/testbed/local/StatementPathTest.java
@@ -10,7 +10,9 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import org.carobstage.config.Configuration;
 import org.carobstage.error.ErrorCode;
 import org.carobstage.model.IdempotencyKey;
 import org.carobstage.model.InstanceId;
@@ -166,6 +168,17 @@
                     .isLessThan(Duration.ofSeconds(1));
         }
 
+        @Test
+        void shouldMovePrimaryWhenOperatorOrdersIt() {
+            Configuration now = new Configuration(Map.of(), Map.of(GROUP, system.group().spec()));
+
+            one.apply(now.withPrimary(GROUP, C));
+            system.clock().advance(Duration.ofMillis(300));
+
+            Outcome.Done written = system.done(one, "INSERT INTO t VALUES (7)", ONCE);
+            assertThat(written.instance()).isEqualTo(C);
+        }
+
         @Test
         void shouldGiveNoNewWorkWhenInstanceIsLeaving() {
             one.group(GROUP).orElseThrow().drain(Set.of(A));
--- a/carobstage/src/main/java/org/carobstage/cli/Order.java
+++ b/carobstage/src/main/java/org/carobstage/cli/Order.java
@@ -1,5 +1,6 @@
 package org.carobstage.cli;
 
+import org.carobstage.config.ConfigurationKeys;
 import org.carobstage.config.ConfigurationWatch;
 import org.carobstage.config.GroupReader;
 import org.carobstage.error.CodedException;
@@ -17,15 +18,15 @@
  * @param value the text of the order
  */
 record Order(String group, String instance, String key, String value) {
-    private static final String DRAINS = ConfigurationWatch.PREFIX + "drains/";
-    private static final String PROMOTIONS = ConfigurationWatch.PREFIX + "promotions/";
+    private static final String STAYING = "staying";
 
     static Order drain(String group, String instance, boolean end) {
-        return new Order(group, instance, DRAINS + group + "/" + instance, end ? "no" : "yes");
+        String key = ConfigurationKeys.DRAINS + group + "/" + instance;
+        return new Order(group, instance, key, end ? STAYING : ConfigurationKeys.DRAINING);
     }
 
     static Order promote(String group, String instance) {
-        return new Order(group, instance, PROMOTIONS + group, instance);
+        return new Order(group, instance, ConfigurationKeys.PROMOTIONS + group, instance);
     }
 
     ExitCode give(ConfigurationStore store, Console console) {
--- a/carobstage/src/main/java/org/carobstage/cli/PlatformOption.java
+++ b/carobstage/src/main/java/org/carobstage/cli/PlatformOption.java
@@ -11,7 +11,8 @@
     private String address;
 
     <T> T with(Function<ConfigurationStore, T> work) {
-        try (Platform platform = HttpPlatform.of(Texts.address(address))) {
+        try (Platform platform =
+                HttpPlatform.of(Texts.address(address), HttpPlatform.COMMAND_TIMEOUT)) {
             return work.apply(ConfigurationStore.of(platform));
         }
     }
--- a/carobstage/src/main/java/org/carobstage/config/Configuration.java
+++ b/carobstage/src/main/java/org/carobstage/config/Configuration.java
@@ -16,18 +16,21 @@
  * @param documents the documents by service
  * @param groups the groups
  * @param drains the keys of the drains in force
+ * @param ordered the primary of a group that an operator ordered last
  */
 public record Configuration(
         Map<ServiceName, TeamDocument> documents,
         Map<GroupId, GroupSpec> groups,
-        Set<String> drains) {
-    private static final Configuration EMPTY = new Configuration(Map.of(), Map.of(), Set.of());
+        Set<String> drains,
+        Map<GroupId, InstanceId> ordered) {
+    private static final Configuration EMPTY = new Configuration(Map.of(), Map.of());
 
     /** Checks the configuration. */
     public Configuration {
         documents = Map.copyOf(documents);
         groups = Map.copyOf(groups);
         drains = Set.copyOf(drains);
+        ordered = Map.copyOf(ordered);
     }
 
     /**
@@ -37,7 +40,7 @@
      * @param groups the groups
      */
     public Configuration(Map<ServiceName, TeamDocument> documents, Map<GroupId, GroupSpec> groups) {
-        this(documents, groups, Set.of());
+        this(documents, groups, Set.of(), Map.of());
     }
 
     /**
@@ -58,7 +61,7 @@
     public Configuration with(TeamDocument document) {
         Map<ServiceName, TeamDocument> next = new TreeMap<>(documents);
         next.put(document.service(), document);
-        return new Configuration(next, groups, drains);
+        return new Configuration(next, groups, drains, ordered);
     }
 
     /**
@@ -70,7 +73,7 @@
     public Configuration with(GroupSpec group) {
         Map<GroupId, GroupSpec> next = new TreeMap<>(groups);
         next.put(group.id(), group);
-        return new Configuration(documents, next, drains);
+        return new Configuration(documents, next, drains, ordered);
     }
 
     /**
@@ -85,6 +88,19 @@
                 || drains.contains(ConfigurationKeys.LISTED + group + "/" + instance);
     }
 
+    /**
+     * Replaces the primary that an operator ordered last.
+     *
+     * @param group the group
+     * @param primary the instance that shall be primary
+     * @return the new configuration
+     */
+    public Configuration withPrimary(GroupId group, InstanceId primary) {
+        Map<GroupId, InstanceId> next = new TreeMap<>(ordered);
+        next.put(group, primary);
+        return new Configuration(documents, groups, drains, next);
+    }
+
     Configuration withDrain(String key, boolean draining) {
         Set<String> next = new HashSet<>(drains);
         if (draining) {
@@ -92,6 +108,6 @@
         } else {
             next.remove(key);
         }
-        return new Configuration(documents, groups, next);
+        return new Configuration(documents, groups, next, ordered);
     }
 }
--- a/carobstage/src/main/java/org/carobstage/config/ConfigurationEntries.java
+++ b/carobstage/src/main/java/org/carobstage/config/ConfigurationEntries.java
@@ -12,6 +12,8 @@
 import java.util.stream.Collectors;
 import org.carobstage.document.DocumentReader;
 import org.carobstage.error.CodedException;
+import org.carobstage.model.GroupId;
+import org.carobstage.model.InstanceId;
 import org.carobstage.platform.Entry;
 
 /** The newest entries that this process has seen; a version never goes back. */
@@ -110,6 +112,10 @@
         if (key.startsWith(ConfigurationKeys.GROUPS)) {
             return configuration.with(GroupReader.read(entry.value()));
         }
+        if (key.startsWith(ConfigurationKeys.PROMOTIONS)) {
+            GroupId group = GroupId.of(key.substring(ConfigurationKeys.PROMOTIONS.length()));
+            return configuration.withPrimary(group, InstanceId.of(entry.value().strip()));
+        }
         boolean drain =
                 key.startsWith(ConfigurationKeys.DRAINS)
                         || key.startsWith(ConfigurationKeys.LISTED);
--- a/carobstage/src/main/java/org/carobstage/config/ConfigurationKeys.java
+++ b/carobstage/src/main/java/org/carobstage/config/ConfigurationKeys.java
@@ -17,6 +17,9 @@
     /** The prefix of the keys of drains that operators order. */
     public static final String DRAINS = PREFIX + "drains/";
 
+    /** The prefix of the keys of the primaries that operators order. */
+    public static final String PROMOTIONS = PREFIX + "promotions/";
+
     /** The prefix of entries that stand for the platform's list, spread between peers only. */
     public static final String LISTED = "list/backend/";
 
--- a/carobstage/src/main/java/org/carobstage/group/Group.java
+++ b/carobstage/src/main/java/org/carobstage/group/Group.java
@@ -172,15 +172,29 @@
         return drained.contains(instance);
     }
 
+    /**
+     * Makes an instance primary as an operator ordered; of all entry VMs only the first in rank
+     * acts.
+     *
+     * @param next the instance
+     */
+    public void switchTo(InstanceId next) {
+        duty.execute(() -> primaryToReplace().ifPresent(primary -> keeper.switchTo(next)));
+    }
+
     private void applyDrain(Set<InstanceId> leaving) {
         drained = leaving;
-        view.primary()
+        primaryToReplace()
                 .filter(primary -> leaving.contains(primary.instance()))
-                .filter(primary -> rank.rank(view.spec().id(), primary.promised()) == 0)
                 .flatMap(primary -> successor())
                 .ifPresent(keeper::switchTo);
     }
 
+    private Optional<Standing> primaryToReplace() {
+        return view.primary()
+                .filter(primary -> rank.rank(view.spec().id(), primary.promised()) == 0);
+    }
+
     /** Returns the furthest replica that stays. */
     private Optional<InstanceId> successor() {
         return view.observed().values().stream()
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -59,7 +59,10 @@
         this.clock = Clock.of(executor);
         this.events = EventLog.of(settings.vm().id(), clock, EVENT_CAPACITY);
         SerialExecutor duty = closer.add(SerialExecutor.of("statements", RING_CAPACITY));
-        this.platform = closer.add(HttpPlatform.of(settings.platform().address()));
+        this.platform =
+                closer.add(
+                        HttpPlatform.of(
+                                settings.platform().address(), HttpPlatform.PROCESS_TIMEOUT));
         PromotionSetup promotion =
                 PromotionSetup.of(events)
                         .withAnnouncer(Announcer.of(platform, clock, events))
--- a/carobstage/src/main/java/org/carobstage/node/Proxy.java
+++ b/carobstage/src/main/java/org/carobstage/node/Proxy.java
@@ -154,8 +154,10 @@
      * @param next the configuration
      */
     public void apply(Configuration next) {
+        Configuration before = configuration;
         next.groups().values().forEach(this::startGroup);
         configuration = next;
+        next.ordered().forEach((group, primary) -> order(before, group, primary));
         next.groups().values().forEach(spec -> drain(spec, next));
         events.record(
                 EventCode.CONFIGURATION_APPLIED,
@@ -289,6 +291,15 @@
         Optional.ofNullable(current).ifPresent(Group::close);
     }
 
+    /** Carries out an order that is new; those found at the start were given to others. */
+    private void order(Configuration before, GroupId group, InstanceId primary) {
+        boolean isNew =
+                before.groups().containsKey(group) && !primary.equals(before.ordered().get(group));
+        if (isNew) {
+            group(group).ifPresent(g -> g.switchTo(primary));
+        }
+    }
+
     private void drain(GroupSpec spec, Configuration next) {
         Set<InstanceId> leaving =
                 spec.instances().stream()
--- a/carobstage/src/main/java/org/carobstage/platform/HttpPlatform.java
+++ b/carobstage/src/main/java/org/carobstage/platform/HttpPlatform.java
@@ -19,27 +19,37 @@
 
 /** The platform reached over HTTP with JSON. */
 public final class HttpPlatform implements Platform {
-    private static final Duration TIMEOUT = Duration.ofMillis(1_000);
+    /** How long a running process waits for an answer. */
+    public static final Duration PROCESS_TIMEOUT = Duration.ofMillis(1_000);
+
+    /** How long an operator's command waits for an answer. */
+    public static final Duration COMMAND_TIMEOUT = Duration.ofMillis(10_000);
 
     private final JsonClient client;
 
-    private HttpPlatform(JsonClient client) {
+    private final Duration timeout;
+
+    private HttpPlatform(JsonClient client, Duration timeout) {
         this.client = client;
+        this.timeout = timeout;
     }
 
     /**
      * Creates the client of the platform; it connects when first used.
      *
      * @param address the platform's address
+     * @param timeout how long to wait for an answer
      * @return the client
      */
-    public static HttpPlatform of(Address address) {
-        return new HttpPlatform(JsonClient.of(requireNonNull(address, "address is null")));
+    public static HttpPlatform of(Address address, Duration timeout) {
+        requireNonNull(address, "address is null");
+        requireNonNull(timeout, "timeout is null");
+        return new HttpPlatform(JsonClient.of(address), timeout);
     }
 
     @Override
     public CompletionStage<Optional<Entry>> get(String key) {
-        return client.post("/get", new Key(key), Entry.class, TIMEOUT)
+        return client.post("/get", new Key(key), Entry.class, timeout)
                 .map(Optional::of)
                 .onErrorReturn(e -> Optional.empty())
                 .toCompletionStage();
@@ -49,7 +59,7 @@
     public CompletionStage<CasResult> compareAndSwap(
             String key, long expectedVersion, String value) {
         Swap swap = new Swap(key, expectedVersion, value);
-        return client.post("/swap", swap, Swapped.class, TIMEOUT)
+        return client.post("/swap", swap, Swapped.class, timeout)
                 .map(HttpPlatform::toResult)
                 .onErrorReturn(e -> new CasResult.Unanswered(e.toString()))
                 .toCompletionStage();
@@ -59,7 +69,7 @@
     public CompletionStage<Optional<Changes>> watch(
             String prefix, long afterRevision, Duration wait) {
         Watch watch = new Watch(prefix, afterRevision, wait.toMillis());
-        return client.post("/watch", watch, Changes.class, wait.plus(TIMEOUT))
+        return client.post("/watch", watch, Changes.class, wait.plus(timeout))
                 .map(Optional::of)
                 .onErrorReturn(e -> Optional.empty())
                 .toCompletionStage();
@@ -68,7 +78,7 @@
     @Override
     public CompletionStage<Optional<Boolean>> lease(String key, String holder, Duration ttl) {
         Lease lease = new Lease(key, holder, ttl.toMillis());
-        return client.post("/lease", lease, Granted.class, TIMEOUT)
+        return client.post("/lease", lease, Granted.class, timeout)
                 .map(granted -> Optional.of(granted.granted()))
                 .onErrorReturn(e -> Optional.empty())
                 .toCompletionStage();
@@ -76,7 +86,7 @@
 
     @Override
     public CompletionStage<Optional<List<ListedVm>>> vms() {
-        return client.post("/vms", new Key(""), Vms.class, TIMEOUT)
+        return client.post("/vms", new Key(""), Vms.class, timeout)
                 .map(vms -> Optional.of(vms.vms().stream().map(HttpPlatform::toVm).toList()))
                 .onErrorReturn(e -> Optional.empty())
                 .toCompletionStage();
