--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/DatabaseInstance.java
@@ -2,13 +2,10 @@
 
 import java.sql.Connection;
 import java.sql.SQLException;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.carobstage.backend.Answer;
-import org.carobstage.backend.BackendMessages.Execute;
 import org.carobstage.backend.BackendMessages.Reply;
 import org.carobstage.backend.Refusal;
 import org.carobstage.backend.Standing;
@@ -82,11 +79,11 @@
      * @return the session, or empty at the limit
      * @throws SQLException if the SQL store fails
      */
-    public Optional<Session> open() throws SQLException {
+    public Optional<DatabaseSession> open() throws SQLException {
         if (!connections.take()) {
             return Optional.empty();
         }
-        return Optional.of(new Session(store.connect()));
+        return Optional.of(new DatabaseSession(this, store.connect()));
     }
 
     /**
@@ -264,6 +261,14 @@
         return moment == UNKNOWN_LAG ? UNKNOWN_LAG : millis.getAsLong() - moment;
     }
 
+    synchronized Optional<LogEntry> earlier(String key) {
+        return log.findKey(key);
+    }
+
+    void freeConnection() {
+        connections.free();
+    }
+
     private Answer termRefusal() {
         return new Answer.Refused(Refusal.TERM, "stands at term " + promised + ", " + primary);
     }
@@ -273,13 +278,13 @@
         return new Answer.Done(done.columns(), done.rows(), done.changed(), true, standing());
     }
 
-    private synchronized Optional<Answer> check(Term term, boolean needsPrimary) {
+    synchronized Optional<Answer> check(Term term, boolean needsPrimary) {
         boolean fits = term.equals(promised) && (primary || !needsPrimary);
         return fits ? Optional.empty() : Optional.of(termRefusal());
     }
 
     /** Commits under the instance's lock, so that no promise comes between check and commit. */
-    private synchronized Answer commit(
+    synchronized Answer commit(
             Connection sql, Term term, List<Change> changes, String key, SqlStore.Result result)
             throws SQLException {
         Optional<Answer> refusal = check(term, true);
@@ -298,186 +303,9 @@
         return done;
     }
 
-    private Answer replayIfSame(LogEntry earlier, List<Change> changes) {
+    Answer replayIfSame(LogEntry earlier, List<Change> changes) {
         return earlier.changes().equals(changes)
                 ? replay(earlier)
                 : new Answer.Refused(Refusal.KEY_REUSED, "key was used for another statement");
     }
-
-    /** One connection's state: at most one open transaction. */
-    public final class Session implements AutoCloseable {
-        private final Connection sql;
-        private final List<Change> changes = new ArrayList<>();
-        private Term transaction;
-        private boolean closed;
-
-        private Session(Connection sql) {
-            this.sql = sql;
-        }
-
-        /**
-         * Runs a statement; without an open transaction it commits at once.
-         *
-         * @param request the statement
-         * @return the answer
-         */
-        public synchronized Answer execute(Execute request) {
-            Term term = Term.of(request.term());
-            Optional<Answer> refusal = check(term, !request.readOnly());
-            if (refusal.isPresent()) {
-                return refusal.get();
-            }
-            LogPosition atLeast = LogPosition.of(request.atLeastTerm(), request.atLeastOffset());
-            Standing before = standing();
-            if (!before.last().covers(atLeast)) {
-                return new Answer.Refused(Refusal.BEHIND, "log ends at " + before.last());
-            }
-            boolean reads = isRead(request.sql());
-            if (request.readOnly() && !reads) {
-                return new Answer.Refused(Refusal.STATEMENT, "only queries are allowed here");
-            }
-            try {
-                return reads ? query(request, before) : change(request, term);
-            } catch (SQLException e) {
-                return refused(e);
-            }
-        }
-
-        /**
-         * Opens a transaction.
-         *
-         * @param term the term
-         * @return the answer
-         */
-        public synchronized Answer begin(Term term) {
-            Optional<Answer> refusal = check(term, true);
-            if (refusal.isPresent()) {
-                return refusal.get();
-            }
-            if (transaction != null) {
-                return new Answer.Refused(Refusal.TRANSACTION, "a transaction is open");
-            }
-            transaction = term;
-            return done();
-        }
-
-        /**
-         * Commits the open transaction.
-         *
-         * @param key the key to record, or null
-         * @return the answer
-         */
-        public synchronized Answer commit(String key) {
-            if (transaction == null) {
-                return new Answer.Refused(Refusal.TRANSACTION, "no transaction is open");
-            }
-            try {
-                Term term = transaction;
-                List<Change> all = List.copyOf(changes);
-                end();
-                SqlStore.Result none = new SqlStore.Result(List.of(), List.of(), all.size());
-                return DatabaseInstance.this.commit(sql, term, all, key, none);
-            } catch (SQLException e) {
-                return refused(e);
-            }
-        }
-
-        /**
-         * Rolls the open transaction back, if there is one.
-         *
-         * @return the answer
-         */
-        public synchronized Answer rollback() {
-            try {
-                end();
-                sql.rollback();
-                return done();
-            } catch (SQLException e) {
-                return refused(e);
-            }
-        }
-
-        /**
-         * Answers that the session is alive.
-         *
-         * @return the answer
-         */
-        public Answer ping() {
-            return done();
-        }
-
-        /** Rolls back and closes. */
-        @Override
-        public synchronized void close() throws SQLException {
-            if (!closed) {
-                closed = true;
-                connections.free();
-                sql.rollback();
-                sql.close();
-            }
-        }
-
-        private Answer query(Execute request, Standing before) throws SQLException {
-            SqlStore.Result result = SqlStore.run(sql, request.sql(), request.parameters());
-            if (transaction == null) {
-                sql.commit();
-            }
-            Standing after = standing();
-            Standing seen =
-                    new Standing(
-                            after.instance(),
-                            after.promised(),
-                            after.primary(),
-                            after.last(),
-                            before.lagMillis(),
-                            before.contactMillis());
-            return new Answer.Done(result.columns(), result.rows(), 0, false, seen);
-        }
-
-        private Answer change(Execute request, Term term) throws SQLException {
-            Change change = new Change(request.sql(), request.parameters());
-            if (transaction != null) {
-                SqlStore.Result result = SqlStore.run(sql, request.sql(), request.parameters());
-                changes.add(change);
-                return new Answer.Done(List.of(), List.of(), result.changed(), false, standing());
-            }
-            List<Change> all = List.of(change);
-            Optional<LogEntry> earlier = earlier(request.key());
-            if (earlier.isPresent()) {
-                return replayIfSame(earlier.get(), all);
-            }
-            SqlStore.Result result = SqlStore.run(sql, request.sql(), request.parameters());
-            return DatabaseInstance.this.commit(sql, term, all, request.key(), result);
-        }
-
-        private Optional<LogEntry> earlier(String key) {
-            synchronized (DatabaseInstance.this) {
-                return log.findKey(key);
-            }
-        }
-
-        private Answer done() {
-            return new Answer.Done(List.of(), List.of(), 0, false, standing());
-        }
-
-        private void end() {
-            transaction = null;
-            changes.clear();
-        }
-
-        private Answer refused(SQLException e) {
-            try {
-                end();
-                sql.rollback();
-            } catch (SQLException again) {
-                e.addSuppressed(again);
-            }
-            return new Answer.Refused(Refusal.STATEMENT, e.getMessage());
-        }
-
-        private static boolean isRead(String text) {
-            String start = text.stripLeading().toUpperCase(Locale.ROOT);
-            return start.startsWith("SELECT") || start.startsWith("VALUES");
-        }
-    }
 }
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/database/InstanceServer.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/database/InstanceServer.java
@@ -39,7 +39,7 @@
     private final DatabaseInstance instance;
     private final Executor executor;
     private final LogFollower follower;
-    private final Map<SocketAddress, DatabaseInstance.Session> sessions = new ConcurrentHashMap<>();
+    private final Map<SocketAddress, DatabaseSession> sessions = new ConcurrentHashMap<>();
     private final Set<SocketAddress> peers = ConcurrentHashMap.newKeySet();
     private final Set<SocketAddress> silent = ConcurrentHashMap.newKeySet();
     private final Set<Fault> faults = ConcurrentHashMap.newKeySet();
@@ -137,7 +137,7 @@
         Optional.ofNullable(sessions.remove(peer)).ifPresent(InstanceServer::closeSession);
     }
 
-    private static void closeSession(DatabaseInstance.Session session) {
+    private static void closeSession(DatabaseSession session) {
         try {
             session.close();
         } catch (SQLException e) {
@@ -192,7 +192,7 @@
 
     private Answer openNow(ConnectionContext context) {
         try {
-            Optional<DatabaseInstance.Session> session = instance.open();
+            Optional<DatabaseSession> session = instance.open();
             if (session.isEmpty()) {
                 return new Answer.Refused(Refusal.LIMIT, "no connection is free");
             }
@@ -204,7 +204,7 @@
     }
 
     private Single<Reply> session(HttpServiceContext context, HttpRequest request) {
-        DatabaseInstance.Session session = sessions.get(context.remoteAddress());
+        DatabaseSession session = sessions.get(context.remoteAddress());
         if (session == null) {
             Answer refused = new Answer.Refused(Refusal.TRANSACTION, "connection is not open");
             return Single.succeeded(Reply.of(refused));
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalBackend.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalBackend.java
@@ -15,6 +15,7 @@
 import org.carobstage.model.VmId;
 import org.carobstage.runtime.Clock;
 import org.carobstage.testbed.database.DatabaseInstance;
+import org.carobstage.testbed.database.DatabaseSession;
 
 /** An entry VM's client of an instance in this process; each way takes a fixed latency. */
 final class LocalBackend implements Backend {
@@ -99,7 +100,7 @@
             return;
         }
         try {
-            Optional<DatabaseInstance.Session> session = instance().open();
+            Optional<DatabaseSession> session = instance().open();
             if (session.isPresent()) {
                 LocalConnection connection =
                         new LocalConnection(group, clock, vm, spec.id(), session.get());
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalConnection.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/local/LocalConnection.java
@@ -17,6 +17,7 @@
 import org.carobstage.model.VmId;
 import org.carobstage.runtime.Clock;
 import org.carobstage.testbed.database.DatabaseInstance;
+import org.carobstage.testbed.database.DatabaseSession;
 
 /** A connection to an instance in this process. */
 final class LocalConnection implements BackendConnection {
@@ -24,15 +25,11 @@
     private final Clock clock;
     private final VmId vm;
     private final InstanceId id;
-    private final DatabaseInstance.Session session;
+    private final DatabaseSession session;
     private final int epoch;
 
     LocalConnection(
-            LocalGroup group,
-            Clock clock,
-            VmId vm,
-            InstanceId id,
-            DatabaseInstance.Session session) {
+            LocalGroup group, Clock clock, VmId vm, InstanceId id, DatabaseSession session) {
         this.group = group;
         this.clock = clock;
         this.vm = vm;
--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/scenario/World.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/scenario/World.java
@@ -31,6 +31,7 @@
 import org.carobstage.runtime.BoundedExecutor;
 import org.carobstage.runtime.PausedClock;
 import org.carobstage.testbed.database.DatabaseInstance;
+import org.carobstage.testbed.database.DatabaseSession;
 import org.carobstage.testbed.history.Entry;
 import org.carobstage.testbed.history.History;
 import org.carobstage.testbed.history.LimitSample;
@@ -163,7 +164,7 @@
     private static List<List<Object>> rows(DatabaseInstance instance, String sql, boolean read) {
         long term = instance.standing().promised().number();
         Execute execute = new Execute(term, sql, List.of(), read, 0, 0, null);
-        try (DatabaseInstance.Session session = instance.open().orElseThrow()) {
+        try (DatabaseSession session = instance.open().orElseThrow()) {
             return ((Answer.Done) session.execute(execute)).rows();
         } catch (SQLException e) {
             throw new IllegalStateException(e);
--- a/carobstage-testbed/src/test/java/org/carobstage/testbed/database/DatabaseInstanceTest.java
+++ b/carobstage-testbed/src/test/java/org/carobstage/testbed/database/DatabaseInstanceTest.java
@@ -25,7 +25,7 @@
         @Test
         void shouldRefuseWhenHigherTermWasPromisedMeanwhile() throws SQLException {
             startTermOne();
-            DatabaseInstance.Session session = a.open().orElseThrow();
+            DatabaseSession session = a.open().orElseThrow();
             session.begin(ONE);
             session.execute(write(1, "CREATE TABLE t (id INT)", null));
             a.promise(TWO);
@@ -42,7 +42,7 @@
         @Test
         void shouldRunOnceWhenKeyIsRepeated() throws SQLException {
             startTermOne();
-            DatabaseInstance.Session session = a.open().orElseThrow();
+            DatabaseSession session = a.open().orElseThrow();
             session.execute(write(1, "CREATE TABLE t (id INT)", null));
 
             Answer first = session.execute(write(1, "INSERT INTO t VALUES (7)", "k"));
--- a/carobstage-testbed/src/test/java/org/carobstage/testbed/local/FailoverFixture.java
+++ b/carobstage-testbed/src/test/java/org/carobstage/testbed/local/FailoverFixture.java
@@ -34,6 +34,7 @@
 import org.carobstage.statement.Outcome;
 import org.carobstage.statement.StatementRequest;
 import org.carobstage.testbed.database.DatabaseInstance;
+import org.carobstage.testbed.database.DatabaseSession;
 import org.carobstage.testbed.database.InstanceSettings;
 
 /** Entry VMs over a group in this process; each writes one row after the other. */
@@ -118,7 +119,7 @@
         DatabaseInstance at = group.instance(instance);
         long term = at.standing().promised().number();
         Execute read = new Execute(term, "SELECT id FROM t", List.of(), true, 0, 0, null);
-        try (DatabaseInstance.Session session = at.open().orElseThrow()) {
+        try (DatabaseSession session = at.open().orElseThrow()) {
             Answer.Done done = (Answer.Done) session.execute(read);
             return done.rows().stream().map(row -> (Integer) row.get(0)).toList();
         } catch (SQLException e) {
--- a/carobstage/src/main/java/org/carobstage/statement/AttemptDecision.java
+++ b/carobstage/src/main/java/org/carobstage/statement/AttemptDecision.java
@@ -77,7 +77,7 @@
     public static Step afterProof(
             StatementRequest request, Progress progress, Answer.Done done, boolean proved) {
         if (proved) {
-            return new Step.Finish(toOutcome(done, false));
+            return new Step.Finish(Outcome.Done.of(done, false));
         }
         String detail = "no majority confirmed the answer of " + done.standing().instance();
         Progress next = progress.mayHaveRun(done.standing().promised(), detail);
@@ -134,7 +134,7 @@
         long lag = standing.lagMillis();
         boolean isFresh = lag >= 0 && lag <= request.policy().staleness().toMillis();
         if (isFresh && standing.isSettled()) {
-            return new Step.Finish(toOutcome(done, true));
+            return new Step.Finish(Outcome.Done.of(done, true));
         }
         String detail = "replica " + standing.instance() + " is too far behind";
         return new Step.Send(progress.refused(ErrorCode.NO_INSTANCE, detail).atPrimary());
@@ -174,17 +174,6 @@
         return isSafe && !request.isLookUp();
     }
 
-    private static Outcome toOutcome(Answer.Done done, boolean replica) {
-        return new Outcome.Done(
-                done.columns(),
-                done.rows(),
-                done.changed(),
-                done.replayed(),
-                done.standing().last(),
-                done.standing().instance(),
-                replica);
-    }
-
     private static Outcome notRun(ErrorCode code, String detail) {
         boolean helps = code == ErrorCode.NO_INSTANCE || code == ErrorCode.OVERLOADED;
         return new Outcome.NotRun(
--- a/carobstage/src/main/java/org/carobstage/statement/Outcome.java
+++ b/carobstage/src/main/java/org/carobstage/statement/Outcome.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.carobstage.backend.Answer;
 import org.carobstage.error.ErrorCode;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
@@ -38,6 +39,24 @@
             requireNonNull(seen, "seen is null");
             requireNonNull(instance, "instance is null");
         }
+
+        /**
+         * Creates the outcome of an answer.
+         *
+         * @param answer the answer of an instance
+         * @param replica true if that instance is a replica
+         * @return the outcome
+         */
+        public static Done of(Answer.Done answer, boolean replica) {
+            return new Done(
+                    answer.columns(),
+                    answer.rows(),
+                    answer.changed(),
+                    answer.replayed(),
+                    answer.standing().last(),
+                    answer.standing().instance(),
+                    replica);
+        }
     }
 
     /**
--- a/carobstage/src/main/java/org/carobstage/transaction/Transactions.java
+++ b/carobstage/src/main/java/org/carobstage/transaction/Transactions.java
@@ -265,7 +265,7 @@
         if (answer instanceof Answer.Done done) {
             transaction.endExchange(idleTimer(id, transaction.patience()));
             return done.columns().isEmpty()
-                    ? completed(toOutcome(done))
+                    ? completed(Outcome.Done.of(done, false))
                     : proveRead(id, transaction, done);
         }
         end(id, transaction, "statement failed");
@@ -285,7 +285,7 @@
                 .thenApplyAsync(
                         proved -> {
                             if (proved) {
-                                return toOutcome(done);
+                                return Outcome.Done.of(done, false);
                             }
                             end(id, transaction, "read could not be confirmed");
                             return notRun(ErrorCode.TRANSACTION_LOST, "rolled back");
@@ -308,7 +308,7 @@
                     .thenComposeAsync(
                             proved ->
                                     proved
-                                            ? completed(toOutcome(done))
+                                            ? completed(Outcome.Done.of(done, false))
                                             : resolve(transaction, key, deadline),
                             duty);
         }
@@ -331,7 +331,7 @@
     private Outcome rolledBack(OpenTransaction transaction, Answer answer) {
         transaction.release(answer instanceof Answer.Done);
         return answer instanceof Answer.Done done
-                ? toOutcome(done)
+                ? Outcome.Done.of(done, false)
                 : notRun(ErrorCode.TRANSACTION_LOST, "rolled back with its connection");
     }
 
@@ -356,17 +356,6 @@
         }
     }
 
-    private static Outcome toOutcome(Answer.Done done) {
-        return new Outcome.Done(
-                done.columns(),
-                done.rows(),
-                done.changed(),
-                done.replayed(),
-                done.standing().last(),
-                done.standing().instance(),
-                false);
-    }
-
     private static Outcome notRun(ErrorCode code, String detail) {
         return new Outcome.NotRun(code, detail, Optional.empty());
     }
