--- a/carobstage/src/main/java/org/carobstage/cli/CommandTree.java
+++ b/carobstage/src/main/java/org/carobstage/cli/CommandTree.java
@@ -14,6 +14,7 @@
     private CommandTree() {
         root.addObject(new HelpOption());
         add(root, "serve", new ServeCommand());
+        add(root, "front", new FrontCommand());
         add(root, "check", new CheckCommand());
         add(root, "status", new StatusCommand());
         add(root, "timeline", new TimelineCommand());
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/cli/FrontCommand.java
@@ -0,0 +1,78 @@
+package org.carobstage.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.ServiceLoader;
+import org.carobstage.error.CodedException;
+import org.carobstage.error.ErrorCode;
+import org.carobstage.event.LogFormat;
+import org.carobstage.event.LogSetup;
+import org.carobstage.front.Front;
+import org.carobstage.front.FrontSettings;
+import org.carobstage.front.PlatformAdapter;
+import sun.misc.Signal;
+
+/** Runs a process that serves client sessions, until it is told to stop. */
+@Parameters(commandDescription = "Serve client sessions on the users' platform")
+final class FrontCommand implements Command {
+    private static final String SETTINGS_VARIABLE = "CAROBSTAGE_SETTINGS";
+
+    @Parameter(
+            names = "--settings",
+            description = "INI file of the process; default: the file in " + SETTINGS_VARIABLE)
+    private Path file;
+
+    @Override
+    public ExitCode run(Console console) {
+        LogSetup.applyBounded(LogFormat.JSON, Level.INFO);
+        Path path = Optional.ofNullable(file).orElseGet(FrontCommand::fileFromEnvironment);
+        FrontSettings settings = FrontSettings.read(path);
+        Logger logger = System.getLogger(FrontCommand.class.getName());
+        PlatformAdapter adapter =
+                factory()
+                        .create(settings, e -> logger.log(Level.ERROR, "a callback has failed", e));
+        try (Front front = Front.of(settings, adapter)) {
+            Signal.handle(new Signal("TERM"), signal -> front.stop());
+            Signal.handle(new Signal("INT"), signal -> front.stop());
+            Signal.handle(new Signal("HUP"), signal -> reload(front, path, logger));
+            front.awaitStop();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return ExitCode.OK;
+    }
+
+    private static void reload(Front front, Path path, Logger logger) {
+        try {
+            FrontSettings.read(path);
+            front.reloaded();
+        } catch (CodedException e) {
+            logger.log(Level.ERROR, "the new settings are not taken over", e);
+        }
+    }
+
+    private static Path fileFromEnvironment() {
+        return Optional.ofNullable(System.getenv(SETTINGS_VARIABLE))
+                .map(Path::of)
+                .orElseThrow(
+                        () ->
+                                CodedException.of(
+                                        ErrorCode.BAD_SETTINGS,
+                                        "--settings is missing and "
+                                                + SETTINGS_VARIABLE
+                                                + " is not set"));
+    }
+
+    private static PlatformAdapter.Factory factory() {
+        return ServiceLoader.load(PlatformAdapter.Factory.class)
+                .findFirst()
+                .orElseThrow(
+                        () ->
+                                CodedException.of(
+                                        ErrorCode.INTERNAL, "no platform adapter is installed"));
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -54,6 +54,48 @@
     OVERLOAD_STARTED(4004, Level.WARNING),
     /** No statement was refused for a while. */
     OVERLOAD_ENDED(4005, Level.INFO),
+    /** An instance does not answer this process. */
+    INSTANCE_SUSPECTED(3010, Level.WARNING),
+    /** A suspected instance answers again. */
+    INSTANCE_TRUSTED(3011, Level.INFO),
+    /** Which instance leads a service is known, or no longer known. */
+    PRIMARY_KNOWN(3012, Level.INFO),
+    /** This process reports to the others that a primary should be replaced, or no longer does. */
+    REPLACEMENT_VOTE(3013, Level.INFO),
+    /** This process holds the lease to replace the primary of a service. */
+    FAILOVER_LEASE_HELD(3014, Level.INFO),
+    /** A replica was chosen to become primary, or none can be chosen safely. */
+    FAILOVER_CHOICE(3015, Level.INFO),
+    /** The order to promote a replica was sent, and what was answered. */
+    FAILOVER_ORDER(3016, Level.INFO),
+    /** A failover that this process led is over. */
+    FAILOVER_ENDED(3017, Level.INFO),
+    /** The store answers again. */
+    STORE_REGAINED(2020, Level.INFO),
+    /** The store does not answer or refuses calls. */
+    STORE_LOST(2021, Level.WARNING),
+    /** The routes have changed. */
+    ROUTES_APPLIED(2022, Level.INFO),
+    /** An entry of the store can't be read and is ignored. */
+    ENTRY_UNREADABLE(2023, Level.WARNING),
+    /** An instance was registered, has changed or is gone. */
+    INSTANCE_CHANGED(2024, Level.INFO),
+    /** The set of processes that share the connections has changed. */
+    MEMBERS_CHANGED(2025, Level.INFO),
+    /** The settings were read again. */
+    SETTINGS_RELOADED(1005, Level.INFO),
+    /** A failure inside carobstage. */
+    INTERNAL_FAILURE(1006, Level.ERROR),
+    /** A statement was refused, and the instance did not run it. */
+    STATEMENT_REFUSED(5002, Level.INFO),
+    /** A statement is sent to another instance, or again. */
+    STATEMENT_RETRIED(5003, Level.INFO),
+    /** A statement was sent and has failed or was given up. */
+    STATEMENT_FAILED(5004, Level.INFO),
+    /** A session was refused or closed by the proxy. */
+    SESSION_ENDED(5005, Level.INFO),
+    /** Log lines were dropped because they came faster than the limit. */
+    LINES_DROPPED(1007, Level.WARNING),
     /** A transaction ended without its caller's commit or rollback. */
     TRANSACTION_ROLLED_BACK(5001, Level.INFO),
     /** A connection of a peer was refused. */
--- a/carobstage/src/main/java/org/carobstage/event/LogSetup.java
+++ b/carobstage/src/main/java/org/carobstage/event/LogSetup.java
@@ -24,10 +24,24 @@
      * @param level the lowest level that is written
      */
     public static void apply(LogFormat format, System.Logger.Level level) {
+        apply(new ConsoleHandler(), format, level);
+    }
+
+    /**
+     * Replaces the logging configuration by one that writes on standard output, from a bounded
+     * ring, so that a full pipe blocks nothing.
+     *
+     * @param format how lines are written
+     * @param level the lowest level that is written
+     */
+    public static void applyBounded(LogFormat format, System.Logger.Level level) {
+        apply(new BoundedLineHandler(System.out), format, level);
+    }
+
+    private static void apply(Handler handler, LogFormat format, System.Logger.Level level) {
         requireNonNull(format, "format is null");
         Logger root = Logger.getLogger("");
         Arrays.stream(root.getHandlers()).forEach(root::removeHandler);
-        Handler handler = new ConsoleHandler();
         handler.setFormatter(LineFormatter.of(format));
         handler.setLevel(Level.ALL);
         root.addHandler(handler);
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverContext.java
@@ -0,0 +1,37 @@
+package org.carobstage.failover;
+
+import static java.util.Objects.requireNonNull;
+
+import org.carobstage.event.EventCode;
+import org.carobstage.event.EventLog;
+import org.carobstage.event.EventScope;
+import org.carobstage.model.GroupId;
+import org.carobstage.model.ServiceName;
+import org.carobstage.model.VmId;
+import org.carobstage.runtime.Clock;
+import org.carobstage.store.MetadataStore;
+
+/**
+ * What failovers of all services share.
+ *
+ * @param vm the VM of this process
+ * @param clock the runtime's clock
+ * @param store the store that holds votes and leases
+ * @param orders sends the orders
+ * @param events the log of decisions
+ */
+public record FailoverContext(
+        VmId vm, Clock clock, MetadataStore store, FailoverOrders orders, EventLog events) {
+    /** Checks the context. */
+    public FailoverContext {
+        requireNonNull(vm, "vm is null");
+        requireNonNull(clock, "clock is null");
+        requireNonNull(store, "store is null");
+        requireNonNull(orders, "orders is null");
+        requireNonNull(events, "events is null");
+    }
+
+    void record(EventCode code, ServiceName service, String detail) {
+        events.record(code, EventScope.of(GroupId.of(service.value())), detail);
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -0,0 +1,260 @@
+package org.carobstage.failover;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.carobstage.discovery.InstanceEntry;
+import org.carobstage.event.EventCode;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
+import org.carobstage.model.ServiceName;
+import org.carobstage.model.Term;
+import org.carobstage.model.VmId;
+import org.carobstage.sql.InstanceStatus;
+import org.carobstage.sql.Statement;
+import org.carobstage.store.LeaseId;
+import org.carobstage.store.StoreItem;
+import org.carobstage.store.StoreWrite;
+import org.carobstage.upstream.ServiceGroup;
+
+/**
+ * Decides when the primary of a service is replaced: when most processes report that it does not
+ * answer them, or when it is about to stop.
+ */
+public final class FailoverCoordinator {
+    /** Spaces the attempts of the processes to take the lease. */
+    private static final Duration RANK_DELAY = Duration.ofMillis(250);
+
+    /** The pause after a replacement before the next one of the same service. */
+    private static final Duration PAUSE = Duration.ofMillis(1_000);
+
+    /** A replica that is still stopped this long after the lease ended is left over. */
+    private static final Duration LEFT_OVER = Duration.ofMillis(4_000);
+
+    private final FailoverContext context;
+    private final Map<ServiceName, State> states = new TreeMap<>();
+    private final Map<ServiceName, Map<VmId, Vote>> votes = new HashMap<>();
+    private final Map<ServiceName, VmId> holders = new HashMap<>();
+
+    private FailoverCoordinator(FailoverContext context) {
+        this.context = context;
+    }
+
+    /**
+     * Creates a coordinator.
+     *
+     * @param context what failovers share
+     * @return the coordinator
+     */
+    public static FailoverCoordinator of(FailoverContext context) {
+        return new FailoverCoordinator(requireNonNull(context, "context is null"));
+    }
+
+    /**
+     * Takes over a vote or lease from the store.
+     *
+     * @param item the changed key; others are ignored
+     */
+    public void changed(StoreItem item) {
+        if (item.key().startsWith(FailoverKeys.LEASES)) {
+            ServiceName service =
+                    ServiceName.of(item.key().substring(FailoverKeys.LEASES.length()));
+            item.value()
+                    .ifPresentOrElse(
+                            vm -> holders.put(service, VmId.of(vm)), () -> holders.remove(service));
+        } else if (item.key().startsWith(FailoverKeys.VOTES)) {
+            voted(item);
+        }
+    }
+
+    /**
+     * Looks at every service; called by a timer.
+     *
+     * @param groups the services
+     * @param members the processes of the fleet
+     * @param lease the lease of this process's membership, which its votes end with
+     */
+    public void tick(List<ServiceGroup> groups, Set<VmId> members, Optional<LeaseId> lease) {
+        groups.forEach(group -> tick(group, members, lease));
+    }
+
+    private void tick(ServiceGroup group, Set<VmId> members, Optional<LeaseId> lease) {
+        State state = states.computeIfAbsent(group.name(), n -> new State(context, n));
+        Optional<InstanceId> primary = primary(group);
+        Optional<InstanceId> dead = primary.filter(group::isSuspected);
+        vote(group, state, dead, lease);
+        boolean leaving =
+                primary.flatMap(id -> find(group, id)).map(InstanceEntry::draining).orElse(false);
+        boolean agreed =
+                dead.isPresent() && support(group.name(), dead.get(), members) * 2 > members.size();
+        long now = context.clock().nanoTime();
+        if (!leaving && !agreed) {
+            state.wantedSince = Optional.empty();
+            resumeLeftOver(group, state, now);
+            return;
+        }
+        state.stoppedSince = Optional.empty();
+        if (state.wantedSince.isEmpty()) {
+            state.wantedSince = Optional.of(now);
+        }
+        boolean ready = now - state.notBefore >= 0 && !state.running;
+        boolean mine = state.lease.isHeld();
+        boolean turn = now - state.wantedSince.get() >= delay(group.name(), members);
+        if (ready && (mine || turn && !holders.containsKey(group.name()))) {
+            start(group, state, primary.get(), dead.isEmpty(), members);
+        }
+    }
+
+    private void start(
+            ServiceGroup group, State state, InstanceId old, boolean planned, Set<VmId> members) {
+        state.running = true;
+        state.lease.acquire(
+                fence ->
+                        new Failover(
+                                        context,
+                                        group,
+                                        old,
+                                        planned,
+                                        fence,
+                                        () -> acknowledged(group, old, members),
+                                        () -> ended(state))
+                                .start(),
+                () -> ended(state));
+    }
+
+    private void ended(State state) {
+        state.running = false;
+        state.lease.letLapse();
+        state.notBefore = context.clock().nanoTime() + PAUSE.toNanos();
+    }
+
+    /** The known leader or, if none is known, the instance that registered as primary. */
+    private static Optional<InstanceId> primary(ServiceGroup group) {
+        return group.leadership()
+                .leader()
+                .or(
+                        () ->
+                                group.instances().stream()
+                                        .filter(InstanceEntry::primary)
+                                        .map(InstanceEntry::id)
+                                        .findFirst());
+    }
+
+    private static Optional<InstanceEntry> find(ServiceGroup group, InstanceId id) {
+        return group.instances().stream().filter(e -> e.id().equals(id)).findFirst();
+    }
+
+    private void vote(
+            ServiceGroup group, State state, Optional<InstanceId> dead, Optional<LeaseId> lease) {
+        Optional<Vote> vote = dead.map(id -> new Vote(id, group.acknowledged()));
+        if (vote.equals(state.vote) || vote.isPresent() && lease.isEmpty()) {
+            return;
+        }
+        state.vote = vote;
+        String key = FailoverKeys.vote(group.name(), context.vm());
+        StoreWrite write =
+                vote.map(v -> StoreWrite.put(key, v.text(), lease.get()))
+                        .orElseGet(() -> StoreWrite.delete(key));
+        context.record(
+                EventCode.REPLACEMENT_VOTE,
+                group.name(),
+                vote.map(v -> "primary=" + v.primary() + " acknowledged=" + v.acknowledged())
+                        .orElse("withdrawn"));
+        context.store()
+                .write(
+                        write,
+                        reply -> {
+                            if (!(reply instanceof org.carobstage.store.StoreReply.Done<Long>)) {
+                                state.vote = Optional.empty();
+                            }
+                        });
+    }
+
+    private void voted(StoreItem item) {
+        String[] parts = item.key().substring(FailoverKeys.VOTES.length()).split("/");
+        if (parts.length != 2) {
+            return;
+        }
+        Map<VmId, Vote> ofService =
+                votes.computeIfAbsent(ServiceName.of(parts[0]), n -> new TreeMap<>());
+        VmId vm = VmId.of(parts[1]);
+        item.value()
+                .flatMap(Vote::parse)
+                .ifPresentOrElse(vote -> ofService.put(vm, vote), () -> ofService.remove(vm));
+    }
+
+    private long support(ServiceName service, InstanceId primary, Set<VmId> members) {
+        return votes.getOrDefault(service, Map.of()).entrySet().stream()
+                .filter(e -> members.contains(e.getKey()))
+                .filter(e -> e.getValue().primary().equals(primary))
+                .count();
+    }
+
+    private Optional<LogPosition> acknowledged(
+            ServiceGroup group, InstanceId primary, Set<VmId> members) {
+        Map<VmId, Vote> ofService = votes.getOrDefault(group.name(), Map.of());
+        boolean all =
+                members.stream()
+                        .allMatch(
+                                m ->
+                                        Optional.ofNullable(ofService.get(m))
+                                                .filter(v -> v.primary().equals(primary))
+                                                .isPresent());
+        return all
+                ? ofService.values().stream().map(Vote::acknowledged).reduce(LogPosition::max)
+                : Optional.empty();
+    }
+
+    private long delay(ServiceName service, Set<VmId> members) {
+        List<VmId> order = new ArrayList<>(members);
+        order.sort(
+                (a, b) ->
+                        Integer.compare(
+                                (service + "/" + a).hashCode(), (service + "/" + b).hashCode()));
+        return RANK_DELAY.toNanos() * Math.max(0, order.indexOf(context.vm()));
+    }
+
+    private void resumeLeftOver(ServiceGroup group, State state, long now) {
+        List<InstanceId> stopped =
+                group.instances().stream()
+                        .map(InstanceEntry::id)
+                        .filter(id -> !group.leadership().isLeader(id))
+                        .filter(id -> group.status(id).filter(this::isStopped).isPresent())
+                        .toList();
+        if (stopped.isEmpty() || state.running || holders.containsKey(group.name())) {
+            state.stoppedSince = Optional.empty();
+        } else if (state.stoppedSince.isEmpty()) {
+            state.stoppedSince = Optional.of(now);
+        } else if (now - state.stoppedSince.get() >= LEFT_OVER.toNanos()) {
+            state.stoppedSince = Optional.empty();
+            stopped.forEach(id -> group.order(id, new Statement.ResumeReplication(), answer -> {}));
+            context.record(EventCode.INSTANCE_REJOINED, group.name(), "resumed=" + stopped);
+        }
+    }
+
+    private boolean isStopped(InstanceStatus status) {
+        return status.pausedTerm().isAfter(Term.ZERO);
+    }
+
+    /** What this process knows and does about one service. */
+    private static final class State {
+        private final FailoverLease lease;
+        private Optional<Vote> vote = Optional.empty();
+        private Optional<Long> wantedSince = Optional.empty();
+        private Optional<Long> stoppedSince = Optional.empty();
+        private long notBefore;
+        private boolean running;
+
+        private State(FailoverContext context, ServiceName service) {
+            this.lease = new FailoverLease(context, service);
+            this.notBefore = context.clock().nanoTime();
+        }
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
@@ -0,0 +1,115 @@
+package org.carobstage.failover;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.LongConsumer;
+import org.carobstage.event.EventCode;
+import org.carobstage.model.ServiceName;
+import org.carobstage.store.LeaseId;
+import org.carobstage.store.StoreReply;
+import org.carobstage.store.StoreWrite;
+
+/**
+ * The lease that lets one process replace the primary of a service. Its fence is the revision at
+ * which it was taken. It is left to lapse, so that holders do not change in quick succession.
+ */
+final class FailoverLease {
+    /** Long enough for a slow store, short enough to follow a holder that dies. */
+    static final Duration TTL = Duration.ofMillis(3_000);
+
+    private static final Duration RENEWAL = Duration.ofMillis(1_000);
+
+    private final FailoverContext context;
+    private final ServiceName service;
+    private Optional<LeaseId> lease = Optional.empty();
+    private long fence;
+    private long validUntil;
+    private boolean wanted;
+
+    FailoverLease(FailoverContext context, ServiceName service) {
+        this.context = context;
+        this.service = service;
+    }
+
+    boolean isHeld() {
+        return lease.isPresent() && context.clock().nanoTime() - validUntil < 0;
+    }
+
+    /** Takes the lease or goes on with it. */
+    void acquire(LongConsumer held, Runnable notHeld) {
+        wanted = true;
+        if (isHeld()) {
+            renew();
+            held.accept(fence);
+            return;
+        }
+        lease = Optional.empty();
+        long asked = context.clock().nanoTime();
+        context.store()
+                .grant(
+                        TTL,
+                        reply -> {
+                            if (reply instanceof StoreReply.Done<LeaseId> done) {
+                                create(done.value(), asked, held, notHeld);
+                            } else {
+                                notHeld.run();
+                            }
+                        });
+    }
+
+    /** Stops renewing; the lease lapses at the end of its time. */
+    void letLapse() {
+        wanted = false;
+    }
+
+    private void create(LeaseId granted, long asked, LongConsumer held, Runnable notHeld) {
+        StoreWrite take =
+                StoreWrite.create(FailoverKeys.lease(service), context.vm().value(), granted);
+        context.store()
+                .write(
+                        take,
+                        reply -> {
+                            if (reply instanceof StoreReply.Done<Long> done) {
+                                lease = Optional.of(granted);
+                                fence = done.value();
+                                validUntil = asked + TTL.toNanos();
+                                context.record(
+                                        EventCode.FAILOVER_LEASE_HELD, service, "fence=" + fence);
+                                scheduleRenewal();
+                                held.accept(fence);
+                            } else {
+                                context.store().end(granted, ended -> {});
+                                notHeld.run();
+                            }
+                        });
+    }
+
+    private void scheduleRenewal() {
+        context.clock()
+                .schedule(
+                        () -> {
+                            if (wanted && isHeld()) {
+                                renew();
+                                scheduleRenewal();
+                            }
+                        },
+                        RENEWAL);
+    }
+
+    private void renew() {
+        long asked = context.clock().nanoTime();
+        lease.ifPresent(
+                id ->
+                        context.store()
+                                .renew(
+                                        id,
+                                        reply -> {
+                                            if (reply instanceof StoreReply.Done<LeaseId>) {
+                                                validUntil = asked + TTL.toNanos();
+                                            } else if (reply
+                                                    instanceof StoreReply.Mismatch<LeaseId>) {
+                                                lease = Optional.empty();
+                                            }
+                                        }));
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/front/ClientSession.java
@@ -0,0 +1,314 @@
+package org.carobstage.front;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.carobstage.event.EventCode;
+import org.carobstage.model.LogPosition;
+import org.carobstage.route.Route;
+import org.carobstage.sql.Answer;
+import org.carobstage.sql.Failure;
+import org.carobstage.sql.FailureCode;
+import org.carobstage.sql.Statement;
+import org.carobstage.sql.TransactionState;
+import org.carobstage.upstream.ServiceGroup;
+
+/** A client's session: its values, prepared statements, transaction and position. */
+public final class ClientSession {
+    /** Statements that a client may send ahead of the answers. */
+    private static final int MAX_PIPELINED = 64;
+
+    /** How long a client waits for its session while the routes are not known yet. */
+    private static final Duration ROUTES_WAIT = Duration.ofMillis(1_500);
+
+    /** How long a session for an unknown database waits for a route that may be under way. */
+    private static final Duration NEW_ROUTE_WAIT = Duration.ofMillis(300);
+
+    private static final Duration ROUTES_POLL = Duration.ofMillis(50);
+
+    private final FrontContext context;
+    private final ClientChannel channel;
+    private final String database;
+    private final Runnable whenClosed;
+    private final Map<String, String> values = new LinkedHashMap<>();
+    private final Map<String, PreparedStatement> prepared = new HashMap<>();
+    private final Deque<Received> queue = new ArrayDeque<>();
+    private Optional<ClientTransaction> transaction = Optional.empty();
+    private Optional<StatementRun> running = Optional.empty();
+    private LogPosition written = LogPosition.empty();
+    private boolean open;
+    private boolean busy;
+    private boolean stopping;
+    private boolean closed;
+
+    ClientSession(
+            FrontContext context, ClientChannel channel, String database, Runnable whenClosed) {
+        this.context = requireNonNull(context, "context is null");
+        this.channel = requireNonNull(channel, "channel is null");
+        this.database = requireNonNull(database, "database is null");
+        this.whenClosed = whenClosed;
+    }
+
+    /**
+     * Takes a statement of the client.
+     *
+     * @param id the request's id
+     * @param statement the statement
+     */
+    public void receive(String id, Statement statement) {
+        if (closed) {
+            return;
+        }
+        if (queue.size() >= MAX_PIPELINED) {
+            end("too many statements ahead of the answers");
+            return;
+        }
+        queue.add(new Received(id, statement));
+        next();
+    }
+
+    /** The client's connection is closed. */
+    public void disconnected() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        queue.clear();
+        running.ifPresent(StatementRun::abandon);
+        transaction.ifPresent(ClientTransaction::rollback);
+        whenClosed.run();
+    }
+
+    void open() {
+        awaitRoute(Duration.ZERO);
+    }
+
+    /** Closes the session as soon as nothing is in progress. */
+    void closeWhenIdle() {
+        stopping = true;
+        if (isIdle()) {
+            end("stopping");
+        }
+    }
+
+    /** Rolls an idle transaction back, so that the session can end. */
+    void abortTransaction() {
+        transaction.ifPresent(t -> t.abort("stopping"));
+    }
+
+    boolean isIdle() {
+        return open && !busy && queue.isEmpty() && transaction.isEmpty();
+    }
+
+    Map<String, String> values() {
+        return values;
+    }
+
+    LogPosition written() {
+        return written;
+    }
+
+    void wrote(LogPosition position) {
+        written = written.max(position);
+    }
+
+    /** Returns the statement as connections to instances know it. */
+    Statement shared(Statement statement, Optional<PreparedStatement> known) {
+        if (statement instanceof Statement.Execute execute && known.isPresent()) {
+            return new Statement.Execute(known.get().sharedName(), execute.arguments());
+        }
+        return statement;
+    }
+
+    private void awaitRoute(Duration waited) {
+        if (closed) {
+            return;
+        }
+        boolean known = context.routes().get().isKnown();
+        if (context.routes().get().route(database).isPresent()) {
+            open = true;
+            channel.ready();
+            next();
+        } else if (waited.compareTo(known ? NEW_ROUTE_WAIT : ROUTES_WAIT) < 0) {
+            context.clock().schedule(() -> awaitRoute(waited.plus(ROUTES_POLL)), ROUTES_POLL);
+        } else {
+            FailureCode code = known ? FailureCode.UNKNOWN_DATABASE : FailureCode.BUSY;
+            context.log()
+                    .record(
+                            EventCode.SESSION_ENDED,
+                            database,
+                            "",
+                            "code=" + code + " version=" + context.routes().get().version());
+            channel.reject(Failure.of(code, database));
+            disconnected();
+        }
+    }
+
+    private void next() {
+        if (!open || busy || queue.isEmpty()) {
+            return;
+        }
+        busy = true;
+        Received received = queue.poll();
+        handle(received.id(), received.statement());
+    }
+
+    private void handle(String id, Statement statement) {
+        boolean failed = transaction.map(ClientTransaction::isFailed).orElse(false);
+        if (statement instanceof Statement.Rollback) {
+            transaction.ifPresent(ClientTransaction::rollback);
+            transaction = Optional.empty();
+            finish(Answer.done(TransactionState.IDLE));
+        } else if (failed && statement instanceof Statement.Commit) {
+            transaction = Optional.empty();
+            finish(failure(FailureCode.ROLLED_BACK, "the transaction has failed"));
+        } else if (failed) {
+            boolean untold = transaction.map(ClientTransaction::takeNotice).orElse(false);
+            FailureCode code = untold ? FailureCode.ROLLED_BACK : FailureCode.MALFORMED;
+            finish(failure(code, "the transaction has failed"));
+        } else if (statement instanceof Statement.Begin begin) {
+            begin(id, begin);
+        } else if (statement instanceof Statement.SetValue set) {
+            values.put(set.name(), set.value());
+            finish(Answer.done(state()));
+        } else if (statement instanceof Statement.Prepare prepare) {
+            prepared.put(prepare.name(), new PreparedStatement(prepare.write(), prepare.shape()));
+            finish(Answer.done(state()));
+        } else if (statement instanceof Statement.Deallocate deallocate) {
+            prepared.remove(deallocate.name());
+            finish(Answer.done(state()));
+        } else {
+            run(id, statement);
+        }
+    }
+
+    private void begin(String id, Statement.Begin begin) {
+        if (transaction.isPresent()) {
+            finish(failure(FailureCode.MALFORMED, "a transaction is open"));
+            return;
+        }
+        route(id)
+                .ifPresent(
+                        target -> {
+                            transaction =
+                                    Optional.of(
+                                            new ClientTransaction(
+                                                    context,
+                                                    target.route(),
+                                                    target.group(),
+                                                    this,
+                                                    begin.readOnly()));
+                            finish(Answer.done(TransactionState.OPEN));
+                        });
+    }
+
+    private void run(String id, Statement statement) {
+        Optional<PreparedStatement> known = Optional.empty();
+        if (statement instanceof Statement.Invalid invalid) {
+            finish(failure(FailureCode.MALFORMED, invalid.reason()));
+            return;
+        }
+        if (statement instanceof Statement.Execute execute) {
+            known = Optional.ofNullable(prepared.get(execute.name()));
+            if (known.isEmpty()) {
+                finish(failure(FailureCode.NOT_PREPARED, execute.name()));
+                return;
+            }
+        }
+        if (transaction.isPresent()) {
+            transaction.get().run(id, statement, known, this::finishInTransaction);
+        } else if (statement instanceof Statement.Commit) {
+            finish(failure(FailureCode.MALFORMED, "no transaction is open"));
+        } else {
+            runAlone(id, statement, known);
+        }
+    }
+
+    private void runAlone(String id, Statement statement, Optional<PreparedStatement> known) {
+        route(id)
+                .ifPresent(
+                        target -> {
+                            StatementRun run =
+                                    new StatementRun(
+                                            context,
+                                            target.route(),
+                                            target.group(),
+                                            this,
+                                            id,
+                                            statement,
+                                            known,
+                                            this::finish);
+                            running = Optional.of(run);
+                            run.start();
+                        });
+    }
+
+    /** Finds the route and its instances; answers the client itself if there are none. */
+    private Optional<Target> route(String id) {
+        Optional<Route> route = context.routes().get().route(database);
+        Optional<ServiceGroup> group = route.map(Route::service).flatMap(context.groups());
+        if (route.isEmpty()) {
+            context.log()
+                    .record(
+                            EventCode.STATEMENT_REFUSED,
+                            database,
+                            id,
+                            "no route, version=" + context.routes().get().version());
+            finish(failure(FailureCode.UNKNOWN_DATABASE, database));
+        } else if (group.isEmpty()) {
+            context.log()
+                    .record(EventCode.STATEMENT_REFUSED, database, id, "no instance is registered");
+            finish(failure(FailureCode.BUSY, "no instance is registered"));
+        }
+        return route.flatMap(r -> group.map(g -> new Target(r, g)));
+    }
+
+    private void finishInTransaction(Answer answer) {
+        if (answer.state() == TransactionState.IDLE) {
+            transaction = Optional.empty();
+        }
+        finish(answer);
+    }
+
+    private void finish(Answer answer) {
+        running = Optional.empty();
+        busy = false;
+        if (closed) {
+            return;
+        }
+        channel.answer(answer);
+        if (stopping && isIdle()) {
+            end("stopping");
+        } else {
+            next();
+        }
+    }
+
+    private void end(String reason) {
+        if (!closed) {
+            context.metrics().count("sessions_closed_total{reason=\"" + reason + "\"}");
+            channel.close();
+            disconnected();
+        }
+    }
+
+    private Answer failure(FailureCode code, String text) {
+        return Answer.failed(Failure.of(code, text), state());
+    }
+
+    private TransactionState state() {
+        return transaction
+                .map(t -> t.isFailed() ? TransactionState.FAILED : TransactionState.OPEN)
+                .orElse(TransactionState.IDLE);
+    }
+
+    private record Received(String id, Statement statement) {}
+
+    private record Target(Route route, ServiceGroup group) {}
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -0,0 +1,345 @@
+package org.carobstage.front;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.carobstage.event.EventCode;
+import org.carobstage.freshness.Moment;
+import org.carobstage.freshness.PrimaryPositions.Evidence;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
+import org.carobstage.route.Consistency;
+import org.carobstage.route.Route;
+import org.carobstage.runtime.Clock;
+import org.carobstage.sql.Answer;
+import org.carobstage.sql.Failure;
+import org.carobstage.sql.FailureCode;
+import org.carobstage.sql.Statement;
+import org.carobstage.sql.TransactionState;
+import org.carobstage.upstream.ConnectionRequest;
+import org.carobstage.upstream.PooledConnection;
+import org.carobstage.upstream.ServiceGroup;
+
+/**
+ * A client's transaction. It takes a connection with its first statement and keeps it to its end. A
+ * transaction that fails before its commit was sent is rolled back, so nothing of it is kept.
+ */
+final class ClientTransaction {
+    private static final int MAX_ATTEMPTS = 8;
+    private static final Duration BUSY_PAUSE = Duration.ofMillis(10);
+
+    private final FrontContext context;
+    private final Route route;
+    private final ServiceGroup group;
+    private final ClientSession session;
+    private final boolean replicaAllowed;
+    private final Set<InstanceId> avoid = new HashSet<>();
+    private Optional<PooledConnection> connection = Optional.empty();
+    private Optional<ConnectionRequest> waiting = Optional.empty();
+    private Optional<Clock.Timer> statementTimer = Optional.empty();
+    private Optional<Clock.Timer> idleTimer = Optional.empty();
+    private Optional<Consumer<Answer>> pending = Optional.empty();
+    private Statement current;
+    private String currentId = "";
+    private Moment started;
+    private int attempts;
+    private boolean sent;
+    private boolean wrote;
+    private boolean failed;
+    private boolean notice;
+    private boolean ended;
+
+    ClientTransaction(
+            FrontContext context,
+            Route route,
+            ServiceGroup group,
+            ClientSession session,
+            boolean readOnly) {
+        this.context = context;
+        this.route = route;
+        this.group = group;
+        this.session = session;
+        this.replicaAllowed = readOnly && route.consistency() != Consistency.PRIMARY;
+        startIdleTimer();
+    }
+
+    boolean isFailed() {
+        return failed;
+    }
+
+    /** Tells once whether the client has yet to learn that the transaction was rolled back. */
+    boolean takeNotice() {
+        boolean untold = notice;
+        notice = false;
+        return untold;
+    }
+
+    /** Runs a statement or the commit; the answer has the state of the transaction. */
+    void run(
+            String id,
+            Statement statement,
+            Optional<PreparedStatement> prepared,
+            Consumer<Answer> then) {
+        idleTimer.ifPresent(Clock.Timer::cancel);
+        pending = Optional.of(then);
+        current = statement;
+        currentId = id;
+        sent = false;
+        attempts = 0;
+        started = Moment.of(context.clock());
+        statementTimer = Optional.of(context.clock().schedule(this::expire, route.timeout()));
+        if (connection.isPresent()) {
+            forward(connection.get(), prepared);
+        } else {
+            open(prepared);
+        }
+    }
+
+    /** Rolls the transaction back, at the client's wish or because the client has left. */
+    void rollback() {
+        ended = true;
+        stopTimers();
+        waiting.ifPresent(group::cancel);
+        boolean committing = sent && current instanceof Statement.Commit;
+        if (!committing) {
+            connection.ifPresent(c -> releaseOrDiscard(c));
+        }
+    }
+
+    /** Rolls the transaction back and lets the client know with its next statement. */
+    void abort(String reason) {
+        if (ended || failed || pending.isPresent()) {
+            return;
+        }
+        log(EventCode.TRANSACTION_ROLLED_BACK, "reason=" + reason);
+        failed = true;
+        notice = true;
+        stopTimers();
+        connection.ifPresent(PooledConnection::release);
+        connection = Optional.empty();
+    }
+
+    private void releaseOrDiscard(PooledConnection c) {
+        if (sent) {
+            c.discard();
+        } else {
+            c.release();
+        }
+    }
+
+    private void open(Optional<PreparedStatement> prepared) {
+        if (ended || pending.isEmpty()) {
+            return;
+        }
+        attempts++;
+        Optional<LogPosition> required =
+                replicaAllowed
+                        ? group.positions()
+                                .required(route.staleness(), started)
+                                .map(Evidence::position)
+                                .map(p -> p.max(session.written()))
+                        : Optional.empty();
+        boolean elsewhere = group.instances().stream().anyMatch(e -> !avoid.contains(e.id()));
+        boolean atPrimary = required.isEmpty() || !elsewhere;
+        ConnectionRequest request =
+                new ConnectionRequest(
+                        atPrimary,
+                        avoid,
+                        session.values(),
+                        started.nanos() + route.timeout().toNanos(),
+                        granted -> {
+                            waiting = Optional.empty();
+                            begin(granted, atPrimary ? Optional.empty() : required, prepared);
+                        },
+                        reason -> {
+                            waiting = Optional.empty();
+                            fail(FailureCode.BUSY, reason);
+                        });
+        waiting = Optional.of(request);
+        group.acquire(request);
+    }
+
+    private void begin(
+            PooledConnection granted,
+            Optional<LogPosition> required,
+            Optional<PreparedStatement> prepared) {
+        ConnectionSetup.apply(
+                granted,
+                session.values(),
+                prepared,
+                ready -> {
+                    if (!ready) {
+                        reopen(prepared, "connection lost in set-up", Duration.ZERO);
+                    } else if (ended || pending.isEmpty()) {
+                        granted.release();
+                    } else {
+                        sendBegin(granted, required, prepared);
+                    }
+                });
+    }
+
+    private void sendBegin(
+            PooledConnection granted,
+            Optional<LogPosition> required,
+            Optional<PreparedStatement> prepared) {
+        granted.send(
+                "",
+                required,
+                new Statement.Begin(required.isPresent()),
+                answer -> {
+                    boolean begun = answer.filter(Answer::succeeded).isPresent();
+                    if (!begun || ended || pending.isEmpty()) {
+                        granted.release();
+                    }
+                    if (ended || pending.isEmpty()) {
+                        return;
+                    }
+                    if (begun) {
+                        connection = Optional.of(granted);
+                        forward(granted, prepared);
+                        return;
+                    }
+                    boolean moved =
+                            answer.filter(a -> a.failedWith(FailureCode.NOT_PRIMARY)).isPresent();
+                    if (!moved && required.isPresent()) {
+                        avoid.add(granted.instance().id());
+                    }
+                    reopen(prepared, "begin failed", moved ? Duration.ZERO : BUSY_PAUSE);
+                });
+    }
+
+    private void reopen(Optional<PreparedStatement> prepared, String reason, Duration pause) {
+        if (ended || pending.isEmpty()) {
+            return;
+        }
+        if (attempts >= MAX_ATTEMPTS) {
+            fail(FailureCode.BUSY, reason + ", attempts=" + attempts);
+            return;
+        }
+        log(EventCode.STATEMENT_RETRIED, "attempt=" + attempts + " reason: " + reason);
+        context.clock().schedule(() -> open(prepared), pause);
+    }
+
+    private void forward(PooledConnection c, Optional<PreparedStatement> prepared) {
+        ConnectionSetup.apply(
+                c,
+                session.values(),
+                prepared,
+                ready -> {
+                    if (pending.isEmpty()) {
+                        return;
+                    }
+                    if (!ready) {
+                        connection = Optional.empty();
+                        fail(FailureCode.ROLLED_BACK, "connection lost in set-up");
+                        return;
+                    }
+                    sent = true;
+                    wrote |=
+                            current instanceof Statement.Write
+                                    || prepared.map(PreparedStatement::write).orElse(false);
+                    c.send(
+                            currentId,
+                            Optional.empty(),
+                            session.shared(current, prepared),
+                            answer -> answered(c, answer));
+                });
+    }
+
+    private void answered(PooledConnection c, Optional<Answer> answer) {
+        sent = false;
+        boolean commit = current instanceof Statement.Commit;
+        if (pending.isEmpty()) {
+            c.release();
+            return;
+        }
+        if (answer.isEmpty()) {
+            connection = Optional.empty();
+            boolean unknown = commit && wrote;
+            fail(
+                    unknown ? FailureCode.OUTCOME_UNKNOWN : FailureCode.ROLLED_BACK,
+                    "connection lost, instance=" + c.instance().id());
+            return;
+        }
+        Answer a = answer.get();
+        if (!a.succeeded()) {
+            log(
+                    EventCode.STATEMENT_FAILED,
+                    "instance=" + c.instance().id() + " code=" + a.failure().get().code());
+            finishFailed(a);
+            return;
+        }
+        if (commit) {
+            if (wrote) {
+                a.position().ifPresent(session::wrote);
+                a.position().ifPresent(group::acknowledge);
+            }
+            ended = true;
+            connection = Optional.empty();
+            c.release();
+        }
+        deliver(a.withState(commit ? TransactionState.IDLE : TransactionState.OPEN));
+    }
+
+    private void expire() {
+        if (pending.isEmpty()) {
+            return;
+        }
+        waiting.ifPresent(group::cancel);
+        String reason = "timeout=" + route.timeout().toMillis() + " ms, sent=" + sent;
+        boolean unknown = sent && current instanceof Statement.Commit && wrote;
+        boolean neverRan = connection.isEmpty();
+        connection.filter(c -> sent).ifPresent(PooledConnection::discard);
+        fail(
+                unknown
+                        ? FailureCode.OUTCOME_UNKNOWN
+                        : neverRan ? FailureCode.BUSY : FailureCode.ROLLED_BACK,
+                reason);
+    }
+
+    private void fail(FailureCode code, String reason) {
+        if (pending.isEmpty()) {
+            return;
+        }
+        log(EventCode.STATEMENT_FAILED, "code=" + code + " " + reason);
+        finishFailed(Answer.failed(Failure.of(code, reason), TransactionState.FAILED));
+    }
+
+    private void finishFailed(Answer answer) {
+        boolean commit = current instanceof Statement.Commit;
+        connection.filter(PooledConnection::isOpen).ifPresent(PooledConnection::release);
+        connection = Optional.empty();
+        failed = !commit;
+        ended = commit;
+        deliver(answer.withState(commit ? TransactionState.IDLE : TransactionState.FAILED));
+    }
+
+    private void deliver(Answer answer) {
+        Consumer<Answer> then = pending.orElseThrow();
+        pending = Optional.empty();
+        statementTimer.ifPresent(Clock.Timer::cancel);
+        if (!ended && !failed) {
+            startIdleTimer();
+        }
+        String outcome = answer.failure().map(f -> f.code().name()).orElse("DONE");
+        Duration took = Duration.ofNanos(context.clock().nanoTime() - started.nanos());
+        context.metrics().served(route.consistency().name(), outcome, took);
+        then.accept(answer);
+    }
+
+    private void startIdleTimer() {
+        Duration timeout = context.routes().get().idleTransactionTimeout();
+        idleTimer = Optional.of(context.clock().schedule(() -> abort("idle"), timeout));
+    }
+
+    private void stopTimers() {
+        idleTimer.ifPresent(Clock.Timer::cancel);
+        statementTimer.ifPresent(Clock.Timer::cancel);
+    }
+
+    private void log(EventCode code, String detail) {
+        context.log().record(code, route.database(), currentId, detail);
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/front/ConnectionSetup.java
@@ -0,0 +1,90 @@
+package org.carobstage.front;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.carobstage.sql.Answer;
+import org.carobstage.sql.Statement;
+import org.carobstage.upstream.PooledConnection;
+
+/**
+ * Gives a pooled connection the values and prepared statements that a session relies on. Prepared
+ * statements are renamed after their text, so that sessions share them and names never collide.
+ */
+final class ConnectionSetup {
+    /**
+     * Beyond this many prepared statements a connection is reset, to bound the instance's memory.
+     */
+    private static final int MAX_PREPARED = 256;
+
+    private ConnectionSetup() {}
+
+    /**
+     * Prepares a connection.
+     *
+     * @param connection the connection
+     * @param values the values of the session
+     * @param prepared the prepared statement that is to be executed, if any
+     * @param then told whether the connection is ready
+     */
+    static void apply(
+            PooledConnection connection,
+            Map<String, String> values,
+            Optional<PreparedStatement> prepared,
+            Consumer<Boolean> then) {
+        Deque<Statement> steps = new ArrayDeque<>();
+        boolean foreign = !values.keySet().containsAll(connection.values().keySet());
+        boolean full =
+                prepared.isPresent()
+                        && !connection.prepared().contains(prepared.get().sharedName())
+                        && connection.prepared().size() >= MAX_PREPARED;
+        boolean reset = foreign || full;
+        if (reset) {
+            steps.add(new Statement.Reset());
+        }
+        values.entrySet().stream()
+                .filter(e -> reset || !e.getValue().equals(connection.values().get(e.getKey())))
+                .map(e -> new Statement.SetValue(e.getKey(), e.getValue()))
+                .forEach(steps::add);
+        prepared.filter(p -> reset || !connection.prepared().contains(p.sharedName()))
+                .map(p -> new Statement.Prepare(p.sharedName(), p.write(), p.shape()))
+                .ifPresent(steps::add);
+        next(connection, steps, then);
+    }
+
+    private static void next(
+            PooledConnection connection, Deque<Statement> steps, Consumer<Boolean> then) {
+        if (steps.isEmpty()) {
+            then.accept(true);
+            return;
+        }
+        Statement step = steps.poll();
+        connection.send(
+                "",
+                Optional.empty(),
+                step,
+                answer -> {
+                    if (answer.filter(Answer::succeeded).isEmpty()) {
+                        // What the connection now holds is unknown, so nobody may use it again.
+                        connection.discard();
+                        then.accept(false);
+                        return;
+                    }
+                    note(connection, step);
+                    next(connection, steps, then);
+                });
+    }
+
+    private static void note(PooledConnection connection, Statement step) {
+        if (step instanceof Statement.Reset) {
+            connection.values().clear();
+            connection.prepared().clear();
+        } else if (step instanceof Statement.SetValue set) {
+            connection.values().put(set.name(), set.value());
+        } else if (step instanceof Statement.Prepare prepare) {
+            connection.prepared().add(prepare.name());
+        }
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/front/PreparedStatement.java
@@ -0,0 +1,24 @@
+package org.carobstage.front;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * A statement that a client has prepared.
+ *
+ * @param write whether it writes
+ * @param shape the prepared text
+ */
+record PreparedStatement(boolean write, String shape) {
+    PreparedStatement {
+        requireNonNull(shape, "shape is null");
+    }
+
+    /**
+     * Returns the name under which connections to instances prepare it for all sessions.
+     *
+     * @return a name that differs for different statements
+     */
+    String sharedName() {
+        return (write ? "w_" : "r_") + shape.replace(' ', '_');
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/front/PrometheusText.java
@@ -0,0 +1,62 @@
+package org.carobstage.front;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Tag;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.carobstage.model.ServiceName;
+import org.carobstage.upstream.ServiceGroup;
+
+/** Writes the metrics as text. The registry is made at each scrape, so that starts stay short. */
+final class PrometheusText {
+    private static final Pattern LABEL = Pattern.compile("(\\w+)=\"([^\"]*)\"");
+    private static final double[] PERCENTILES = {50, 90, 99, 100};
+
+    private PrometheusText() {}
+
+    static String of(FrontMetrics metrics, Map<ServiceName, ServiceGroup> groups) {
+        PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        metrics.counters().forEach((name, value) -> add(registry, name, value));
+        metrics.latencies()
+                .forEach(
+                        (consistency, histogram) -> {
+                            for (double percentile : PERCENTILES) {
+                                add(
+                                        registry,
+                                        "statement_latency_micros{consistency=\""
+                                                + consistency
+                                                + "\",percentile=\""
+                                                + percentile
+                                                + "\"}",
+                                        histogram.getValueAtPercentile(percentile));
+                            }
+                        });
+        groups.forEach(
+                (name, group) -> {
+                    String label = "{service=\"" + name + "\"}";
+                    add(registry, "waiting_statements" + label, group.waiting());
+                    add(registry, "open_connections" + label, group.openConnections());
+                    add(registry, "primary_term" + label, group.leadership().term().number());
+                });
+        return registry.scrape();
+    }
+
+    private static void add(PrometheusMeterRegistry registry, String name, double value) {
+        int brace = name.indexOf('{');
+        String plain = brace < 0 ? name : name.substring(0, brace);
+        List<Tag> tags = new ArrayList<>();
+        Matcher labels = LABEL.matcher(name);
+        while (labels.find()) {
+            tags.add(Tag.of(labels.group(1), labels.group(2)));
+        }
+        Gauge.builder("carobstage_" + plain, () -> value)
+                .tags(tags)
+                .strongReference(true)
+                .register(registry);
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/front/StatementRun.java
@@ -0,0 +1,327 @@
+package org.carobstage.front;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.carobstage.event.EventCode;
+import org.carobstage.freshness.Moment;
+import org.carobstage.freshness.PrimaryPositions.Evidence;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
+import org.carobstage.route.Consistency;
+import org.carobstage.route.Route;
+import org.carobstage.runtime.Clock;
+import org.carobstage.sql.Answer;
+import org.carobstage.sql.Failure;
+import org.carobstage.sql.FailureCode;
+import org.carobstage.sql.Statement;
+import org.carobstage.sql.TransactionState;
+import org.carobstage.upstream.ConnectionRequest;
+import org.carobstage.upstream.PooledConnection;
+import org.carobstage.upstream.ServiceGroup;
+
+/**
+ * One statement outside a transaction. Reads go to any instance that has the required position, or
+ * into a transaction at the primary, which proves its lead; a read is repeated elsewhere until the
+ * timeout. A write is sent again only after a refusal that says it has not run.
+ */
+final class StatementRun {
+    private static final int MAX_ATTEMPTS = 8;
+
+    /** A read unanswered for this part of the latency objective is also sent elsewhere. */
+    private static final int HEDGE_DIVISOR = 2;
+
+    private static final Duration MIN_HEDGE = Duration.ofMillis(60);
+
+    /** The pause before a busy instance is asked again, for each attempt so far. */
+    private static final Duration BUSY_PAUSE = Duration.ofMillis(10);
+
+    private final FrontContext context;
+    private final Route route;
+    private final ServiceGroup group;
+    private final ClientSession session;
+    private final String id;
+    private final Statement statement;
+    private final Optional<PreparedStatement> prepared;
+    private final boolean write;
+    private final Consumer<Answer> then;
+    private final Moment received;
+    private final long deadlineNanos;
+    private final Set<InstanceId> avoid = new HashSet<>();
+    private final List<ConnectionRequest> waiting = new ArrayList<>();
+    private final List<Clock.Timer> timers = new ArrayList<>();
+    private int attempts;
+    private int sent;
+    private boolean primaryOnly;
+    private boolean done;
+    private String last = "";
+
+    StatementRun(
+            FrontContext context,
+            Route route,
+            ServiceGroup group,
+            ClientSession session,
+            String id,
+            Statement statement,
+            Optional<PreparedStatement> prepared,
+            Consumer<Answer> then) {
+        this.context = context;
+        this.route = route;
+        this.group = group;
+        this.session = session;
+        this.id = id;
+        this.statement = statement;
+        this.prepared = prepared;
+        this.write =
+                statement instanceof Statement.Write
+                        || prepared.map(PreparedStatement::write).orElse(false);
+        this.then = then;
+        this.received = Moment.of(context.clock());
+        this.deadlineNanos = received.nanos() + route.timeout().toNanos();
+        this.primaryOnly = write || route.consistency() == Consistency.PRIMARY;
+    }
+
+    void start() {
+        timers.add(context.clock().schedule(this::expire, route.timeout()));
+        if (!primaryOnly) {
+            Duration hedge = route.targetLatency().dividedBy(HEDGE_DIVISOR);
+            Duration delay = hedge.compareTo(MIN_HEDGE) > 0 ? hedge : MIN_HEDGE;
+            timers.add(context.clock().schedule(this::hedge, delay));
+        }
+        attempt();
+    }
+
+    /** Gives the statement up because its client has left. */
+    void abandon() {
+        done = true;
+        cleanUp();
+    }
+
+    private void attempt() {
+        if (done) {
+            return;
+        }
+        attempts++;
+        Optional<LogPosition> required = required();
+        boolean atPrimary = primaryOnly || required.isEmpty();
+        ConnectionRequest[] self = new ConnectionRequest[1];
+        self[0] =
+                new ConnectionRequest(
+                        atPrimary,
+                        avoid,
+                        session.values(),
+                        deadlineNanos,
+                        connection -> {
+                            waiting.remove(self[0]);
+                            granted(connection, atPrimary, required);
+                        },
+                        reason -> {
+                            waiting.remove(self[0]);
+                            refuse(reason);
+                        });
+        waiting.add(self[0]);
+        group.acquire(self[0]);
+    }
+
+    private Optional<LogPosition> required() {
+        return group.positions()
+                .required(route.staleness(), received)
+                .map(Evidence::position)
+                .map(p -> p.max(session.written()));
+    }
+
+    private void granted(
+            PooledConnection connection, boolean atPrimary, Optional<LogPosition> required) {
+        if (done) {
+            connection.release();
+            return;
+        }
+        ConnectionSetup.apply(
+                connection,
+                session.values(),
+                prepared,
+                ready -> {
+                    if (!ready) {
+                        retry("connection lost in set-up", Duration.ZERO);
+                    } else if (done) {
+                        connection.release();
+                    } else if (write) {
+                        send(connection, Optional.empty());
+                    } else if (atPrimary) {
+                        begin(connection);
+                    } else {
+                        send(connection, required);
+                    }
+                });
+    }
+
+    /** Opens a transaction for a single read: its statements are refused once the lead is lost. */
+    private void begin(PooledConnection connection) {
+        connection.send(
+                "",
+                Optional.empty(),
+                new Statement.Begin(false),
+                answer -> {
+                    if (answer.filter(Answer::succeeded).isPresent() && !done) {
+                        send(connection, Optional.empty());
+                        return;
+                    }
+                    connection.release();
+                    retry("begin: " + describe(answer), Duration.ZERO);
+                });
+    }
+
+    private void send(PooledConnection connection, Optional<LogPosition> required) {
+        sent++;
+        InstanceId instance = connection.instance().id();
+        connection.send(
+                id,
+                required,
+                session.shared(statement, prepared),
+                answer -> {
+                    sent--;
+                    connection.release();
+                    answered(instance, answer);
+                });
+    }
+
+    private void answered(InstanceId instance, Optional<Answer> answer) {
+        if (done) {
+            return;
+        }
+        if (answer.isEmpty()) {
+            lost(instance);
+            return;
+        }
+        Answer a = answer.get();
+        if (a.succeeded()) {
+            if (write) {
+                a.position().ifPresent(session::wrote);
+                a.position().ifPresent(group::acknowledge);
+            }
+            deliver(a);
+            return;
+        }
+        FailureCode code = a.failure().get().code();
+        if (code.notRun() || !write && code == FailureCode.FAILED) {
+            refusedBy(instance, code);
+        } else {
+            log(EventCode.STATEMENT_FAILED, "instance=" + instance + " code=" + code);
+            deliver(a);
+        }
+    }
+
+    private void lost(InstanceId instance) {
+        if (write) {
+            fail(FailureCode.OUTCOME_UNKNOWN, "connection lost, instance=" + instance);
+        } else {
+            avoid.add(instance);
+            retry("connection lost, instance=" + instance, Duration.ZERO);
+        }
+    }
+
+    private void refusedBy(InstanceId instance, FailureCode code) {
+        if (code != FailureCode.NOT_PRIMARY) {
+            avoid.add(instance);
+        }
+        boolean busyPrimary = primaryOnly && code != FailureCode.NOT_PRIMARY;
+        Duration pause = busyPrimary ? BUSY_PAUSE.multipliedBy(attempts) : Duration.ZERO;
+        retry("instance=" + instance + " code=" + code, pause);
+    }
+
+    private void retry(String reason, Duration pause) {
+        if (done) {
+            return;
+        }
+        last = reason;
+        if (attempts >= MAX_ATTEMPTS) {
+            refuse("attempts=" + attempts + " last: " + reason);
+            return;
+        }
+        log(EventCode.STATEMENT_RETRIED, "attempt=" + attempts + " reason: " + reason);
+        if (nowhereElse()) {
+            primaryOnly = true;
+        }
+        if (pause.isZero()) {
+            attempt();
+        } else {
+            timers.add(context.clock().schedule(this::attempt, pause));
+        }
+    }
+
+    private void hedge() {
+        if (!done && sent > 0 && attempts < MAX_ATTEMPTS && !primaryOnly) {
+            group.instances().stream()
+                    .map(e -> e.id())
+                    .filter(group::isSuspected)
+                    .forEach(avoid::add);
+            if (!nowhereElse()) {
+                context.metrics().count("hedged_reads_total");
+                attempt();
+            }
+        }
+    }
+
+    private boolean nowhereElse() {
+        return group.instances().stream().allMatch(e -> avoid.contains(e.id()));
+    }
+
+    private void expire() {
+        if (done) {
+            return;
+        }
+        String waited = "timeout=" + route.timeout().toMillis() + " ms, last: " + last;
+        if (sent == 0) {
+            refuse(waited);
+        } else {
+            fail(write ? FailureCode.OUTCOME_UNKNOWN : FailureCode.TIMED_OUT, waited);
+        }
+    }
+
+    private void refuse(String reason) {
+        if (done) {
+            return;
+        }
+        if (write && sent > 0) {
+            fail(FailureCode.OUTCOME_UNKNOWN, reason);
+            return;
+        }
+        log(EventCode.STATEMENT_REFUSED, "waited=" + elapsed().toMillis() + " ms " + reason);
+        deliver(Answer.failed(Failure.of(FailureCode.BUSY, reason), TransactionState.IDLE));
+    }
+
+    private void fail(FailureCode code, String reason) {
+        log(EventCode.STATEMENT_FAILED, "code=" + code + " " + reason);
+        deliver(Answer.failed(Failure.of(code, reason), TransactionState.IDLE));
+    }
+
+    private void deliver(Answer answer) {
+        done = true;
+        cleanUp();
+        String outcome = answer.failure().map(f -> f.code().name()).orElse("DONE");
+        context.metrics().served(route.consistency().name(), outcome, elapsed());
+        then.accept(answer.withState(TransactionState.IDLE));
+    }
+
+    private void cleanUp() {
+        timers.forEach(Clock.Timer::cancel);
+        List.copyOf(waiting).forEach(group::cancel);
+        waiting.clear();
+    }
+
+    private Duration elapsed() {
+        return Duration.ofNanos(context.clock().nanoTime() - received.nanos());
+    }
+
+    private void log(EventCode code, String detail) {
+        context.log().record(code, route.database(), id, detail);
+    }
+
+    private static String describe(Optional<Answer> answer) {
+        return answer.flatMap(Answer::failure).map(f -> f.code().name()).orElse("no answer");
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/front/package-info.java
@@ -0,0 +1,2 @@
+/** Client sessions, and the process that serves them. */
+package org.carobstage.front;
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/store/StoreItem.java
@@ -0,0 +1,20 @@
+package org.carobstage.store;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Optional;
+
+/**
+ * A key of the store as of one revision.
+ *
+ * @param key the key
+ * @param value the value as UTF-8 text, empty if the key was deleted
+ * @param revision the revision of its last change
+ */
+public record StoreItem(String key, Optional<String> value, long revision) {
+    /** Checks the item. */
+    public StoreItem {
+        requireNonNull(key, "key is null");
+        requireNonNull(value, "value is null");
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
@@ -0,0 +1,34 @@
+package org.carobstage.upstream;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.carobstage.model.InstanceId;
+
+/**
+ * A statement's wish for a connection.
+ *
+ * @param primary whether only the primary will do
+ * @param avoid instances that have refused the statement; the owner may add to it
+ * @param values the session values that the connection had best have
+ * @param deadlineNanos the monotonic time at which the statement is given up
+ * @param granted takes the connection
+ * @param refused takes the reason if the wish can't be met before the deadline
+ */
+public record ConnectionRequest(
+        boolean primary,
+        Set<InstanceId> avoid,
+        Map<String, String> values,
+        long deadlineNanos,
+        Consumer<PooledConnection> granted,
+        Consumer<String> refused) {
+    /** Checks the request. */
+    public ConnectionRequest {
+        requireNonNull(avoid, "avoid is null");
+        requireNonNull(values, "values is null");
+        requireNonNull(granted, "granted is null");
+        requireNonNull(refused, "refused is null");
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstancePool.java
@@ -0,0 +1,330 @@
+package org.carobstage.upstream;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.carobstage.discovery.InstanceEntry;
+import org.carobstage.freshness.Moment;
+import org.carobstage.sql.Answer;
+import org.carobstage.sql.FailureCode;
+import org.carobstage.sql.Statement;
+import org.carobstage.upstream.InstanceConnection.StatusAnswer;
+import org.carobstage.upstream.InstanceConnector.OpenFailure;
+
+/** The connections of this process to one instance, and whether the instance is alive. */
+final class InstancePool {
+    /** Connections kept open without demand; opening one takes tens of ms and a slot. */
+    private static final int WARM = 2;
+
+    /** How long opening may take; a full instance answers a new connection within its queue. */
+    private static final Duration OPEN_TIMEOUT = Duration.ofMillis(400);
+
+    /** The pause after a failed attempt to open a connection. */
+    private static final Duration OPEN_PAUSE = Duration.ofMillis(150);
+
+    /** Failures to open in a row, without an answer in between, that make a suspicion. */
+    private static final int FAILURES_TO_SUSPECT = 2;
+
+    /** Silence after which a new connection probes the instance: beyond a full queue's wait. */
+    private static final Duration PROBE_AFTER = Duration.ofMillis(300);
+
+    /** Silence of a connection, while others answer, after which it is closed. */
+    private static final Duration SILENCE_TO_CLOSE = Duration.ofMillis(2_500);
+
+    /** The weight of the newest latency in the moving average. */
+    private static final double NEWEST_WEIGHT = 0.2;
+
+    /** The latency assumed before the first answer, in ms. */
+    private static final double INITIAL_LATENCY = 20;
+
+    private final ServiceGroup group;
+    private final UpstreamContext context;
+    private final List<PooledConnection> connections = new ArrayList<>();
+    private InstanceEntry entry;
+    private int limit = 1;
+    private int opening;
+    private int failures;
+    private long openNotBefore;
+    private long heardNanos;
+    private long askedNanos;
+    private boolean suspected;
+    private boolean closed;
+    private double latencyMillis = INITIAL_LATENCY;
+
+    InstancePool(ServiceGroup group, UpstreamContext context, InstanceEntry entry) {
+        this.group = requireNonNull(group, "group is null");
+        this.context = requireNonNull(context, "context is null");
+        this.entry = requireNonNull(entry, "entry is null");
+        this.openNotBefore = context.clock().nanoTime();
+        this.heardNanos = openNotBefore;
+        this.askedNanos = openNotBefore - TimeUnit.HOURS.toNanos(1);
+    }
+
+    InstanceEntry entry() {
+        return entry;
+    }
+
+    Moment moment() {
+        return Moment.of(context.clock());
+    }
+
+    boolean isSuspected() {
+        return suspected;
+    }
+
+    /** Replaces the entry; connections to an earlier address or life are closed once unused. */
+    void update(InstanceEntry newer) {
+        boolean moved =
+                !newer.address().equals(entry.address())
+                        || newer.bornMillis() != entry.bornMillis();
+        entry = newer;
+        if (moved) {
+            retireAll();
+            failures = 0;
+            openNotBefore = context.clock().nanoTime();
+        }
+    }
+
+    void limit(int connectionLimit) {
+        limit = connectionLimit;
+        while (connections.size() > limit) {
+            Optional<PooledConnection> free =
+                    connections.stream().filter(c -> !c.isBusy()).findFirst();
+            if (free.isEmpty()) {
+                break;
+            }
+            free.get().discard();
+        }
+    }
+
+    void close() {
+        closed = true;
+        retireAll();
+    }
+
+    InstanceChoice.Candidate candidate() {
+        return new InstanceChoice.Candidate(
+                entry.id(),
+                entry.domain().equals(context.domain()),
+                suspected,
+                entry.draining(),
+                running(),
+                entry.slots(),
+                latencyMillis);
+    }
+
+    /** Takes a free connection, the one whose values fit best. */
+    Optional<PooledConnection> take(Map<String, String> values) {
+        Optional<PooledConnection> free =
+                connections.stream()
+                        .filter(c -> !c.isBusy())
+                        .max(Comparator.comparingInt(c -> fit(c, values)));
+        free.ifPresent(PooledConnection::take);
+        return free;
+    }
+
+    /** Opens a connection if the limit and the pause after a failure allow it. */
+    void openIfAllowed() {
+        long now = context.clock().nanoTime();
+        if (!closed && connections.size() + opening < limit && now - openNotBefore >= 0) {
+            open();
+        }
+    }
+
+    void tick(long now, Duration statusInterval) {
+        if (connections.size() + opening < Math.min(WARM, limit)) {
+            openIfAllowed();
+        }
+        closeSilent(now);
+        Duration silence = silence(now);
+        if (silence.compareTo(PROBE_AFTER) > 0 && opening == 0 && now - openNotBefore >= 0) {
+            open();
+        }
+        if (now - askedNanos >= statusInterval.toNanos()) {
+            take(Map.of()).ifPresent(c -> askStatus(c, now));
+        }
+    }
+
+    /** Forgets all waits, because the process itself did not run for a while. */
+    void resumeAfterPause() {
+        Moment now = moment();
+        heardNanos = now.nanos();
+        failures = 0;
+        connections.stream().filter(c -> c.sentAt().isPresent()).forEach(c -> c.asking(now));
+    }
+
+    void answered(
+            PooledConnection connection,
+            Statement statement,
+            Optional<Answer> answer,
+            Moment asked) {
+        if (answer.isEmpty()) {
+            return;
+        }
+        heard();
+        Answer a = answer.get();
+        if (a.failedWith(FailureCode.NOT_PRIMARY)) {
+            group.refusedAsPrimary(entry.id());
+        } else if (a.succeeded() && provesLead(statement)) {
+            a.position().ifPresent(p -> group.provedLead(entry.id(), p, asked));
+        }
+        if (statement instanceof Statement.Read || statement instanceof Statement.Execute) {
+            double took = asked.age(moment()).toNanos() / 1e6;
+            latencyMillis += NEWEST_WEIGHT * (took - latencyMillis);
+        }
+    }
+
+    void release(PooledConnection connection) {
+        connection.free();
+        if (connection.isRetired() || connections.size() > limit) {
+            connection.discard();
+        } else {
+            group.dispatch();
+        }
+    }
+
+    void lost(PooledConnection connection) {
+        connections.remove(connection);
+        group.dispatch();
+    }
+
+    /** Sends a statement that is answered with the status, on a free connection. */
+    boolean order(Statement statement, Consumer<StatusAnswer> whenAnswered) {
+        Optional<PooledConnection> free = take(Map.of());
+        free.ifPresent(c -> ask(c, statement, whenAnswered));
+        return free.isPresent();
+    }
+
+    int openConnections() {
+        return connections.size();
+    }
+
+    private int running() {
+        return (int) connections.stream().filter(PooledConnection::isBusy).count();
+    }
+
+    private static int fit(PooledConnection connection, Map<String, String> values) {
+        if (connection.values().equals(values)) {
+            return 2;
+        }
+        return values.keySet().containsAll(connection.values().keySet()) ? 1 : 0;
+    }
+
+    private static boolean provesLead(Statement statement) {
+        return statement instanceof Statement.Write
+                || statement instanceof Statement.Begin begin && !begin.readOnly();
+    }
+
+    private void askStatus(PooledConnection connection, long now) {
+        askedNanos = now;
+        ask(connection, new Statement.AskStatus(), answer -> {});
+    }
+
+    private void ask(
+            PooledConnection connection, Statement statement, Consumer<StatusAnswer> whenAnswered) {
+        Moment asked = moment();
+        connection.asking(asked);
+        connection
+                .raw()
+                .ask(
+                        statement,
+                        answer -> {
+                            connection.asking(null);
+                            if (answer.answered()) {
+                                heard();
+                            }
+                            answer.status().ifPresent(s -> group.status(entry.id(), s, asked));
+                            whenAnswered.accept(answer);
+                            if (connection.isOpen()) {
+                                release(connection);
+                            }
+                        });
+    }
+
+    private void open() {
+        opening++;
+        PooledConnection pooled = new PooledConnection(this);
+        InstanceEntry target = entry;
+        context.connector()
+                .connect(
+                        target,
+                        OPEN_TIMEOUT,
+                        InstanceConnector.Listener.of(
+                                connection -> opened(pooled, connection, target),
+                                this::openFailed,
+                                () -> {
+                                    pooled.markLost();
+                                    lost(pooled);
+                                }));
+    }
+
+    private void opened(PooledConnection pooled, InstanceConnection connection, InstanceEntry at) {
+        opening--;
+        pooled.attach(connection);
+        connections.add(pooled);
+        if (closed || !at.address().equals(entry.address())) {
+            pooled.discard();
+            return;
+        }
+        heard();
+        release(pooled);
+    }
+
+    private void openFailed(OpenFailure reason) {
+        opening--;
+        long now = context.clock().nanoTime();
+        openNotBefore = now + OPEN_PAUSE.toNanos();
+        boolean alive = reason == OpenFailure.CONNECTION_LIMIT || reason == OpenFailure.REFUSED;
+        if (alive) {
+            heard();
+            return;
+        }
+        failures++;
+        boolean silent = reason == OpenFailure.NO_ANSWER && silence(now).compareTo(PROBE_AFTER) > 0;
+        if ((silent || failures >= FAILURES_TO_SUSPECT) && !suspected) {
+            suspected = true;
+            group.suspicionChanged(entry, true, reason + ", silent for " + silence(now).toMillis());
+        }
+    }
+
+    private void heard() {
+        heardNanos = context.clock().nanoTime();
+        failures = 0;
+        if (suspected) {
+            suspected = false;
+            group.suspicionChanged(entry, false, "it answered");
+        }
+    }
+
+    /** How long the oldest question has waited while nothing was heard from the instance. */
+    private Duration silence(long now) {
+        return connections.stream()
+                .map(PooledConnection::sentAt)
+                .flatMap(Optional::stream)
+                .map(sent -> now - Math.max(sent.nanos(), heardNanos))
+                .max(Comparator.naturalOrder())
+                .map(Duration::ofNanos)
+                .orElse(Duration.ZERO);
+    }
+
+    private void closeSilent(long now) {
+        List<PooledConnection> silent =
+                connections.stream()
+                        .filter(c -> c.sentAt().isPresent())
+                        .filter(c -> now - c.sentAt().get().nanos() > SILENCE_TO_CLOSE.toNanos())
+                        .toList();
+        silent.forEach(PooledConnection::discard);
+    }
+
+    private void retireAll() {
+        connections.forEach(PooledConnection::retire);
+        connections.stream().filter(c -> !c.isBusy()).toList().forEach(PooledConnection::discard);
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
@@ -0,0 +1,154 @@
+package org.carobstage.upstream;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.carobstage.discovery.InstanceEntry;
+import org.carobstage.freshness.Moment;
+import org.carobstage.model.LogPosition;
+import org.carobstage.sql.Answer;
+import org.carobstage.sql.Statement;
+import org.carobstage.sql.TransactionState;
+
+/** A connection to an instance with what its past has left on it. */
+public final class PooledConnection {
+    private final InstancePool pool;
+    private final Map<String, String> values = new HashMap<>();
+    private final Set<String> prepared = new HashSet<>();
+    private InstanceConnection connection;
+    private boolean open = true;
+    private boolean busy;
+    private boolean retired;
+    private TransactionState state = TransactionState.IDLE;
+    private Moment sentAt;
+
+    PooledConnection(InstancePool pool) {
+        this.pool = requireNonNull(pool, "pool is null");
+    }
+
+    /**
+     * Returns the instance.
+     *
+     * @return the instance's entry
+     */
+    public InstanceEntry instance() {
+        return pool.entry();
+    }
+
+    /**
+     * Returns the session values set on the connection.
+     *
+     * @return the values by name
+     */
+    public Map<String, String> values() {
+        return values;
+    }
+
+    /**
+     * Returns the names of the statements prepared on the connection.
+     *
+     * @return the names
+     */
+    public Set<String> prepared() {
+        return prepared;
+    }
+
+    /**
+     * Tells whether the connection can be used.
+     *
+     * @return false once it is lost or closed
+     */
+    public boolean isOpen() {
+        return open;
+    }
+
+    /**
+     * Sends a statement of the user that holds the connection.
+     *
+     * @param id the request's id, or empty for a statement of the proxy itself
+     * @param required the log position that the instance must have to run it
+     * @param statement the statement
+     * @param whenAnswered called once, with empty if the connection is lost before the answer
+     */
+    public void send(
+            String id,
+            Optional<LogPosition> required,
+            Statement statement,
+            Consumer<Optional<Answer>> whenAnswered) {
+        Moment asked = pool.moment();
+        sentAt = asked;
+        connection.send(
+                id,
+                required,
+                statement,
+                answer -> {
+                    sentAt = null;
+                    answer.ifPresent(a -> state = a.state());
+                    pool.answered(this, statement, answer, asked);
+                    whenAnswered.accept(answer);
+                });
+    }
+
+    /** Gives the connection back; an open transaction is rolled back first. */
+    public void release() {
+        if (open && state != TransactionState.IDLE) {
+            send("", Optional.empty(), new Statement.Rollback(), answer -> pool.release(this));
+        } else {
+            pool.release(this);
+        }
+    }
+
+    /** Closes the connection, so that the instance rolls an open transaction back. */
+    public void discard() {
+        if (open) {
+            open = false;
+            connection.close();
+            pool.lost(this);
+        }
+    }
+
+    void attach(InstanceConnection opened) {
+        connection = opened;
+    }
+
+    InstanceConnection raw() {
+        return connection;
+    }
+
+    void markLost() {
+        open = false;
+    }
+
+    boolean isBusy() {
+        return busy;
+    }
+
+    void take() {
+        busy = true;
+    }
+
+    void free() {
+        busy = false;
+    }
+
+    void retire() {
+        retired = true;
+    }
+
+    boolean isRetired() {
+        return retired;
+    }
+
+    Optional<Moment> sentAt() {
+        return Optional.ofNullable(sentAt);
+    }
+
+    void asking(Moment moment) {
+        sentAt = moment;
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -0,0 +1,417 @@
+package org.carobstage.upstream;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.carobstage.discovery.InstanceEntry;
+import org.carobstage.event.EventCode;
+import org.carobstage.event.EventScope;
+import org.carobstage.freshness.Moment;
+import org.carobstage.freshness.PrimaryPositions;
+import org.carobstage.model.GroupId;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
+import org.carobstage.model.ServiceName;
+import org.carobstage.sql.InstanceStatus;
+import org.carobstage.sql.Statement;
+import org.carobstage.upstream.InstanceConnection.StatusAnswer;
+
+/** The instances of one service: their pools, which one leads, and who waits for a connection. */
+public final class ServiceGroup {
+    /** The interval of status questions to the primary; they are evidence for replica reads. */
+    private static final Duration PRIMARY_INTERVAL = Duration.ofMillis(250);
+
+    /** The interval of status questions to replicas. */
+    private static final Duration REPLICA_INTERVAL = Duration.ofMillis(1_000);
+
+    /** The interval of status questions while no leader is known. */
+    private static final Duration SEARCH_INTERVAL = Duration.ofMillis(100);
+
+    /** How long a change of the primary takes from its loss: detection, order and promotion. */
+    private static final Duration PROMOTION_TIME = Duration.ofMillis(1_700);
+
+    /** How long finding the new primary takes once the old one says that it has been replaced. */
+    private static final Duration HANDOVER_TIME = Duration.ofMillis(200);
+
+    /** Waiting statements per connection beyond which a queue only grows. */
+    private static final int WAITERS_PER_CONNECTION = 8;
+
+    private static final int MIN_WAITERS = 32;
+
+    private final ServiceName name;
+    private final UpstreamContext context;
+    private final Map<InstanceId, InstancePool> pools = new TreeMap<>();
+    private final Map<InstanceId, InstanceStatus> statuses = new TreeMap<>();
+    private final PrimaryPositions positions = PrimaryPositions.empty();
+    private final List<ConnectionRequest> waiters = new ArrayList<>();
+    private Leadership leadership = Leadership.empty();
+    private LogPosition acknowledged = LogPosition.empty();
+    private long primaryExpected;
+    private int limit = 1;
+    private boolean dispatching;
+    private boolean dispatchAgain;
+
+    private ServiceGroup(ServiceName name, UpstreamContext context) {
+        this.name = name;
+        this.context = context;
+        expectPrimaryIn(PROMOTION_TIME);
+    }
+
+    /**
+     * Creates a group without instances.
+     *
+     * @param name the service
+     * @param context what all pools share
+     * @return the group
+     */
+    public static ServiceGroup of(ServiceName name, UpstreamContext context) {
+        return new ServiceGroup(
+                requireNonNull(name, "name is null"), requireNonNull(context, "context is null"));
+    }
+
+    /**
+     * Returns the service.
+     *
+     * @return its name
+     */
+    public ServiceName name() {
+        return name;
+    }
+
+    /**
+     * Returns which instance leads, as far as it is known.
+     *
+     * @return the leadership
+     */
+    public Leadership leadership() {
+        return leadership;
+    }
+
+    /**
+     * Returns the evidence of the primary's positions.
+     *
+     * @return the positions
+     */
+    public PrimaryPositions positions() {
+        return positions;
+    }
+
+    /**
+     * Returns the registered instances.
+     *
+     * @return their entries
+     */
+    public List<InstanceEntry> instances() {
+        return pools.values().stream().map(InstancePool::entry).toList();
+    }
+
+    /**
+     * Returns the last status of an instance.
+     *
+     * @param id the instance
+     * @return its status, if it was ever given
+     */
+    public Optional<InstanceStatus> status(InstanceId id) {
+        return Optional.ofNullable(statuses.get(id));
+    }
+
+    /**
+     * Tells whether an instance does not answer this process.
+     *
+     * @param id the instance
+     * @return true if it is suspected
+     */
+    public boolean isSuspected(InstanceId id) {
+        return Optional.ofNullable(pools.get(id)).map(InstancePool::isSuspected).orElse(false);
+    }
+
+    /**
+     * Returns the newest position of a commit that this process has acknowledged.
+     *
+     * @return the position
+     */
+    public LogPosition acknowledged() {
+        return acknowledged;
+    }
+
+    /**
+     * Notes a commit that is about to be acknowledged.
+     *
+     * @param position its position
+     */
+    public void acknowledge(LogPosition position) {
+        acknowledged = acknowledged.max(position);
+    }
+
+    /**
+     * Adds an instance or replaces its entry.
+     *
+     * @param entry the entry
+     */
+    public void put(InstanceEntry entry) {
+        InstancePool pool = pools.get(entry.id());
+        if (pool == null) {
+            pool = new InstancePool(this, context, entry);
+            pool.limit(limit);
+            pools.put(entry.id(), pool);
+            pool.openIfAllowed();
+            return;
+        }
+        boolean changedRole = pool.entry().primary() != entry.primary();
+        pool.update(entry);
+        if (changedRole) {
+            pool.order(new Statement.AskStatus(), answer -> {});
+        }
+        dispatch();
+    }
+
+    /**
+     * Removes an instance.
+     *
+     * @param id the instance
+     */
+    public void remove(InstanceId id) {
+        Optional.ofNullable(pools.remove(id)).ifPresent(InstancePool::close);
+        statuses.remove(id);
+        setLeadership(leadership.refused(id), "the instance is gone");
+    }
+
+    /**
+     * Sets how many connections this process may have to each instance.
+     *
+     * @param connections the limit, at least 1
+     */
+    public void limit(int connections) {
+        limit = connections;
+        pools.values().forEach(pool -> pool.limit(connections));
+    }
+
+    /**
+     * Asks for a connection; the request is granted or refused at once or later.
+     *
+     * @param request the request
+     */
+    public void acquire(ConnectionRequest request) {
+        Optional<String> refusal = refusal(request);
+        if (refusal.isPresent()) {
+            request.refused().accept(refusal.get());
+            return;
+        }
+        int at = waiters.size();
+        while (at > 0 && waiters.get(at - 1).deadlineNanos() - request.deadlineNanos() > 0) {
+            at--;
+        }
+        waiters.add(at, request);
+        dispatch();
+    }
+
+    /**
+     * Withdraws a request.
+     *
+     * @param request the request
+     */
+    public void cancel(ConnectionRequest request) {
+        waiters.removeIf(w -> w == request);
+    }
+
+    /**
+     * Sends a statement that is answered with the status to an instance.
+     *
+     * @param id the instance
+     * @param statement the statement
+     * @param whenAnswered called once if the statement was sent
+     * @return false if no connection is free
+     */
+    public boolean order(InstanceId id, Statement statement, Consumer<StatusAnswer> whenAnswered) {
+        InstancePool pool = pools.get(id);
+        return pool != null && pool.order(statement, whenAnswered);
+    }
+
+    /** Opens connections, asks for statuses and probes silent instances; called by a timer. */
+    public void tick() {
+        long now = context.clock().nanoTime();
+        for (InstancePool pool : List.copyOf(pools.values())) {
+            pool.tick(now, interval(pool));
+        }
+        refuseHopeless();
+        dispatch();
+    }
+
+    /** Forgets all waits, because the process itself did not run for a while. */
+    public void resumeAfterPause() {
+        pools.values().forEach(InstancePool::resumeAfterPause);
+    }
+
+    /** Grants connections to those who wait, the earliest deadline first. */
+    public void dispatch() {
+        if (dispatching) {
+            dispatchAgain = true;
+            return;
+        }
+        dispatching = true;
+        do {
+            dispatchAgain = false;
+            for (ConnectionRequest waiter : List.copyOf(waiters)) {
+                grant(waiter);
+            }
+        } while (dispatchAgain);
+        dispatching = false;
+    }
+
+    /**
+     * Returns how many statements wait for a connection.
+     *
+     * @return the length of the queue
+     */
+    public int waiting() {
+        return waiters.size();
+    }
+
+    /**
+     * Returns how many connections are open.
+     *
+     * @return the connections to all instances
+     */
+    public int openConnections() {
+        return pools.values().stream().mapToInt(InstancePool::openConnections).sum();
+    }
+
+    void provedLead(InstanceId id, LogPosition position, Moment asked) {
+        setLeadership(leadership.leads(id, position.term()), "it ran a statement as primary");
+        if (leadership.isLeader(id)) {
+            positions.add(position, asked, Moment.of(context.clock()));
+        }
+    }
+
+    void refusedAsPrimary(InstanceId id) {
+        if (leadership.isLeader(id)) {
+            setLeadership(leadership.refused(id), "it refused a statement as replica");
+            pools.values().forEach(p -> p.order(new Statement.AskStatus(), answer -> {}));
+        }
+    }
+
+    void status(InstanceId id, InstanceStatus status, Moment asked) {
+        statuses.put(id, status);
+        if (status.primary()) {
+            setLeadership(leadership.leads(id, status.term()), "its status says so");
+            if (leadership.isLeader(id)) {
+                positions.add(status.received(), asked, Moment.of(context.clock()));
+            }
+        } else {
+            setLeadership(leadership.follows(id, status.term()), "its status says replica");
+        }
+    }
+
+    void suspicionChanged(InstanceEntry entry, boolean suspected, String reason) {
+        if (leadership.isLeader(entry.id())) {
+            expectPrimaryIn(PROMOTION_TIME);
+        }
+        record(
+                suspected ? EventCode.INSTANCE_SUSPECTED : EventCode.INSTANCE_TRUSTED,
+                "instance=" + entry.id() + " reason=" + reason);
+    }
+
+    private Duration interval(InstancePool pool) {
+        if (leadership.leader().isEmpty()) {
+            return SEARCH_INTERVAL;
+        }
+        return leadership.isLeader(pool.entry().id()) ? PRIMARY_INTERVAL : REPLICA_INTERVAL;
+    }
+
+    private void grant(ConnectionRequest waiter) {
+        if (!waiters.contains(waiter)) {
+            return;
+        }
+        List<InstancePool> candidates =
+                InstanceChoice.order(usable(waiter).map(InstancePool::candidate)).stream()
+                        .map(c -> pools.get(c.id()))
+                        .toList();
+        for (InstancePool pool : candidates) {
+            Optional<PooledConnection> connection = pool.take(waiter.values());
+            if (connection.isPresent()) {
+                waiters.removeIf(w -> w == waiter);
+                waiter.granted().accept(connection.get());
+                return;
+            }
+        }
+        candidates.stream().findFirst().ifPresent(InstancePool::openIfAllowed);
+    }
+
+    private Stream<InstancePool> usable(ConnectionRequest request) {
+        if (request.primary()) {
+            return leadership.leader().map(pools::get).stream();
+        }
+        Collection<InstancePool> all = pools.values();
+        boolean othersDrain = all.stream().anyMatch(p -> !p.entry().draining());
+        return all.stream()
+                .filter(p -> !request.avoid().contains(p.entry().id()))
+                .filter(p -> !othersDrain || !p.entry().draining());
+    }
+
+    private Optional<String> refusal(ConnectionRequest request) {
+        int most = Math.max(MIN_WAITERS, WAITERS_PER_CONNECTION * openConnections());
+        if (waiters.size() >= most) {
+            return Optional.of("queue of " + waiters.size() + " is full");
+        }
+        return hopeless(request) ? Optional.of(unavailable()) : Optional.empty();
+    }
+
+    private void refuseHopeless() {
+        List<ConnectionRequest> hopeless = waiters.stream().filter(this::hopeless).toList();
+        waiters.removeAll(hopeless);
+        hopeless.forEach(w -> w.refused().accept(unavailable()));
+    }
+
+    private boolean hopeless(ConnectionRequest request) {
+        if (!request.primary()) {
+            return false;
+        }
+        Optional<InstanceId> leader = leadership.leader();
+        boolean absent = leader.isEmpty() || isSuspected(leader.get());
+        return absent && request.deadlineNanos() - primaryExpected < 0;
+    }
+
+    private void expectPrimaryIn(Duration time) {
+        primaryExpected = context.clock().nanoTime() + time.toNanos();
+    }
+
+    private String unavailable() {
+        long millis = (primaryExpected - context.clock().nanoTime()) / 1_000_000;
+        return "no primary, expected in " + Math.max(0, millis) + " ms";
+    }
+
+    private void setLeadership(Leadership next, String reason) {
+        if (next.equals(leadership)) {
+            return;
+        }
+        boolean changed = !next.leader().equals(leadership.leader());
+        leadership = next;
+        if (!changed) {
+            return;
+        }
+        if (next.leader().isEmpty()) {
+            expectPrimaryIn(HANDOVER_TIME);
+        }
+        record(
+                EventCode.PRIMARY_KNOWN,
+                "primary="
+                        + next.leader().map(InstanceId::value).orElse("none")
+                        + " term="
+                        + next.term()
+                        + " reason="
+                        + reason);
+        dispatch();
+    }
+
+    private void record(EventCode code, String detail) {
+        context.events().record(code, EventScope.of(GroupId.of(name.value())), detail);
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/upstream/UpstreamContext.java
@@ -0,0 +1,26 @@
+package org.carobstage.upstream;
+
+import static java.util.Objects.requireNonNull;
+
+import org.carobstage.event.EventLog;
+import org.carobstage.model.FailureDomain;
+import org.carobstage.runtime.Clock;
+
+/**
+ * What all pools of a process share.
+ *
+ * @param clock the runtime's clock
+ * @param connector opens connections
+ * @param domain the failure domain of this VM
+ * @param events the log of decisions
+ */
+public record UpstreamContext(
+        Clock clock, InstanceConnector connector, FailureDomain domain, EventLog events) {
+    /** Checks the context. */
+    public UpstreamContext {
+        requireNonNull(clock, "clock is null");
+        requireNonNull(connector, "connector is null");
+        requireNonNull(domain, "domain is null");
+        requireNonNull(events, "events is null");
+    }
+}
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to instances: pools, the choice of an instance, liveness and leadership. */
+package org.carobstage.upstream;
