--- a/carobstage/src/main/java/org/carobstage/freshness/PrimaryPositions.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PrimaryPositions.java
@@ -70,6 +70,15 @@
                 .findFirst();
     }
 
+    /**
+     * Returns the newest position.
+     *
+     * @return the position and when it was asked for, if any is known
+     */
+    public Optional<Evidence> newest() {
+        return Optional.ofNullable(evidence.peekLast());
+    }
+
     /**
      * A position and when it was asked for.
      *
--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -19,6 +19,7 @@
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.TransactionState;
 import org.carobstage.upstream.ConnectionRequest;
+import org.carobstage.upstream.ConnectionRequest.Use;
 import org.carobstage.upstream.PooledConnection;
 import org.carobstage.upstream.ServiceGroup;
 
@@ -145,7 +146,7 @@
         boolean atPrimary = required.isEmpty() || !elsewhere;
         ConnectionRequest request =
                 new ConnectionRequest(
-                        atPrimary,
+                        atPrimary ? Use.PRIMARY : Use.ANY_INSTANCE,
                         avoid,
                         session.values(),
                         started.nanos() + route.timeout().toNanos(),
--- a/carobstage/src/main/java/org/carobstage/front/StatementRun.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementRun.java
@@ -21,6 +21,7 @@
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.TransactionState;
 import org.carobstage.upstream.ConnectionRequest;
+import org.carobstage.upstream.ConnectionRequest.Use;
 import org.carobstage.upstream.PooledConnection;
 import org.carobstage.upstream.ServiceGroup;
 
@@ -52,6 +53,7 @@
     private final Moment received;
     private final long deadlineNanos;
     private final Set<InstanceId> avoid = new HashSet<>();
+    private final Set<InstanceId> inFlight = new HashSet<>();
     private final List<ConnectionRequest> waiting = new ArrayList<>();
     private final List<Clock.Timer> timers = new ArrayList<>();
     private int attempts;
@@ -108,10 +110,11 @@
         attempts++;
         Optional<LogPosition> required = required();
         boolean atPrimary = primaryOnly || required.isEmpty();
+        Use use = write ? Use.PRIMARY : atPrimary ? Use.PROVEN_READ : Use.ANY_INSTANCE;
         ConnectionRequest[] self = new ConnectionRequest[1];
         self[0] =
                 new ConnectionRequest(
-                        atPrimary,
+                        use,
                         avoid,
                         session.values(),
                         deadlineNanos,
@@ -151,10 +154,10 @@
                         connection.release();
                     } else if (write) {
                         send(connection, Optional.empty());
-                    } else if (atPrimary) {
+                    } else if (atPrimary && !connection.provesLead()) {
                         begin(connection);
                     } else {
-                        send(connection, required);
+                        send(connection, atPrimary ? Optional.empty() : required);
                     }
                 });
     }
@@ -178,13 +181,14 @@
     private void send(PooledConnection connection, Optional<LogPosition> required) {
         sent++;
         InstanceId instance = connection.instance().id();
+        inFlight.add(instance);
         connection.send(
                 id,
                 required,
                 session.shared(statement, prepared),
                 answer -> {
                     sent--;
-                    connection.release();
+                    connection.releaseProving();
                     answered(instance, answer);
                 });
     }
@@ -255,10 +259,7 @@
 
     private void hedge() {
         if (!done && sent > 0 && attempts < MAX_ATTEMPTS && !primaryOnly) {
-            group.instances().stream()
-                    .map(e -> e.id())
-                    .filter(group::isSuspected)
-                    .forEach(avoid::add);
+            avoid.addAll(inFlight);
             if (!nowhereElse()) {
                 context.metrics().count("hedged_reads_total");
                 attempt();
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
@@ -10,7 +10,7 @@
 /**
  * A statement's wish for a connection.
  *
- * @param primary whether only the primary will do
+ * @param use what the connection is for
  * @param avoid instances that have refused the statement; the owner may add to it
  * @param values the session values that the connection had best have
  * @param deadlineNanos the monotonic time at which the statement is given up
@@ -18,7 +18,7 @@
  * @param refused takes the reason if the wish can't be met before the deadline
  */
 public record ConnectionRequest(
-        boolean primary,
+        Use use,
         Set<InstanceId> avoid,
         Map<String, String> values,
         long deadlineNanos,
@@ -26,9 +26,24 @@
         Consumer<String> refused) {
     /** Checks the request. */
     public ConnectionRequest {
+        requireNonNull(use, "use is null");
         requireNonNull(avoid, "avoid is null");
         requireNonNull(values, "values is null");
         requireNonNull(granted, "granted is null");
         requireNonNull(refused, "refused is null");
     }
+
+    boolean needsPrimary() {
+        return use != Use.ANY_INSTANCE;
+    }
+
+    /** What a connection is for. */
+    public enum Use {
+        /** A statement that any instance may run. */
+        ANY_INSTANCE,
+        /** A statement that only the primary may run. */
+        PRIMARY,
+        /** A single read at the primary, inside a transaction that proves its lead. */
+        PROVEN_READ
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
@@ -24,6 +24,8 @@
     private boolean open = true;
     private boolean busy;
     private boolean retired;
+    private boolean proving;
+    private long provenNanos;
     private TransactionState state = TransactionState.IDLE;
     private Moment sentAt;
 
@@ -89,11 +91,35 @@
                 answer -> {
                     sentAt = null;
                     answer.ifPresent(a -> state = a.state());
+                    proving &= state == TransactionState.OPEN;
                     pool.answered(this, statement, answer, asked);
                     whenAnswered.accept(answer);
                 });
     }
 
+    /**
+     * Gives the connection back with its open transaction, in which further single reads of any
+     * session prove that the instance still leads.
+     */
+    public void releaseProving() {
+        if (open && state == TransactionState.OPEN) {
+            proving = true;
+            provenNanos = pool.moment().nanos();
+            pool.release(this);
+        } else {
+            release();
+        }
+    }
+
+    /**
+     * Tells whether a transaction is open in which a read proves the lead.
+     *
+     * @return true after {@link #releaseProving}, until the transaction has ended
+     */
+    public boolean provesLead() {
+        return proving && state == TransactionState.OPEN;
+    }
+
     /** Gives the connection back; an open transaction is rolled back first. */
     public void release() {
         if (open && state != TransactionState.IDLE) {
@@ -136,6 +162,10 @@
         busy = false;
     }
 
+    long provenNanos() {
+        return provenNanos;
+    }
+
     void retire() {
         retired = true;
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -26,11 +26,14 @@
 
 /** The instances of one service: their pools, which one leads, and who waits for a connection. */
 public final class ServiceGroup {
-    /** The interval of status questions to the primary; they are evidence for replica reads. */
-    private static final Duration PRIMARY_INTERVAL = Duration.ofMillis(250);
+    /** Evidence of this age is renewed by a question; most comes with the answers to statements. */
+    private static final Duration EVIDENCE_INTERVAL = Duration.ofMillis(600);
 
-    /** The interval of status questions to replicas. */
-    private static final Duration REPLICA_INTERVAL = Duration.ofMillis(1_000);
+    /** The interval of questions to instances that answer no statements; each costs a slot. */
+    private static final Duration QUIET_INTERVAL = Duration.ofMillis(3_000);
+
+    /** Without requests for this long, evidence is not kept fresh. */
+    private static final Duration UNUSED = Duration.ofMillis(5_000);
 
     /** The interval of status questions while no leader is known. */
     private static final Duration SEARCH_INTERVAL = Duration.ofMillis(100);
@@ -55,6 +58,7 @@
     private Leadership leadership = Leadership.empty();
     private LogPosition acknowledged = LogPosition.empty();
     private long primaryExpected;
+    private long requestedNanos;
     private int limit = 1;
     private boolean dispatching;
     private boolean dispatchAgain;
@@ -62,6 +66,7 @@
     private ServiceGroup(ServiceName name, UpstreamContext context) {
         this.name = name;
         this.context = context;
+        this.requestedNanos = context.clock().nanoTime();
         expectPrimaryIn(PROMOTION_TIME);
     }
 
@@ -200,6 +205,7 @@
      * @param request the request
      */
     public void acquire(ConnectionRequest request) {
+        requestedNanos = context.clock().nanoTime();
         Optional<String> refusal = refusal(request);
         if (refusal.isPresent()) {
             request.refused().accept(refusal.get());
@@ -239,7 +245,10 @@
     public void tick() {
         long now = context.clock().nanoTime();
         for (InstancePool pool : List.copyOf(pools.values())) {
-            pool.tick(now, interval(pool));
+            pool.tick(now);
+            if (isStatusDue(pool, now)) {
+                pool.askStatus(now);
+            }
         }
         refuseHopeless();
         dispatch();
@@ -319,11 +328,17 @@
                 "instance=" + entry.id() + " reason=" + reason);
     }
 
-    private Duration interval(InstancePool pool) {
+    private boolean isStatusDue(InstancePool pool, long now) {
         if (leadership.leader().isEmpty()) {
-            return SEARCH_INTERVAL;
+            return now - pool.askedNanos() >= SEARCH_INTERVAL.toNanos();
         }
-        return leadership.isLeader(pool.entry().id()) ? PRIMARY_INTERVAL : REPLICA_INTERVAL;
+        boolean used = now - requestedNanos < UNUSED.toNanos();
+        if (used && leadership.isLeader(pool.entry().id())) {
+            long evidence =
+                    positions.newest().map(e -> e.asked().nanos()).orElse(pool.askedNanos());
+            return now - Math.max(evidence, pool.askedNanos()) >= EVIDENCE_INTERVAL.toNanos();
+        }
+        return now - Math.max(pool.heardNanos(), pool.askedNanos()) >= QUIET_INTERVAL.toNanos();
     }
 
     private void grant(ConnectionRequest waiter) {
@@ -335,18 +350,32 @@
                         .map(c -> pools.get(c.id()))
                         .toList();
         for (InstancePool pool : candidates) {
-            Optional<PooledConnection> connection = pool.take(waiter.values());
+            Optional<PooledConnection> connection =
+                    pool.take(waiter.values(), waiter.use() == ConnectionRequest.Use.PROVEN_READ);
             if (connection.isPresent()) {
                 waiters.removeIf(w -> w == waiter);
-                waiter.granted().accept(connection.get());
+                hand(connection.get(), waiter);
                 return;
             }
         }
         candidates.stream().findFirst().ifPresent(InstancePool::openIfAllowed);
     }
 
+    /** Ends a transaction that was left open to prove the lead, unless that is what is wanted. */
+    private void hand(PooledConnection connection, ConnectionRequest waiter) {
+        if (waiter.use() == ConnectionRequest.Use.PROVEN_READ || !connection.provesLead()) {
+            waiter.granted().accept(connection);
+            return;
+        }
+        connection.send(
+                "",
+                Optional.empty(),
+                new Statement.Rollback(),
+                answer -> waiter.granted().accept(connection));
+    }
+
     private Stream<InstancePool> usable(ConnectionRequest request) {
-        if (request.primary()) {
+        if (request.needsPrimary()) {
             return leadership.leader().map(pools::get).stream();
         }
         Collection<InstancePool> all = pools.values();
@@ -371,7 +400,7 @@
     }
 
     private boolean hopeless(ConnectionRequest request) {
-        if (!request.primary()) {
+        if (!request.needsPrimary()) {
             return false;
         }
         Optional<InstanceId> leader = leadership.leader();
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
@@ -0,0 +1,224 @@
+package org.carobstage.failover;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.carobstage.event.EventLog;
+import org.carobstage.fake.FakeInstance;
+import org.carobstage.fake.FakeService;
+import org.carobstage.fake.FakeStore;
+import org.carobstage.model.FailureDomain;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
+import org.carobstage.model.Term;
+import org.carobstage.model.VmId;
+import org.carobstage.runtime.PausedClock;
+import org.carobstage.store.LeaseId;
+import org.carobstage.store.StoreMirror;
+import org.carobstage.store.StoreReply;
+import org.carobstage.upstream.ServiceGroup;
+import org.carobstage.upstream.UpstreamContext;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class FailoverCoordinatorTest {
+    private static final int PROCESSES = 3;
+
+    private final PausedClock clock = PausedClock.of(Instant.EPOCH);
+    private final FakeService service = FakeService.of(clock);
+    private final FakeStore store = FakeStore.of(clock);
+    private final List<Process> processes = new ArrayList<>();
+
+    @BeforeEach
+    void start() {
+        for (int i = 0; i < PROCESSES; i++) {
+            processes.add(new Process("vm-" + i));
+        }
+        run(1_000);
+    }
+
+    @Test
+    void shouldPromoteReplicaWithLongestLogWhenPrimaryIsDark() {
+        instance("b").setDeaf(true);
+        instance("c").receive(LogPosition.of(1, 7));
+        instance("a").goDark();
+        run(4_000);
+
+        assertThat(service.primary()).map(FakeInstance::id).contains(InstanceId.of("c"));
+        assertThat(service.orders()).hasSize(1);
+    }
+
+    @Test
+    void shouldBeOverWithinThreeSecondsWhenPrimaryCrashes() {
+        instance("a").crash();
+        run(3_000);
+
+        assertThat(service.primary()).map(FakeInstance::id).isPresent();
+        assertThat(processes).allMatch(p -> p.group.leadership().leader().isPresent());
+    }
+
+    @Test
+    void shouldNotPromoteWhenOneProcessAloneIsCutOff() {
+        processes.get(0).unreachable.add(InstanceId.of("a"));
+        run(6_000);
+
+        assertThat(service.orders()).isEmpty();
+    }
+
+    @Test
+    void shouldPromoteWhenMostProcessesCanNotReachPrimary() {
+        processes.get(0).unreachable.add(InstanceId.of("a"));
+        processes.get(1).unreachable.add(InstanceId.of("a"));
+        run(6_000);
+
+        assertThat(service.primary()).map(FakeInstance::id).isNotEqualTo("a");
+        assertThat(service.orders()).isNotEmpty();
+    }
+
+    @Test
+    void shouldNotPromoteWhenOnlyOldConnectionsAreSilent() {
+        instance("a").silenceConnections();
+        run(6_000);
+
+        assertThat(service.orders()).isEmpty();
+    }
+
+    @Test
+    void shouldNotPromoteWhileReplicaThatMayHoldNewestCommitIsUnreachable() {
+        processes.forEach(p -> p.group.acknowledge(LogPosition.of(1, 9)));
+        instance("c").receive(LogPosition.of(1, 9));
+        instance("c").goDark();
+        instance("a").goDark();
+        run(6_000);
+        assertThat(service.orders()).isEmpty();
+
+        instance("c").comeBack();
+        run(5_000);
+
+        assertThat(service.primary()).map(FakeInstance::id).contains(InstanceId.of("c"));
+    }
+
+    @Test
+    void shouldReplaceLeavingPrimaryWithoutStoppingItsWrites() {
+        instance("a").drain();
+        processes.forEach(p -> p.group.put(service.entry("a")));
+        for (int i = 0; i < 200; i++) {
+            run(10);
+            assertThat(service.instances()).anyMatch(FakeInstance::isReceiving);
+        }
+        run(1_000);
+
+        assertThat(service.primary()).map(FakeInstance::id).isNotEqualTo(instance("a").id());
+        assertThat(service.instances()).allMatch(i -> i.paused().equals(Term.ZERO));
+    }
+
+    @Test
+    void shouldOrderSameInstanceAgainWhenAnswerIsLost() {
+        service.loseOrderAnswers(true);
+        instance("a").goDark();
+        run(8_000);
+
+        assertThat(service.orders().stream().map(o -> o.split(" ")[0]).distinct()).hasSize(1);
+        assertThat(service.primary()).isPresent();
+    }
+
+    @Test
+    void shouldGrowFenceWithEachHolder() {
+        instance("a").goDark();
+        run(8_000);
+        FakeInstance second = service.primary().orElseThrow();
+        instance("a").comeBack();
+        run(6_000);
+        second.goDark();
+        run(8_000);
+
+        List<Long> fences =
+                service.orders().stream().map(o -> Long.parseLong(o.split(" ")[1])).toList();
+        assertThat(fences).hasSizeGreaterThan(1).isSorted();
+    }
+
+    @Test
+    void shouldResumeReplicasThatAnotherHolderLeftStopped() {
+        instance("b").pause(Term.of(2));
+        instance("c").pause(Term.of(2));
+        run(8_000);
+
+        assertThat(service.instances()).allMatch(i -> i.paused().equals(Term.ZERO));
+        assertThat(service.orders()).isEmpty();
+    }
+
+    @Test
+    void shouldNotPromoteWhileStoreIsAway() {
+        processes.forEach(p -> p.view.reachable(false));
+        instance("a").goDark();
+        run(5_000);
+        assertThat(service.orders()).isEmpty();
+
+        processes.forEach(p -> p.view.reachable(true));
+        run(8_000);
+
+        assertThat(service.primary()).map(FakeInstance::id).isNotEqualTo(instance("a").id());
+        assertThat(service.orders()).isNotEmpty();
+    }
+
+    private FakeInstance instance(String id) {
+        return service.instance(id);
+    }
+
+    private void run(long millis) {
+        clock.advance(Duration.ofMillis(millis));
+    }
+
+    /** One process of the fleet, with its own view of the store and of the instances. */
+    private final class Process {
+        private final Set<InstanceId> unreachable = new HashSet<>();
+        private final FakeStore.View view = store.view();
+        private final ServiceGroup group;
+        private final FailoverCoordinator coordinator;
+        private Optional<LeaseId> lease = Optional.empty();
+
+        private Process(String name) {
+            VmId vm = VmId.of(name);
+            EventLog events = EventLog.of(vm, clock, 100);
+            group =
+                    ServiceGroup.of(
+                            FakeService.NAME,
+                            new UpstreamContext(
+                                    clock,
+                                    service.connector(id -> !unreachable.contains(id)),
+                                    FailureDomain.of("domain-b"),
+                                    events));
+            group.limit(4);
+            service.instances().forEach(i -> group.put(i.entry()));
+            coordinator =
+                    FailoverCoordinator.of(
+                            new FailoverContext(vm, clock, view, service.orderer(), events));
+            StoreMirror.of(
+                            view,
+                            clock,
+                            events,
+                            StoreMirror.Listener.of(coordinator::changed, () -> {}, () -> {}))
+                    .start();
+            view.grant(
+                    Duration.ofHours(1),
+                    reply -> lease = Optional.of(((StoreReply.Done<LeaseId>) reply).value()));
+            tick();
+        }
+
+        private void tick() {
+            group.tick();
+            Set<VmId> members = new HashSet<>();
+            for (int i = 0; i < PROCESSES; i++) {
+                members.add(VmId.of("vm-" + i));
+            }
+            coordinator.tick(List.of(group), members, lease);
+            clock.schedule(this::tick, Duration.ofMillis(50));
+        }
+    }
+}
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
@@ -0,0 +1,355 @@
+package org.carobstage.fake;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.carobstage.discovery.InstanceEntry;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
+import org.carobstage.model.Term;
+import org.carobstage.sql.Answer;
+import org.carobstage.sql.Failure;
+import org.carobstage.sql.FailureCode;
+import org.carobstage.sql.InstanceStatus;
+import org.carobstage.sql.Statement;
+import org.carobstage.sql.TransactionState;
+import org.carobstage.upstream.InstanceConnection;
+import org.carobstage.upstream.InstanceConnector;
+
+/** One instance: role, log, connections and what it has run. */
+public final class FakeInstance {
+    private final FakeService service;
+    private final InstanceId id;
+    private final String domain;
+    private final List<Connection> connections = new ArrayList<>();
+    private final List<String> ran = new ArrayList<>();
+    private Term term = Term.of(1);
+    private LogPosition received = LogPosition.of(1, 0);
+    private Term paused = Term.ZERO;
+    private boolean primary;
+    private boolean down;
+    private boolean dark;
+    private boolean deaf;
+    private boolean draining;
+    private Duration work = Duration.ofMillis(5);
+    private Optional<FailureCode> refusal = Optional.empty();
+    private int refusals;
+    private int loseAnswers;
+
+    FakeInstance(FakeService service, InstanceId id, String domain) {
+        this.service = service;
+        this.id = id;
+        this.domain = domain;
+    }
+
+    public InstanceId id() {
+        return id;
+    }
+
+    public String domain() {
+        return domain;
+    }
+
+    public Term term() {
+        return term;
+    }
+
+    public LogPosition received() {
+        return received;
+    }
+
+    public Term paused() {
+        return paused;
+    }
+
+    public boolean isPrimary() {
+        return primary;
+    }
+
+    public boolean isDown() {
+        return down;
+    }
+
+    public boolean isDark() {
+        return dark;
+    }
+
+    public boolean isReceiving() {
+        return !primary && !down && !dark && !deaf && paused.equals(Term.ZERO);
+    }
+
+    public InstanceEntry entry() {
+        return FakeService.entryOf(this, draining);
+    }
+
+    /** What it has run: request id and statement, in order. */
+    public List<String> ran() {
+        return ran;
+    }
+
+    public int openConnections() {
+        return connections.size();
+    }
+
+    public List<Set<String>> preparedNames() {
+        return connections.stream().map(c -> c.prepared).toList();
+    }
+
+    public FakeInstance drain() {
+        draining = true;
+        return this;
+    }
+
+    /** Stops at once: connections are reset. */
+    public void crash() {
+        down = true;
+        List.copyOf(connections).forEach(Connection::reset);
+    }
+
+    /** No longer answers, and no connection is reset. */
+    public void goDark() {
+        dark = true;
+    }
+
+    public void comeBack() {
+        dark = false;
+        down = false;
+    }
+
+    public void setDeaf(boolean now) {
+        deaf = now;
+    }
+
+    public void setWork(Duration time) {
+        work = time;
+    }
+
+    /** Refuses the next statements of clients. */
+    public void refuse(FailureCode code, int times) {
+        refusal = Optional.of(code);
+        refusals = times;
+    }
+
+    /** Runs the next statements of clients and resets the connection in place of an answer. */
+    public void loseAnswers(int times) {
+        loseAnswers = times;
+    }
+
+    /** Lets all open connections go silent; new ones work. */
+    public void silenceConnections() {
+        connections.forEach(c -> c.silent = true);
+    }
+
+    public void receive(LogPosition position) {
+        received = received.max(position);
+    }
+
+    public void lead(Term newTerm) {
+        primary = true;
+        term = newTerm;
+        paused = Term.ZERO;
+        received = LogPosition.of(newTerm.number(), received.offset());
+    }
+
+    /** Stops receiving, as if a holder that has died since had ordered it. */
+    public void pause(Term pausedTerm) {
+        paused = pausedTerm;
+    }
+
+    public void demote(Term newTerm) {
+        primary = false;
+        term = newTerm;
+        paused = Term.ZERO;
+    }
+
+    void follow(FakeInstance next, Term newTerm) {
+        if (next != this) {
+            demote(newTerm);
+        }
+    }
+
+    void connect(InstanceConnector.Listener listener, Predicate<InstanceId> reaches) {
+        Connection connection = new Connection(listener, reaches);
+        connections.add(connection);
+        listener.opened(connection);
+    }
+
+    private record Question(
+            String id,
+            Optional<LogPosition> required,
+            Statement statement,
+            Consumer<Optional<Answer>> then) {}
+
+    /** One connection, which answers its questions in their order. */
+    private final class Connection implements InstanceConnection {
+        private final InstanceConnector.Listener listener;
+        private final Predicate<InstanceId> reaches;
+        private final Deque<Question> questions = new ArrayDeque<>();
+        private final Map<String, String> values = new HashMap<>();
+        private final Set<String> prepared = new HashSet<>();
+        private TransactionState state = TransactionState.IDLE;
+        private boolean plain;
+        private boolean silent;
+        private boolean over;
+
+        private Connection(InstanceConnector.Listener listener, Predicate<InstanceId> reaches) {
+            this.listener = listener;
+            this.reaches = reaches;
+        }
+
+        @Override
+        public void send(
+                String requestId,
+                Optional<LogPosition> required,
+                Statement statement,
+                Consumer<Optional<Answer>> whenAnswered) {
+            if (over) {
+                whenAnswered.accept(Optional.empty());
+                return;
+            }
+            questions.add(new Question(requestId, required, statement, whenAnswered));
+            boolean heavy =
+                    statement instanceof Statement.Read
+                            || statement instanceof Statement.Execute
+                            || statement.changesData();
+            service.clock.schedule(this::answerNext, heavy ? work : Duration.ofMillis(1));
+        }
+
+        @Override
+        public void ask(Statement statement, Consumer<StatusAnswer> whenAnswered) {
+            send(
+                    "",
+                    Optional.empty(),
+                    statement,
+                    answer ->
+                            whenAnswered.accept(
+                                    new StatusAnswer(
+                                            answer.isPresent(),
+                                            answer.map(
+                                                    a ->
+                                                            new InstanceStatus(
+                                                                    primary, term, received,
+                                                                    paused)))));
+        }
+
+        @Override
+        public void close() {
+            reset();
+        }
+
+        private void answerNext() {
+            if (over || dark || silent || questions.isEmpty() || !reaches.test(id)) {
+                return;
+            }
+            Question question = questions.peek();
+            boolean commits = question.statement().changesData();
+            if (commits && primary && !service.anyReplicaReceives(FakeInstance.this)) {
+                service.clock.schedule(this::answerNext, Duration.ofMillis(20));
+                return;
+            }
+            questions.poll();
+            Answer answer = run(question);
+            if (!question.id().isEmpty() && loseAnswers > 0 && answer.succeeded()) {
+                loseAnswers--;
+                reset();
+                question.then().accept(Optional.empty());
+                return;
+            }
+            question.then().accept(Optional.of(answer));
+        }
+
+        private Answer run(Question question) {
+            Statement statement = question.statement();
+            if (!question.id().isEmpty() && refusals > 0) {
+                refusals--;
+                return fail(refusal.orElseThrow());
+            }
+            if (question.required().filter(p -> !received.covers(p)).isPresent()) {
+                return fail(FailureCode.REPLICA_BEHIND);
+            }
+            boolean leads = primary;
+            if (statement instanceof Statement.Begin begin) {
+                if (!begin.readOnly() && !leads) {
+                    return fail(FailureCode.NOT_PRIMARY);
+                }
+                plain = !begin.readOnly();
+                state = TransactionState.OPEN;
+            } else if (state == TransactionState.OPEN && plain && !leads) {
+                state = TransactionState.FAILED;
+                if (!(statement instanceof Statement.Rollback)) {
+                    return fail(FailureCode.NOT_PRIMARY);
+                }
+            } else if (statement instanceof Statement.Write && !leads) {
+                return fail(FailureCode.NOT_PRIMARY);
+            }
+            apply(question);
+            return new Answer(
+                    List.of(), "signed-by-" + id, Optional.empty(), state, Optional.of(received));
+        }
+
+        private void apply(Question question) {
+            Statement statement = question.statement();
+            if (statement instanceof Statement.Write && state == TransactionState.IDLE) {
+                service.commit(FakeInstance.this);
+            } else if (statement instanceof Statement.Commit) {
+                if (plain) {
+                    service.commit(FakeInstance.this);
+                }
+                state = TransactionState.IDLE;
+            } else if (statement instanceof Statement.Rollback) {
+                state = TransactionState.IDLE;
+            } else if (statement instanceof Statement.SetValue set) {
+                values.put(set.name(), set.value());
+            } else if (statement instanceof Statement.Reset) {
+                values.clear();
+                prepared.clear();
+            } else if (statement instanceof Statement.Prepare prepare) {
+                prepared.add(prepare.name());
+            } else if (statement instanceof Statement.PauseReplication pause) {
+                paused = pause.term();
+            } else if (statement instanceof Statement.ResumeReplication) {
+                paused = Term.ZERO;
+            }
+            if (!question.id().isEmpty()) {
+                ran.add(question.id() + " " + statement + " " + values);
+            }
+        }
+
+        private Answer fail(FailureCode code) {
+            if (state == TransactionState.OPEN) {
+                state = TransactionState.FAILED;
+            }
+            return new Answer(
+                    List.of(),
+                    Answer.UNSIGNED,
+                    Optional.of(Failure.of(code, id.value())),
+                    state,
+                    Optional.of(received));
+        }
+
+        private void reset() {
+            if (drop()) {
+                listener.lost();
+                List<Question> unanswered = List.copyOf(questions);
+                questions.clear();
+                unanswered.forEach(q -> q.then().accept(Optional.empty()));
+            }
+        }
+
+        private boolean drop() {
+            boolean first = !over;
+            over = true;
+            connections.remove(this);
+            return first;
+        }
+    }
+}
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
@@ -0,0 +1,96 @@
+package org.carobstage.front;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import org.carobstage.event.EventLog;
+import org.carobstage.fake.FakeService;
+import org.carobstage.model.FailureDomain;
+import org.carobstage.model.VmId;
+import org.carobstage.route.Consistency;
+import org.carobstage.route.Route;
+import org.carobstage.route.RouteTable;
+import org.carobstage.runtime.PausedClock;
+import org.carobstage.sql.Statement;
+import org.carobstage.upstream.ServiceGroup;
+import org.carobstage.upstream.UpstreamContext;
+
+/** Sessions over three instances in memory, on the paused clock. */
+final class SessionFixture {
+    final PausedClock clock = PausedClock.of(Instant.EPOCH);
+    final FakeService service = FakeService.of(clock);
+    final FrontMetrics metrics = FrontMetrics.empty();
+    final ServiceGroup group;
+    RouteTable routes =
+            new RouteTable(
+                    1,
+                    Map.of(
+                            "primary", route("primary", Consistency.PRIMARY),
+                            "bounded", route("bounded", Consistency.BOUNDED_STALENESS),
+                            "own", route("own", Consistency.READ_YOUR_WRITES)),
+                    Map.of(FakeService.NAME, 20),
+                    Duration.ofSeconds(3));
+    private final FrontContext context;
+    private int requests;
+
+    SessionFixture() {
+        EventLog events = EventLog.of(VmId.of("vm"), clock, 100);
+        group =
+                ServiceGroup.of(
+                        FakeService.NAME,
+                        new UpstreamContext(
+                                clock, service.connector(), FailureDomain.of("domain-b"), events));
+        context =
+                new FrontContext(
+                        clock,
+                        () -> routes,
+                        name -> Optional.of(group),
+                        DecisionLog.of(events, clock),
+                        metrics);
+        group.limit(4);
+        service.instances().forEach(i -> group.put(i.entry()));
+        tick();
+        run(1_000);
+    }
+
+    ClientSession open(String database, RecordingChannel channel) {
+        ClientSession session = new ClientSession(context, channel, database, () -> {});
+        session.open();
+        return session;
+    }
+
+    /** Sends a statement; returns its request id. */
+    String send(ClientSession session, Statement statement) {
+        String id = "r" + requests++;
+        session.receive(id, statement);
+        return id;
+    }
+
+    void run(long millis) {
+        clock.advance(Duration.ofMillis(millis));
+    }
+
+    long runs(String requestId) {
+        return service.instances().stream()
+                .flatMap(i -> i.ran().stream())
+                .filter(line -> line.startsWith(requestId + " "))
+                .count();
+    }
+
+    private static Route route(String database, Consistency consistency) {
+        return new Route(
+                database,
+                FakeService.NAME,
+                consistency,
+                Duration.ofMillis(1_500),
+                Duration.ofMillis(800),
+                Duration.ofMillis(250),
+                1);
+    }
+
+    private void tick() {
+        group.tick();
+        clock.schedule(this::tick, Duration.ofMillis(50));
+    }
+}
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
@@ -0,0 +1,169 @@
+package org.carobstage.upstream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import org.carobstage.event.EventLog;
+import org.carobstage.fake.FakeService;
+import org.carobstage.model.FailureDomain;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.VmId;
+import org.carobstage.runtime.PausedClock;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ServiceGroupTest {
+    private final PausedClock clock = PausedClock.of(Instant.EPOCH);
+    private final FakeService service = FakeService.of(clock);
+    private final ServiceGroup group =
+            ServiceGroup.of(
+                    FakeService.NAME,
+                    new UpstreamContext(
+                            clock,
+                            service.connector(),
+                            FailureDomain.of("domain-b"),
+                            EventLog.of(VmId.of("vm"), clock, 100)));
+    private final List<PooledConnection> granted = new ArrayList<>();
+    private final List<String> refused = new ArrayList<>();
+
+    @BeforeEach
+    void start() {
+        group.limit(4);
+        service.instances().forEach(i -> group.put(i.entry()));
+        tick();
+        run(Duration.ofSeconds(1));
+    }
+
+    @Test
+    void shouldLearnPrimaryFromStatus() {
+        assertThat(group.leadership().isLeader(InstanceId.of("a"))).isTrue();
+    }
+
+    @Test
+    void shouldReadInOwnFailureDomain() {
+        request(false);
+
+        assertThat(granted.get(0).instance().id()).isEqualTo(InstanceId.of("b"));
+    }
+
+    @Test
+    void shouldReadElsewhereWhenOwnInstanceIsLoaded() {
+        for (int i = 0; i < 8; i++) {
+            request(false);
+        }
+        run(Duration.ofMillis(100));
+
+        assertThat(granted).hasSize(8);
+        assertThat(granted.stream().map(c -> c.instance().id()).distinct().count())
+                .isGreaterThan(1);
+    }
+
+    @Test
+    void shouldNeverOpenMoreConnectionsThanShare() {
+        for (int i = 0; i < 100; i++) {
+            request(i % 2 == 0);
+        }
+        run(Duration.ofSeconds(1));
+
+        assertThat(service.instances()).allMatch(i -> i.openConnections() <= 4);
+    }
+
+    @Test
+    void shouldCloseConnectionsWhenShareShrinks() {
+        for (int i = 0; i < 8; i++) {
+            request(false);
+        }
+        run(Duration.ofMillis(100));
+        group.limit(1);
+        granted.forEach(PooledConnection::release);
+
+        assertThat(service.instances()).allMatch(i -> i.openConnections() <= 1);
+    }
+
+    @Test
+    void shouldSuspectDarkInstanceWithinOneSecond() {
+        service.instance("a").goDark();
+        run(Duration.ofMillis(1_300));
+
+        assertThat(group.isSuspected(InstanceId.of("a"))).isTrue();
+        assertThat(group.isSuspected(InstanceId.of("b"))).isFalse();
+    }
+
+    @Test
+    void shouldSuspectCrashedInstanceAndTrustItAgain() {
+        service.instance("a").crash();
+        run(Duration.ofMillis(600));
+        assertThat(group.isSuspected(InstanceId.of("a"))).isTrue();
+
+        service.instance("a").comeBack();
+        run(Duration.ofMillis(400));
+
+        assertThat(group.isSuspected(InstanceId.of("a"))).isFalse();
+    }
+
+    @Test
+    void shouldNotSuspectInstanceWhenOnlyOldConnectionsAreSilent() {
+        service.instance("a").silenceConnections();
+        run(Duration.ofSeconds(5));
+
+        assertThat(group.isSuspected(InstanceId.of("a"))).isFalse();
+        assertThat(group.leadership().isLeader(InstanceId.of("a"))).isTrue();
+    }
+
+    @Test
+    void shouldRefuseAtOnceWhenPrimaryIsLostBeyondDeadline() {
+        service.instance("a").crash();
+        run(Duration.ofMillis(600));
+        request(true);
+
+        assertThat(refused).hasSize(1);
+    }
+
+    @Test
+    void shouldHoldRequestWhenPrimaryIsExpectedBeforeDeadline() {
+        service.instance("a").crash();
+        run(Duration.ofMillis(600));
+        group.acquire(request(true, Duration.ofSeconds(4)));
+
+        assertThat(refused).isEmpty();
+        assertThat(group.waiting()).isEqualTo(1);
+    }
+
+    @Test
+    void shouldRefuseWhenQueueIsFull() {
+        for (int i = 0; i < 500; i++) {
+            request(true);
+        }
+
+        assertThat(refused).isNotEmpty();
+        assertThat(group.waiting()).isLessThanOrEqualTo(100);
+    }
+
+    private void request(boolean primary) {
+        group.acquire(request(primary, Duration.ofMillis(800)));
+    }
+
+    private ConnectionRequest request(boolean primary, Duration timeout) {
+        return new ConnectionRequest(
+                primary ? ConnectionRequest.Use.PRIMARY : ConnectionRequest.Use.ANY_INSTANCE,
+                new HashSet<>(),
+                Map.of(),
+                clock.nanoTime() + timeout.toNanos(),
+                granted::add,
+                refused::add);
+    }
+
+    private void tick() {
+        group.tick();
+        clock.schedule(this::tick, Duration.ofMillis(50));
+    }
+
+    private void run(Duration time) {
+        clock.advance(time);
+    }
+}
