Remove gossip, the network between processes, agreed shares and forwarding

Cause: the platform's store holds members, routes and instances, so what processes agreed among themselves is needless; no VM is set aside for control. Ruled out: keeping the network for evidence of positions; answers of statements bring enough.

--- a/carobstage-testbed/src/main/java/org/carobstage/testbed/fleet/LocalPlatform.java
+++ b/carobstage-testbed/src/main/java/org/carobstage/testbed/platform/LocalPlatform.java
@@ -1,4 +1,4 @@
-package org.carobstage.testbed.fleet;
+package org.carobstage.testbed.platform;
 
 import java.time.Duration;
 import java.util.List;
@@ -15,7 +15,6 @@
 import org.carobstage.platform.PlatformMessages.Swap;
 import org.carobstage.platform.PlatformMessages.Swapped;
 import org.carobstage.runtime.Clock;
-import org.carobstage.testbed.platform.PlatformStore;
 
 /** The platform in the same process, with outages, lost answers and old answers. */
 public final class LocalPlatform implements Platform {
--- a/carobstage/src/main/java/org/carobstage/config/ConfigurationWatch.java
+++ b/carobstage/src/main/java/org/carobstage/config/ConfigurationWatch.java
@@ -13,9 +13,6 @@
 import org.carobstage.event.EventCode;
 import org.carobstage.event.EventLog;
 import org.carobstage.event.EventScope;
-import org.carobstage.membership.Peers;
-import org.carobstage.model.Address;
-import org.carobstage.peer.PeerMessage;
 import org.carobstage.platform.Entry;
 import org.carobstage.platform.ListedVm;
 import org.carobstage.platform.Platform;
@@ -23,8 +20,8 @@
 import org.carobstage.runtime.Clock;
 
 /**
- * Follows the configuration: a few members of each region watch the platform, all others hear of
- * changes from their peers. All methods run on the fleet's duty.
+ * Follows the configuration in the platform's key-value service. Versions only grow, so an older
+ * answer never replaces what is in force. All methods run on one duty.
  */
 public final class ConfigurationWatch implements AutoCloseable {
     /** The prefix of all configuration keys. */
@@ -40,44 +37,33 @@
     private static final Duration WAIT = Duration.ofSeconds(10);
     private static final Duration LIST_INTERVAL = Duration.ofSeconds(1);
     private static final Duration FULL_INTERVAL = Duration.ofMinutes(10);
-    private static final Duration JOIN_PATIENCE = Duration.ofSeconds(1);
-    private static final Duration PEERS_PATIENCE = Duration.ofSeconds(3);
 
     private final Platform platform;
     private final Clock clock;
     private final Executor duty;
-    private final Peers peers;
     private final Consumer<Configuration> listener;
     private final ConfigurationEntries entries;
-    private final ConfigurationExchange exchange;
     private final ListedBackends listed;
     private final CompletableFuture<Configuration> first = new CompletableFuture<>();
-    private volatile Consumer<List<ListedVm>> listListener = vms -> {};
-    private final long started;
     private long revision;
     private long nextFull;
     private long nextList;
     private boolean watching;
-    private boolean answered;
     private volatile boolean closed;
 
     private ConfigurationWatch(
             Platform platform,
             Clock clock,
             Executor duty,
-            Peers peers,
             EventLog events,
             Consumer<Configuration> listener) {
         this.platform = platform;
         this.clock = clock;
         this.duty = duty;
-        this.peers = peers;
         this.listener = listener;
-        this.started = clock.nanoTime();
-        this.nextFull = started;
-        this.nextList = started;
+        this.nextFull = clock.nanoTime();
+        this.nextList = nextFull;
         this.entries = new ConfigurationEntries((key, why) -> refuse(events, key, why));
-        this.exchange = new ConfigurationExchange(entries, peers, clock);
         this.listed = new ListedBackends(entries, clock);
     }
 
@@ -86,8 +72,7 @@
      *
      * @param platform the platform
      * @param clock the runtime's clock
-     * @param duty the fleet's duty
-     * @param peers the other processes
+     * @param duty runs the watch
      * @param events records entries that do not check
      * @param listener called with each new configuration
      * @return the running watch
@@ -96,13 +81,10 @@
             Platform platform,
             Clock clock,
             Executor duty,
-            Peers peers,
             EventLog events,
             Consumer<Configuration> listener) {
         requireNonNull(platform, "platform is null");
-        requireNonNull(peers, "peers is null");
-        ConfigurationWatch watch =
-                new ConfigurationWatch(platform, clock, duty, peers, events, listener);
+        ConfigurationWatch watch = new ConfigurationWatch(platform, clock, duty, events, listener);
         duty.execute(watch::tick);
         return watch;
     }
@@ -116,65 +98,6 @@
         return first;
     }
 
-    /**
-     * Returns the digest of all versions, equal at processes with the same configuration.
-     *
-     * @return the digest, 0 as long as nothing may be served from it
-     */
-    public long digest() {
-        return first.isDone() ? entries.digest() : 0;
-    }
-
-    /**
-     * Returns the entries that this process has seen, with their versions.
-     *
-     * @return the entries
-     */
-    public List<Entry> entries() {
-        return entries.all();
-    }
-
-    /**
-     * Sets who hears of the platform's list when this process reads it.
-     *
-     * @param next takes the list on the fleet's duty
-     */
-    public void onList(Consumer<List<ListedVm>> next) {
-        listListener = requireNonNull(next, "next is null");
-    }
-
-    /**
-     * Takes in that a peer has a certain digest.
-     *
-     * @param peer the peer
-     * @param digest its digest
-     */
-    public void seen(Address peer, long digest) {
-        if (digest != 0 && digest != entries.digest()) {
-            exchange.compare(peer);
-        }
-    }
-
-    /**
-     * Takes a message of a peer in; one of another matter is ignored.
-     *
-     * @param from the peer
-     * @param message the message
-     */
-    public void received(Address from, PeerMessage message) {
-        if (message instanceof PeerMessage.ConfigSummary summary && first.isDone()) {
-            exchange.answer(from, summary);
-        } else if (message instanceof PeerMessage.ConfigVersions versions) {
-            exchange.answered(from, versions);
-        } else if (message instanceof PeerMessage.ConfigRequest request) {
-            exchange.sendKeys(from, request.keys());
-        } else if (message instanceof PeerMessage.ConfigEntries fresh) {
-            apply(fresh.entries());
-            exchange.arrived(fresh.entries());
-        }
-        completeFirst();
-    }
-
     @Override
     public void close() {
         closed = true;
@@ -185,24 +108,18 @@
             return;
         }
         long now = clock.nanoTime();
-        boolean mine = Watchers.isWatcher(peers.self(), peers.members());
-        if (!watching && (mine || !answered && !first.isDone())) {
+        if (!watching) {
             watch(now);
         }
-        if (mine && now - nextList >= 0) {
+        if (now - nextList >= 0) {
             nextList = now + LIST_INTERVAL.toNanos();
             platform.vms().thenAcceptAsync(l -> l.ifPresent(this::listed), duty);
         }
-        if (!first.isDone()) {
-            peers.others().stream().limit(2).forEach(m -> exchange.compare(m.peer()));
-        }
-        completeFirst();
         clock.schedule(() -> duty.execute(this::tick), TICK);
     }
 
     private void listed(List<ListedVm> vms) {
         apply(listed.news(vms));
-        listListener.accept(vms);
     }
 
     private void watch(long now) {
@@ -218,36 +135,21 @@
         if (changes.isEmpty() || closed) {
             return;
         }
-        answered = true;
         if (full) {
             nextFull = clock.nanoTime() + FULL_INTERVAL.toNanos();
         }
         revision = changes.get().revision();
         apply(changes.get().entries());
-        completeFirst();
-        if (Watchers.isWatcher(peers.self(), peers.members())) {
-            watch(clock.nanoTime());
+        if (!first.isDone()) {
+            listener.accept(entries.configuration());
+            first.complete(entries.configuration());
         }
+        watch(clock.nanoTime());
     }
 
     private void apply(Collection<Entry> news) {
-        List<Entry> fresh = entries.merge(news);
-        if (!fresh.isEmpty()) {
-            exchange.push(fresh);
-            if (first.isDone()) {
-                listener.accept(entries.configuration());
-            }
-        }
-    }
-
-    /** Peers may know more than a platform that lags, so they are asked before the first use. */
-    private void completeFirst() {
-        Duration patience = peers.others().isEmpty() ? JOIN_PATIENCE : PEERS_PATIENCE;
-        boolean waited = clock.nanoTime() - started >= patience.toNanos();
-        boolean enough = exchange.compared() || answered && waited;
-        if (enough && !first.isDone()) {
+        if (!entries.merge(news).isEmpty() && first.isDone()) {
             listener.accept(entries.configuration());
-            first.complete(entries.configuration());
         }
     }
 
--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -16,14 +16,6 @@
     CONFIGURATION_APPLIED(2001, Level.INFO),
     /** An entry of the configuration does not check and is not applied. */
     CONFIGURATION_REFUSED(2002, Level.ERROR),
-    /** A process joined the fleet or announced itself anew. */
-    MEMBER_ALIVE(2010, Level.INFO),
-    /** A process is about to stop. */
-    MEMBER_LEAVING(2011, Level.INFO),
-    /** A process does not answer. */
-    MEMBER_SUSPECTED(2012, Level.WARNING),
-    /** A process did not refute a suspicion, or has stopped. */
-    MEMBER_DEAD(2013, Level.WARNING),
     /** This process did not run for a while. */
     PROCESS_PAUSED(2014, Level.WARNING),
     /** The evidence that a group needs another primary has lasted long enough. */
@@ -98,12 +90,6 @@
     LINES_DROPPED(1007, Level.WARNING),
     /** A transaction ended without its caller's commit or rollback. */
     TRANSACTION_ROLLED_BACK(5001, Level.INFO),
-    /** A connection of a peer was refused. */
-    PEER_REFUSED(6001, Level.WARNING),
-    /** This process's part of a group's limits has changed. */
-    SHARE_CHANGED(6002, Level.INFO),
-    /** A record of shares was proposed or taken over from a dead process. */
-    SHARE_RECORDED(6003, Level.INFO),
     /** The file of token keys was read. */
     TOKEN_KEYS_READ(7001, Level.INFO),
     /** The file of token keys can't be used; the keys read before stay in force. */
--- a/carobstage/src/main/java/org/carobstage/membership/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Who is in the fleet: gossip with suspicion and incarnations. */
-package org.carobstage.membership;
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -6,17 +6,15 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Executors;
-import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.carobstage.backend.HttpBackend;
 import org.carobstage.caller.CallerServer;
+import org.carobstage.config.ConfigurationWatch;
 import org.carobstage.event.EventCode;
 import org.carobstage.event.EventLog;
 import org.carobstage.event.EventScope;
 import org.carobstage.model.Address;
 import org.carobstage.model.GroupSpec;
-import org.carobstage.model.Member;
-import org.carobstage.model.VmId;
 import org.carobstage.operator.OperatorPages;
 import org.carobstage.operator.OperatorServer;
 import org.carobstage.platform.HttpPlatform;
@@ -31,12 +29,12 @@
 import org.carobstage.security.TokenKeys;
 import org.carobstage.session.TokenCodec;
 import org.carobstage.settings.Settings;
-import org.carobstage.share.ShareRecord;
 
 /** The running process of an entry VM: the proxy with its servers and clients. */
 public final class Node implements AutoCloseable {
     private static final int RING_CAPACITY = 65_536;
     private static final int EVENT_CAPACITY = 4_096;
+    private static final int CONTROL_CAPACITY = 16_384;
 
     private final Settings settings;
     private final Closer closer = Closer.empty();
@@ -46,7 +44,6 @@
     private final EventLog events;
     private final Platform platform;
     private final Proxy proxy;
-    private volatile Control control;
     private CallerServer caller;
     private OperatorServer operator;
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -66,7 +63,7 @@
         PromotionSetup promotion =
                 PromotionSetup.of(events)
                         .withAnnouncer(Announcer.of(platform, clock, events))
-                        .withRank(ProposerRank.byHash(settings.vm().id(), this::liveVms));
+                        .withRank(ProposerRank.alone());
         this.proxy =
                 closer.add(
                         Proxy.of(
@@ -138,14 +135,16 @@
     }
 
     private void start() {
-        control = closer.add(Control.of(settings, platform, clock, events, proxy));
-        control.ready().toCompletableFuture().join();
+        SerialExecutor duty = closer.add(SerialExecutor.of("configuration", CONTROL_CAPACITY));
+        ConfigurationWatch watch =
+                closer.add(ConfigurationWatch.of(platform, clock, duty, events, proxy::apply));
+        watch.first().toCompletableFuture().join();
         TokenCodec tokens = TokenCodec.of(closer.add(tokenKeys()));
         OperatorPages pages =
                 new OperatorPages(
                         metrics, events, () -> ready, () -> NodeStatus.of(settings, proxy, ready));
         operator = closer.add(OperatorServer.of(settings.operator(), pages));
-        caller = closer.add(CallerServer.of(settings.caller(), control.service(), tokens));
+        caller = closer.add(CallerServer.of(settings.caller(), proxy, tokens));
         ready = true;
         events.record(
                 EventCode.PROCESS_STARTED,
@@ -160,18 +159,7 @@
                 .orElseGet(() -> TokenKeys.of(settings.session().tokenKey().orElseThrow()));
     }
 
-    private List<VmId> liveVms() {
-        Control current = control;
-        return current == null
-                ? List.of(settings.vm().id())
-                : current.ownership().members().stream().map(Member::vm).toList();
-    }
-
     private Share share(GroupSpec spec) {
-        if (settings.peer().listen().isPresent()) {
-            Control current = control;
-            return current == null ? ShareRecord.NONE : current.shares().share(spec.id());
-        }
         int vms = settings.vm().entryVms();
         int slots = Math.max(1, spec.slots() / vms);
         return new Share(slots, Math.max(1, spec.connections() / vms));
--- a/carobstage/src/main/java/org/carobstage/ownership/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Which entry VMs serve which group, and how the others reach them. */
-package org.carobstage.ownership;
--- a/carobstage/src/main/java/org/carobstage/peer/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** The processes of other entry VMs: messages and transport between them. */
-package org.carobstage.peer;
--- a/carobstage/src/main/java/org/carobstage/settings/Settings.java
+++ b/carobstage/src/main/java/org/carobstage/settings/Settings.java
@@ -8,7 +8,6 @@
  * @param vm which VM this is
  * @param caller how callers reach it
  * @param operator how operators and the platform's balancer reach it
- * @param peer how the processes of the fleet reach each other
  * @param platform how it reaches the platform
  * @param session what signs session tokens
  * @param stop how it stops
@@ -18,7 +17,6 @@
         VmSettings vm,
         CallerSettings caller,
         OperatorSettings operator,
-        PeerSettings peer,
         PlatformSettings platform,
         SessionSettings session,
         StopSettings stop,
@@ -28,7 +26,6 @@
         requireNonNull(vm, "vm is null");
         requireNonNull(caller, "caller is null");
         requireNonNull(operator, "operator is null");
-        requireNonNull(peer, "peer is null");
         requireNonNull(platform, "platform is null");
         requireNonNull(session, "session is null");
         requireNonNull(stop, "stop is null");
--- a/carobstage/src/main/java/org/carobstage/settings/SettingsReader.java
+++ b/carobstage/src/main/java/org/carobstage/settings/SettingsReader.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -68,7 +67,6 @@
         Supplier<VmSettings> vm = vm(ini.section("vm"));
         Supplier<CallerSettings> caller = caller(ini.section("caller"));
         Supplier<OperatorSettings> operator = operator(ini.section("operator"));
-        Supplier<PeerSettings> peer = peer(ini.section("peer"));
         Address platform = ini.section("platform").required("address", Address::parse);
         Supplier<SessionSettings> session = session(ini.section("session"));
         Supplier<StopSettings> stop = stop(ini.section("stop"));
@@ -79,7 +77,6 @@
                                 vm.get(),
                                 caller.get(),
                                 operator.get(),
-                                peer.get(),
                                 new PlatformSettings(platform),
                                 session.get(),
                                 stop.get(),
@@ -128,17 +125,6 @@
         return () -> new OperatorSettings(listen, key, tls);
     }
 
-    private static Supplier<PeerSettings> peer(Section section) {
-        Optional<Address> listen = section.optional("listen", Address::parse);
-        List<Address> seeds =
-                section.optional("seeds", Values.list(Address::parse)).orElse(List.of());
-        Optional<Secret> secret = section.optional("secret", Secret::of);
-        if (section.has("listen") && !section.has("secret")) {
-            section.fault("secret", "missing; needed with listen");
-        }
-        return () -> new PeerSettings(listen, seeds, secret);
-    }
-
     private static Supplier<SessionSettings> session(Section section) {
         Optional<Secret> key = section.optional("token-key", Secret::of);
         Optional<Path> keys = section.optional("token-keys-file", SettingsReader::file);
