Discard the connection of a transaction whose statement is still being set up

Change: rollback and timeout drop the pending statement and close the connection unless it is idle; single primary reads ask the primary once for all who wait and then read where that position is; BEGIN and ROLLBACK of clients go on under their own ids. Ruled out: the client's pauses; both traces end with the client's deadline a few ms before.

--- a/carobstage/src/main/java/org/carobstage/freshness/PrimaryPositions.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PrimaryPositions.java
@@ -26,6 +26,8 @@
 
     private final Deque<Evidence> evidence = new ArrayDeque<>();
 
+    private Optional<Evidence> newest = Optional.empty();
+
     private PrimaryPositions() {}
 
     /**
@@ -49,11 +51,14 @@
         while (!evidence.isEmpty() && evidence.peekFirst().asked().age(now).compareTo(KEPT) > 0) {
             evidence.removeFirst();
         }
+        Evidence next = new Evidence(position, asked);
+        if (newest.filter(e -> asked.nanos() - e.asked().nanos() < 0).isEmpty()) {
+            newest = Optional.of(next);
+        }
         Evidence last = evidence.peekLast();
-        if (last != null && asked.nanos() - last.asked().nanos() < STEP.toNanos()) {
-            return;
+        if (last == null || asked.nanos() - last.asked().nanos() >= STEP.toNanos()) {
+            evidence.addLast(next);
         }
-        evidence.addLast(new Evidence(position, asked));
     }
 
     /**
@@ -76,7 +81,7 @@
      * @return the position and when it was asked for, if any is known
      */
     public Optional<Evidence> newest() {
-        return Optional.ofNullable(evidence.peekLast());
+        return newest;
     }
 
     /**
--- a/carobstage/src/main/java/org/carobstage/front/ClientSession.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientSession.java
@@ -81,7 +81,7 @@
         closed = true;
         queue.clear();
         running.ifPresent(StatementRun::abandon);
-        transaction.ifPresent(ClientTransaction::rollback);
+        transaction.ifPresent(t -> t.rollback(""));
         whenClosed.run();
     }
 
@@ -162,7 +162,7 @@
     private void handle(String id, Statement statement) {
         boolean failed = transaction.map(ClientTransaction::isFailed).orElse(false);
         if (statement instanceof Statement.Rollback) {
-            transaction.ifPresent(ClientTransaction::rollback);
+            transaction.ifPresent(t -> t.rollback(id));
             transaction = Optional.empty();
             finish(Answer.done(TransactionState.IDLE));
         } else if (failed && statement instanceof Statement.Commit) {
@@ -203,7 +203,8 @@
                                                     target.route(),
                                                     target.group(),
                                                     this,
-                                                    begin.readOnly()));
+                                                    id,
+                                                    begin));
                             finish(Answer.done(TransactionState.OPEN));
                         });
     }
--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -35,6 +35,8 @@
     private final Route route;
     private final ServiceGroup group;
     private final ClientSession session;
+    private final String beginId;
+    private final Statement.Begin begin;
     private final boolean replicaAllowed;
     private final Set<InstanceId> avoid = new HashSet<>();
     private Optional<PooledConnection> connection = Optional.empty();
@@ -57,12 +59,15 @@
             Route route,
             ServiceGroup group,
             ClientSession session,
-            boolean readOnly) {
+            String beginId,
+            Statement.Begin begin) {
         this.context = context;
         this.route = route;
         this.group = group;
         this.session = session;
-        this.replicaAllowed = readOnly && route.consistency() != Consistency.PRIMARY;
+        this.beginId = beginId;
+        this.begin = begin;
+        this.replicaAllowed = begin.readOnly() && route.consistency() != Consistency.PRIMARY;
         startIdleTimer();
     }
 
@@ -98,15 +103,20 @@
         }
     }
 
-    /** Rolls the transaction back, at the client's wish or because the client has left. */
-    void rollback() {
+    /**
+     * Rolls the transaction back.
+     *
+     * @param id the id of the client's request, or empty if the client has left
+     */
+    void rollback(String id) {
         ended = true;
         stopTimers();
         waiting.ifPresent(group::cancel);
         boolean committing = sent && current instanceof Statement.Commit;
         if (!committing) {
-            connection.ifPresent(c -> releaseOrDiscard(c));
+            connection.ifPresent(c -> releaseOrDiscard(c, id));
         }
+        pending = Optional.empty();
     }
 
     /** Rolls the transaction back and lets the client know with its next statement. */
@@ -122,11 +132,12 @@
         connection = Optional.empty();
     }
 
-    private void releaseOrDiscard(PooledConnection c) {
-        if (sent) {
+    /** A statement in progress may still be set up on the connection, so nobody else gets it. */
+    private void releaseOrDiscard(PooledConnection c, String id) {
+        if (pending.isPresent()) {
             c.discard();
         } else {
-            c.release();
+            c.release(id);
         }
     }
 
@@ -185,10 +196,11 @@
             PooledConnection granted,
             Optional<LogPosition> required,
             Optional<PreparedStatement> prepared) {
+        boolean atReplica = required.isPresent();
         granted.send(
-                "",
+                atReplica == begin.readOnly() ? beginId : "",
                 required,
-                new Statement.Begin(required.isPresent()),
+                new Statement.Begin(atReplica),
                 answer -> {
                     boolean begun = answer.filter(Answer::succeeded).isPresent();
                     if (!begun || ended || pending.isEmpty()) {
@@ -292,7 +304,7 @@
         String reason = "timeout=" + route.timeout().toMillis() + " ms, sent=" + sent;
         boolean unknown = sent && current instanceof Statement.Commit && wrote;
         boolean neverRan = connection.isEmpty();
-        connection.filter(c -> sent).ifPresent(PooledConnection::discard);
+        connection.ifPresent(PooledConnection::discard);
         fail(
                 unknown
                         ? FailureCode.OUTCOME_UNKNOWN
--- a/carobstage/src/main/java/org/carobstage/front/StatementRun.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementRun.java
@@ -26,9 +26,10 @@
 import org.carobstage.upstream.ServiceGroup;
 
 /**
- * One statement outside a transaction. Reads go to any instance that has the required position, or
- * into a transaction at the primary, which proves its lead; a read is repeated elsewhere until the
- * timeout. A write is sent again only after a refusal that says it has not run.
+ * One statement outside a transaction. Reads go to any instance that has the required position; on
+ * primary routes a question to the primary, sent after the read arrived, gives that position. A
+ * read is repeated elsewhere until the timeout. A write is sent again only after a refusal that
+ * says it has not run.
  */
 final class StatementRun {
     private static final int MAX_ATTEMPTS = 8;
@@ -59,6 +60,7 @@
     private int attempts;
     private int sent;
     private boolean primaryOnly;
+    private Optional<LogPosition> proven = Optional.empty();
     private boolean done;
     private String last = "";
 
@@ -84,7 +86,7 @@
         this.then = then;
         this.received = Moment.of(context.clock());
         this.deadlineNanos = received.nanos() + route.timeout().toNanos();
-        this.primaryOnly = write || route.consistency() == Consistency.PRIMARY;
+        this.primaryOnly = write;
     }
 
     void start() {
@@ -108,19 +110,33 @@
             return;
         }
         attempts++;
-        Optional<LogPosition> required = required();
-        boolean atPrimary = primaryOnly || required.isEmpty();
-        Use use = write ? Use.PRIMARY : atPrimary ? Use.PROVEN_READ : Use.ANY_INSTANCE;
+        Optional<LogPosition> known = write ? Optional.empty() : required();
+        if (write || known.isPresent()) {
+            acquire(known);
+        } else {
+            group.proveLead(received, deadlineNanos, this::proved, this::refuse);
+        }
+    }
+
+    private void proved(LogPosition position) {
+        proven = Optional.of(position.max(session.written()));
+        acquire(proven);
+    }
+
+    private void acquire(Optional<LogPosition> required) {
+        if (done) {
+            return;
+        }
         ConnectionRequest[] self = new ConnectionRequest[1];
         self[0] =
                 new ConnectionRequest(
-                        use,
+                        primaryOnly ? Use.PRIMARY : Use.ANY_INSTANCE,
                         avoid,
                         session.values(),
                         deadlineNanos,
                         connection -> {
                             waiting.remove(self[0]);
-                            granted(connection, atPrimary, required);
+                            granted(connection, required);
                         },
                         reason -> {
                             waiting.remove(self[0]);
@@ -130,15 +146,18 @@
         group.acquire(self[0]);
     }
 
+    /** The position that a read requires, if the evidence at hand is fresh enough. */
     private Optional<LogPosition> required() {
+        if (route.consistency() == Consistency.PRIMARY) {
+            return proven;
+        }
         return group.positions()
                 .required(route.staleness(), received)
                 .map(Evidence::position)
                 .map(p -> p.max(session.written()));
     }
 
-    private void granted(
-            PooledConnection connection, boolean atPrimary, Optional<LogPosition> required) {
+    private void granted(PooledConnection connection, Optional<LogPosition> required) {
         if (done) {
             connection.release();
             return;
@@ -152,32 +171,12 @@
                         retry("connection lost in set-up", Duration.ZERO);
                     } else if (done) {
                         connection.release();
-                    } else if (write) {
-                        send(connection, Optional.empty());
-                    } else if (atPrimary && !connection.provesLead()) {
-                        begin(connection);
                     } else {
-                        send(connection, atPrimary ? Optional.empty() : required);
+                        send(connection, required);
                     }
                 });
     }
 
-    /** Opens a transaction for a single read: its statements are refused once the lead is lost. */
-    private void begin(PooledConnection connection) {
-        connection.send(
-                "",
-                Optional.empty(),
-                new Statement.Begin(false),
-                answer -> {
-                    if (answer.filter(Answer::succeeded).isPresent() && !done) {
-                        send(connection, Optional.empty());
-                        return;
-                    }
-                    connection.release();
-                    retry("begin: " + describe(answer), Duration.ZERO);
-                });
-    }
-
     private void send(PooledConnection connection, Optional<LogPosition> required) {
         sent++;
         InstanceId instance = connection.instance().id();
@@ -188,7 +187,7 @@
                 session.shared(statement, prepared),
                 answer -> {
                     sent--;
-                    connection.releaseProving();
+                    connection.release();
                     answered(instance, answer);
                 });
     }
@@ -232,6 +231,8 @@
         if (code != FailureCode.NOT_PRIMARY) {
             avoid.add(instance);
         }
+        // Only the primary surely has a position that was proved a moment ago.
+        primaryOnly |= code == FailureCode.REPLICA_BEHIND && proven.isPresent();
         boolean busyPrimary = primaryOnly && code != FailureCode.NOT_PRIMARY;
         Duration pause = busyPrimary ? BUSY_PAUSE.multipliedBy(attempts) : Duration.ZERO;
         retry("instance=" + instance + " code=" + code, pause);
@@ -321,8 +322,4 @@
     private void log(EventCode code, String detail) {
         context.log().record(code, route.database(), id, detail);
     }
-
-    private static String describe(Optional<Answer> answer) {
-        return answer.flatMap(Answer::failure).map(f -> f.code().name()).orElse("no answer");
-    }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
@@ -42,8 +42,6 @@
         /** A statement that any instance may run. */
         ANY_INSTANCE,
         /** A statement that only the primary may run. */
-        PRIMARY,
-        /** A single read at the primary, inside a transaction that proves its lead. */
-        PROVEN_READ
+        PRIMARY
     }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/InstancePool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstancePool.java
@@ -38,9 +38,6 @@
     /** Silence of a connection, while others answer, after which it is closed. */
     private static final Duration SILENCE_TO_CLOSE = Duration.ofMillis(2_500);
 
-    /** A transaction that proves the lead is ended after this idle time, below any timeout. */
-    private static final Duration PROOF_IDLE = Duration.ofMillis(1_000);
-
     /** The weight of the newest latency in the moving average. */
     private static final double NEWEST_WEIGHT = 0.2;
 
@@ -123,15 +120,12 @@
                 latencyMillis);
     }
 
-    /** Takes a free connection: first one that proves the lead or not, then by its values. */
-    Optional<PooledConnection> take(Map<String, String> values, boolean proving) {
+    /** Takes a free connection, the one whose values fit best. */
+    Optional<PooledConnection> take(Map<String, String> values) {
         Optional<PooledConnection> free =
                 connections.stream()
                         .filter(c -> !c.isBusy())
-                        .max(
-                                Comparator.<PooledConnection, Boolean>comparing(
-                                                c -> c.provesLead() == proving)
-                                        .thenComparing(c -> fit(c, values)));
+                        .max(Comparator.comparingInt(c -> fit(c, values)));
         free.ifPresent(PooledConnection::take);
         return free;
     }
@@ -161,7 +155,6 @@
         if (silence.compareTo(PROBE_AFTER) > 0 && opening == 0 && now - openNotBefore >= 0) {
             open();
         }
-        endProofs(now);
     }
 
     void askStatus(long now) {
@@ -190,7 +183,7 @@
         Answer a = answer.get();
         if (a.failedWith(FailureCode.NOT_PRIMARY)) {
             group.refusedAsPrimary(entry.id());
-        } else if (a.succeeded() && (provesLead(statement) || connection.provesLead())) {
+        } else if (a.succeeded() && provesLead(statement)) {
             a.position().ifPresent(p -> group.provedLead(entry.id(), p, asked));
         }
         if (statement instanceof Statement.Read || statement instanceof Statement.Execute) {
@@ -215,7 +208,7 @@
 
     /** Sends a statement that is answered with the status, on a free connection. */
     boolean order(Statement statement, Consumer<StatusAnswer> whenAnswered) {
-        Optional<PooledConnection> free = take(Map.of(), false);
+        Optional<PooledConnection> free = take(Map.of());
         free.ifPresent(c -> ask(c, statement, whenAnswered));
         return free.isPresent();
     }
@@ -240,7 +233,7 @@
                 || statement instanceof Statement.Begin begin && !begin.readOnly();
     }
 
-    private void ask(
+    void ask(
             PooledConnection connection, Statement statement, Consumer<StatusAnswer> whenAnswered) {
         Moment asked = moment();
         connection.asking(asked);
@@ -316,19 +309,6 @@
         }
     }
 
-    /** Ends transactions that were left open to prove the lead and are not used any more. */
-    private void endProofs(long now) {
-        connections.stream()
-                .filter(c -> !c.isBusy() && c.provesLead())
-                .filter(c -> now - c.provenNanos() > PROOF_IDLE.toNanos())
-                .toList()
-                .forEach(
-                        c -> {
-                            c.take();
-                            c.release();
-                        });
-    }
-
     /** How long the oldest question has waited while nothing was heard from the instance. */
     private Duration silence(long now) {
         return connections.stream()
--- a/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
@@ -24,8 +24,6 @@
     private boolean open = true;
     private boolean busy;
     private boolean retired;
-    private boolean proving;
-    private long provenNanos;
     private TransactionState state = TransactionState.IDLE;
     private Moment sentAt;
 
@@ -91,44 +89,34 @@
                 answer -> {
                     sentAt = null;
                     answer.ifPresent(a -> state = a.state());
-                    proving &= state == TransactionState.OPEN;
                     pool.answered(this, statement, answer, asked);
                     whenAnswered.accept(answer);
                 });
     }
 
-    /**
-     * Gives the connection back with its open transaction, in which further single reads of any
-     * session prove that the instance still leads.
-     */
-    public void releaseProving() {
-        if (open && state == TransactionState.OPEN) {
-            proving = true;
-            provenNanos = pool.moment().nanos();
-            pool.release(this);
-        } else {
-            release();
-        }
+    /** Gives the connection back; an open transaction is rolled back first. */
+    public void release() {
+        release("");
     }
 
     /**
-     * Tells whether a transaction is open in which a read proves the lead.
+     * Gives the connection back; an open transaction is rolled back first.
      *
-     * @return true after {@link #releaseProving}, until the transaction has ended
+     * @param id the id of the client's request to roll back, or empty if there was none
      */
-    public boolean provesLead() {
-        return proving && state == TransactionState.OPEN;
-    }
-
-    /** Gives the connection back; an open transaction is rolled back first. */
-    public void release() {
+    public void release(String id) {
         if (open && state != TransactionState.IDLE) {
-            send("", Optional.empty(), new Statement.Rollback(), answer -> pool.release(this));
+            send(id, Optional.empty(), new Statement.Rollback(), answer -> pool.release(this));
         } else {
             pool.release(this);
         }
     }
 
+    /** Asks the instance for its status and gives the connection back. */
+    void askStatus(Runnable then) {
+        pool.ask(this, new Statement.AskStatus(), answer -> then.run());
+    }
+
     /** Closes the connection, so that the instance rolls an open transaction back. */
     public void discard() {
         if (open) {
@@ -162,10 +150,6 @@
         busy = false;
     }
 
-    long provenNanos() {
-        return provenNanos;
-    }
-
     void retire() {
         retired = true;
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -16,6 +17,7 @@
 import org.carobstage.event.EventScope;
 import org.carobstage.freshness.Moment;
 import org.carobstage.freshness.PrimaryPositions;
+import org.carobstage.freshness.PrimaryPositions.Evidence;
 import org.carobstage.model.GroupId;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
@@ -60,6 +62,8 @@
     private long primaryExpected;
     private long requestedNanos;
     private int limit = 1;
+    private final List<Proof> proofs = new ArrayList<>();
+    private boolean proving;
     private boolean dispatching;
     private boolean dispatchAgain;
 
@@ -219,6 +223,24 @@
         dispatch();
     }
 
+    /**
+     * Finds a position that covers every commit acknowledged before a moment. One question to the
+     * primary serves all who ask before it is sent.
+     *
+     * @param since the moment
+     * @param deadlineNanos the monotonic time at which the position is no longer needed
+     * @param proven takes the position
+     * @param refused takes the reason if no primary can prove its lead before the deadline
+     */
+    public void proveLead(
+            Moment since,
+            long deadlineNanos,
+            Consumer<LogPosition> proven,
+            Consumer<String> refused) {
+        proofs.add(new Proof(since, deadlineNanos, proven, refused));
+        settleProofs();
+    }
+
     /**
      * Withdraws a request.
      *
@@ -341,6 +363,40 @@
         return now - Math.max(pool.heardNanos(), pool.askedNanos()) >= QUIET_INTERVAL.toNanos();
     }
 
+    private void settleProofs() {
+        Optional<Evidence> newest = positions.newest();
+        long now = context.clock().nanoTime();
+        List<Proof> settled =
+                proofs.stream().filter(p -> newest.filter(e -> p.isMetBy(e)).isPresent()).toList();
+        proofs.removeAll(settled);
+        proofs.removeIf(p -> now - p.deadlineNanos() >= 0);
+        settled.forEach(p -> p.proven().accept(newest.orElseThrow().position()));
+        if (!proofs.isEmpty() && !proving) {
+            proving = true;
+            long deadline = proofs.stream().mapToLong(Proof::deadlineNanos).max().orElse(now);
+            acquire(
+                    new ConnectionRequest(
+                            ConnectionRequest.Use.PRIMARY,
+                            Set.of(),
+                            Map.of(),
+                            deadline,
+                            connection -> connection.askStatus(this::proofAnswered),
+                            this::proofRefused));
+        }
+    }
+
+    private void proofAnswered() {
+        proving = false;
+        settleProofs();
+    }
+
+    private void proofRefused(String reason) {
+        proving = false;
+        List<Proof> refused = List.copyOf(proofs);
+        proofs.clear();
+        refused.forEach(p -> p.refused().accept(reason));
+    }
+
     private void grant(ConnectionRequest waiter) {
         if (!waiters.contains(waiter)) {
             return;
@@ -350,30 +406,16 @@
                         .map(c -> pools.get(c.id()))
                         .toList();
         for (InstancePool pool : candidates) {
-            Optional<PooledConnection> connection =
-                    pool.take(waiter.values(), waiter.use() == ConnectionRequest.Use.PROVEN_READ);
+            Optional<PooledConnection> connection = pool.take(waiter.values());
             if (connection.isPresent()) {
                 waiters.removeIf(w -> w == waiter);
-                hand(connection.get(), waiter);
+                waiter.granted().accept(connection.get());
                 return;
             }
         }
         candidates.stream().findFirst().ifPresent(InstancePool::openIfAllowed);
     }
 
-    /** Ends a transaction that was left open to prove the lead, unless that is what is wanted. */
-    private void hand(PooledConnection connection, ConnectionRequest waiter) {
-        if (waiter.use() == ConnectionRequest.Use.PROVEN_READ || !connection.provesLead()) {
-            waiter.granted().accept(connection);
-            return;
-        }
-        connection.send(
-                "",
-                Optional.empty(),
-                new Statement.Rollback(),
-                answer -> waiter.granted().accept(connection));
-    }
-
     private Stream<InstancePool> usable(ConnectionRequest request) {
         if (request.needsPrimary()) {
             return leadership.leader().map(pools::get).stream();
@@ -443,4 +485,16 @@
     private void record(EventCode code, String detail) {
         context.events().record(code, EventScope.of(GroupId.of(name.value())), detail);
     }
+
+    /** A wish for a position that covers every commit acknowledged before a moment. */
+    private record Proof(
+            Moment since,
+            long deadlineNanos,
+            Consumer<LogPosition> proven,
+            Consumer<String> refused) {
+        private boolean isMetBy(Evidence evidence) {
+            return evidence.asked().nanos() - since.nanos() >= 0
+                    && evidence.asked().epochNanos() - since.epochNanos() >= 0;
+        }
+    }
 }
