Stop sending commits that nobody acknowledges; limit statements by slots

Change: a circuit breaker for commits; statements outside transactions are limited by the slots and the number of processes; idle connections are closed, young processes use half their share; votes of half of four or more processes suffice; members lapse after 3 s.

--- a/carobstage/src/main/java/org/carobstage/cli/CommandTree.java
+++ b/carobstage/src/main/java/org/carobstage/cli/CommandTree.java
@@ -9,12 +9,17 @@
 
 /** The commands of the program, some of them nested. */
 final class CommandTree {
+    private static final String FRONT = "front";
+
     private final JCommander root = JCommander.newBuilder().programName("carobstage").build();
 
     private CommandTree() {
         root.addObject(new HelpOption());
+        add(root, FRONT, new FrontCommand());
+    }
+
+    private void addOthers() {
         add(root, "serve", new ServeCommand());
-        add(root, "front", new FrontCommand());
         add(root, "check", new CheckCommand());
         add(root, "status", new StatusCommand());
         add(root, "timeline", new TimelineCommand());
@@ -33,7 +38,14 @@
     }
 
     static CommandTree of() {
-        return new CommandTree();
+        CommandTree tree = new CommandTree();
+        tree.addOthers();
+        return tree;
+    }
+
+    /** Creates the commands that a command line may name; reflection on all would delay a start. */
+    static CommandTree of(String... args) {
+        return args.length > 0 && args[0].equals(FRONT) ? new CommandTree() : of();
     }
 
     ExitCode run(Console console, String... args) {
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -29,6 +29,9 @@
  * answer them, or when it is about to stop.
  */
 public final class FailoverCoordinator {
+    /** Processes that must agree when they are just half of the fleet. */
+    private static final int MIN_HALF = 2;
+
     /** Spaces the attempts of the processes to take the lease. */
     private static final Duration RANK_DELAY = Duration.ofMillis(250);
 
@@ -93,7 +96,8 @@
         boolean leaving =
                 primary.flatMap(id -> find(group, id)).map(InstanceEntry::draining).orElse(false);
         boolean agreed =
-                dead.isPresent() && support(group.name(), dead.get(), members) * 2 > members.size();
+                dead.isPresent()
+                        && isEnough(support(group.name(), dead.get(), members), members.size());
         long now = context.clock().nanoTime();
         if (!leaving && !agreed) {
             state.wantedSince = Optional.empty();
@@ -112,6 +116,11 @@
         }
     }
 
+    /** Half is enough, but not one of two or three, which may be cut off itself. */
+    private static boolean isEnough(long support, int members) {
+        return support * 2 > members || support * 2 == members && support >= MIN_HALF;
+    }
+
     private void start(
             ServiceGroup group, State state, InstanceId old, boolean planned, Set<VmId> members) {
         state.running = true;
--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -18,6 +18,7 @@
 import org.carobstage.sql.FailureCode;
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.TransactionState;
+import org.carobstage.upstream.CommitBreaker;
 import org.carobstage.upstream.ConnectionRequest;
 import org.carobstage.upstream.ConnectionRequest.Use;
 import org.carobstage.upstream.PooledConnection;
@@ -44,6 +45,7 @@
     private Optional<Clock.Timer> statementTimer = Optional.empty();
     private Optional<Clock.Timer> idleTimer = Optional.empty();
     private Optional<Consumer<Answer>> pending = Optional.empty();
+    private Optional<CommitBreaker.Ticket> ticket = Optional.empty();
     private Statement current;
     private String currentId = "";
     private Moment started;
@@ -157,7 +159,7 @@
         boolean atPrimary = required.isEmpty() || !elsewhere;
         ConnectionRequest request =
                 new ConnectionRequest(
-                        atPrimary ? Use.PRIMARY : Use.ANY_INSTANCE,
+                        atPrimary ? Use.PRIMARY_TRANSACTION : Use.TRANSACTION,
                         avoid,
                         session.values(),
                         started.nanos() + route.timeout().toNanos(),
@@ -249,10 +251,18 @@
                         fail(FailureCode.ROLLED_BACK, "connection lost in set-up");
                         return;
                     }
-                    sent = true;
+                    boolean commit = current instanceof Statement.Commit;
                     wrote |=
                             current instanceof Statement.Write
                                     || prepared.map(PreparedStatement::write).orElse(false);
+                    if (commit && wrote && !group.acceptsWrites()) {
+                        fail(FailureCode.ROLLED_BACK, "commits are not acknowledged");
+                        return;
+                    }
+                    sent = true;
+                    if (commit && wrote) {
+                        ticket = Optional.of(group.commitSent());
+                    }
                     c.send(
                             currentId,
                             Optional.empty(),
@@ -263,6 +273,7 @@
 
     private void answered(PooledConnection c, Optional<Answer> answer) {
         sent = false;
+        answer.ifPresent(a -> ticket.ifPresent(CommitBreaker.Ticket::answered));
         boolean commit = current instanceof Statement.Commit;
         if (pending.isEmpty()) {
             c.release();
@@ -304,6 +315,7 @@
         String reason = "timeout=" + route.timeout().toMillis() + " ms, sent=" + sent;
         boolean unknown = sent && current instanceof Statement.Commit && wrote;
         boolean neverRan = connection.isEmpty();
+        ticket.ifPresent(t -> t.givenUp(context.clock().nanoTime()));
         connection.ifPresent(PooledConnection::discard);
         fail(
                 unknown
--- a/carobstage/src/main/java/org/carobstage/front/Fleet.java
+++ b/carobstage/src/main/java/org/carobstage/front/Fleet.java
@@ -25,13 +25,18 @@
 final class Fleet {
     private static final String PREFIX = "carobstage/members/";
 
-    private static final Duration TTL = Duration.ofSeconds(6);
-    private static final Duration RENEWAL = Duration.ofSeconds(2);
+    /** A VM that is lost or cut off from the store has no vote after this time. */
+    private static final Duration TTL = Duration.ofSeconds(3);
+
+    private static final Duration RENEWAL = Duration.ofSeconds(1);
     private static final Duration AGAIN = Duration.ofMillis(500);
 
     /** Instances drop the connections of a lost VM after 3 s. */
     private static final Duration LEAVE_GRACE = Duration.ofMillis(3_500);
 
+    /** The part of its share that a process uses while connections of an earlier life may stand. */
+    private static final int YOUNG_DIVISOR = 2;
+
     /** Connections of an instance left free for probes and for processes that are joining. */
     private static final int RESERVE = 2;
 
@@ -42,6 +47,7 @@
     private final Set<VmId> members = new TreeSet<>();
     private Optional<LeaseId> lease = Optional.empty();
     private int counted = 1;
+    private final long startNanos;
     private long shrunkSince;
     private boolean leaving;
 
@@ -50,6 +56,7 @@
         this.store = requireNonNull(store, "store is null");
         this.clock = requireNonNull(clock, "clock is null");
         this.events = requireNonNull(events, "events is null");
+        this.startNanos = clock.nanoTime();
         this.members.add(vm);
     }
 
@@ -87,6 +94,7 @@
         if (!item.key().startsWith(PREFIX)) {
             return;
         }
+        Set<VmId> before = Set.copyOf(members);
         VmId member = VmId.of(item.key().substring(PREFIX.length()));
         if (item.value().isPresent()) {
             members.add(member);
@@ -96,7 +104,9 @@
             lease = Optional.empty();
             join();
         }
-        events.record(EventCode.MEMBERS_CHANGED, EventScope.empty(), "members=" + members);
+        if (!before.equals(members)) {
+            events.record(EventCode.MEMBERS_CHANGED, EventScope.empty(), "members=" + members);
+        }
     }
 
     /** Returns how many connections to an instance are this process's share. */
@@ -108,7 +118,9 @@
         } else if (now - shrunkSince >= LEAVE_GRACE.toNanos()) {
             counted = members.size();
         }
-        return Math.max(1, (connectionLimit - RESERVE) / counted);
+        int share = Math.max(1, (connectionLimit - RESERVE) / counted);
+        boolean young = now - startNanos < LEAVE_GRACE.toNanos();
+        return young ? Math.max(1, share / YOUNG_DIVISOR) : share;
     }
 
     private void register(LeaseId granted) {
--- a/carobstage/src/main/java/org/carobstage/front/Front.java
+++ b/carobstage/src/main/java/org/carobstage/front/Front.java
@@ -189,7 +189,7 @@
                 .forEach(g -> g.remove(entry.id()));
         ServiceGroup group =
                 groups.computeIfAbsent(entry.service(), n -> ServiceGroup.of(n, upstream));
-        group.limit(limit(group.name()));
+        share(group);
         group.put(entry);
     }
 
@@ -202,13 +202,15 @@
     }
 
     private void share() {
-        groups.values().forEach(g -> g.limit(limit(g.name())));
+        groups.values().forEach(this::share);
     }
 
-    private int limit(ServiceName service) {
-        return Optional.ofNullable(routes.connectionLimits().get(service))
-                .map(fleet::share)
-                .orElse(1);
+    private void share(ServiceGroup group) {
+        int connections =
+                Optional.ofNullable(routes.connectionLimits().get(group.name()))
+                        .map(fleet::share)
+                        .orElse(1);
+        group.limit(connections, fleet.members().size());
     }
 
     private void tick() {
--- a/carobstage/src/main/java/org/carobstage/front/StatementRun.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementRun.java
@@ -20,6 +20,7 @@
 import org.carobstage.sql.FailureCode;
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.TransactionState;
+import org.carobstage.upstream.CommitBreaker;
 import org.carobstage.upstream.ConnectionRequest;
 import org.carobstage.upstream.ConnectionRequest.Use;
 import org.carobstage.upstream.PooledConnection;
@@ -57,6 +58,8 @@
     private final Set<InstanceId> inFlight = new HashSet<>();
     private final List<ConnectionRequest> waiting = new ArrayList<>();
     private final List<Clock.Timer> timers = new ArrayList<>();
+    private Optional<CommitBreaker.Ticket> ticket = Optional.empty();
+    private Optional<PooledConnection> writing = Optional.empty();
     private int attempts;
     private int sent;
     private boolean primaryOnly;
@@ -178,15 +181,25 @@
     }
 
     private void send(PooledConnection connection, Optional<LogPosition> required) {
+        if (write && !group.acceptsWrites()) {
+            connection.release();
+            refuse("commits at " + connection.instance().id() + " are not acknowledged");
+            return;
+        }
         sent++;
         InstanceId instance = connection.instance().id();
         inFlight.add(instance);
+        if (write) {
+            ticket = Optional.of(group.commitSent());
+            writing = Optional.of(connection);
+        }
         connection.send(
                 id,
                 required,
                 session.shared(statement, prepared),
                 answer -> {
                     sent--;
+                    answer.ifPresent(a -> ticket.ifPresent(CommitBreaker.Ticket::answered));
                     connection.release();
                     answered(instance, answer);
                 });
@@ -279,8 +292,12 @@
         String waited = "timeout=" + route.timeout().toMillis() + " ms, last: " + last;
         if (sent == 0) {
             refuse(waited);
+        } else if (write) {
+            ticket.ifPresent(t -> t.givenUp(context.clock().nanoTime()));
+            fail(FailureCode.OUTCOME_UNKNOWN, waited);
+            writing.ifPresent(PooledConnection::discard);
         } else {
-            fail(write ? FailureCode.OUTCOME_UNKNOWN : FailureCode.TIMED_OUT, waited);
+            fail(FailureCode.TIMED_OUT, waited);
         }
     }
 
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/upstream/CommitBreaker.java
@@ -0,0 +1,87 @@
+package org.carobstage.upstream;
+
+import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * A circuit breaker for commits. A primary without a replica that receives acknowledges nothing,
+ * yet it answers reads; commits sent to it would hold its slots and connections until they are
+ * given up.
+ */
+public final class CommitBreaker {
+    /** A commit takes its work and a replication delay; this is several times both. */
+    private static final Duration STALLED = Duration.ofMillis(500);
+
+    private final Set<Ticket> unanswered = new LinkedHashSet<>();
+    private boolean open;
+    private long retryNanos;
+
+    private CommitBreaker() {}
+
+    /**
+     * Creates a breaker that lets commits through.
+     *
+     * @return the breaker
+     */
+    public static CommitBreaker empty() {
+        return new CommitBreaker();
+    }
+
+    /**
+     * Tells whether a commit may be sent.
+     *
+     * @param now the monotonic time
+     * @return false while earlier ones go unanswered, but for one each interval
+     */
+    boolean accepts(long now) {
+        boolean stalled = unanswered.stream().anyMatch(t -> now - t.sentNanos >= STALLED.toNanos());
+        if (stalled && !open) {
+            open = true;
+            retryNanos = now + STALLED.toNanos();
+        }
+        if (open && now - retryNanos >= 0) {
+            retryNanos = now + STALLED.toNanos();
+            return true;
+        }
+        return !open;
+    }
+
+    /**
+     * Notes that a commit is sent.
+     *
+     * @param now the monotonic time
+     * @return its ticket
+     */
+    Ticket sent(long now) {
+        Ticket ticket = new Ticket(now);
+        unanswered.add(ticket);
+        return ticket;
+    }
+
+    /** A commit that was sent. */
+    public final class Ticket {
+        private final long sentNanos;
+
+        private Ticket(long sentNanos) {
+            this.sentNanos = sentNanos;
+        }
+
+        /** Notes that the instance has answered: commits are let through again. */
+        public void answered() {
+            open = false;
+            unanswered.remove(this);
+        }
+
+        /**
+         * Notes that no answer is waited for any more.
+         *
+         * @param now the monotonic time
+         */
+        public void givenUp(long now) {
+            open = true;
+            retryNanos = now + STALLED.toNanos();
+            unanswered.remove(this);
+        }
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
@@ -34,7 +34,11 @@
     }
 
     boolean needsPrimary() {
-        return use != Use.ANY_INSTANCE;
+        return use == Use.PRIMARY || use == Use.PRIMARY_TRANSACTION;
+    }
+
+    boolean pinsConnection() {
+        return use == Use.TRANSACTION || use == Use.PRIMARY_TRANSACTION;
     }
 
     /** What a connection is for. */
@@ -42,6 +46,10 @@
         /** A statement that any instance may run. */
         ANY_INSTANCE,
         /** A statement that only the primary may run. */
-        PRIMARY
+        PRIMARY,
+        /** A transaction that any instance may run. */
+        TRANSACTION,
+        /** A transaction that only the primary may run. */
+        PRIMARY_TRANSACTION
     }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/InstancePool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstancePool.java
@@ -38,6 +38,17 @@
     /** Silence of a connection, while others answer, after which it is closed. */
     private static final Duration SILENCE_TO_CLOSE = Duration.ofMillis(2_500);
 
+    /**
+     * Connections beyond the warm ones are closed after this idle time, to leave room to others.
+     */
+    private static final Duration IDLE = Duration.ofMillis(2_000);
+
+    /**
+     * Statements that all processes together keep at an instance, for each of its slots: one runs
+     * while the next is under way.
+     */
+    private static final int STATEMENTS_PER_SLOT = 2;
+
     /** The weight of the newest latency in the moving average. */
     private static final double NEWEST_WEIGHT = 0.2;
 
@@ -49,6 +60,7 @@
     private final List<PooledConnection> connections = new ArrayList<>();
     private InstanceEntry entry;
     private int limit = 1;
+    private int members = 1;
     private int opening;
     private int failures;
     private long openNotBefore;
@@ -92,8 +104,9 @@
         }
     }
 
-    void limit(int connectionLimit) {
+    void limit(int connectionLimit, int sharedBy) {
         limit = connectionLimit;
+        members = sharedBy;
         while (connections.size() > limit) {
             Optional<PooledConnection> free =
                     connections.stream().filter(c -> !c.isBusy()).findFirst();
@@ -120,6 +133,17 @@
                 latencyMillis);
     }
 
+    /** How many statements outside transactions this process keeps at the instance. */
+    int statementLimit() {
+        return 1 + (STATEMENTS_PER_SLOT * entry.slots() + members - 1) / members;
+    }
+
+    /** Tells whether the instance may be sent another statement outside a transaction. */
+    boolean admitsStatement() {
+        return connections.stream().filter(c -> c.isBusy() && !c.isPinned()).count()
+                < statementLimit();
+    }
+
     /** Takes a free connection, the one whose values fit best. */
     Optional<PooledConnection> take(Map<String, String> values) {
         Optional<PooledConnection> free =
@@ -151,6 +175,7 @@
             openIfAllowed();
         }
         closeSilent(now);
+        closeIdle(now);
         Duration silence = silence(now);
         if (silence.compareTo(PROBE_AFTER) > 0 && opening == 0 && now - openNotBefore >= 0) {
             open();
@@ -193,7 +218,7 @@
     }
 
     void release(PooledConnection connection) {
-        connection.free();
+        connection.free(context.clock().nanoTime());
         if (connection.isRetired() || connections.size() > limit) {
             connection.discard();
         } else {
@@ -280,7 +305,12 @@
             return;
         }
         heard();
-        release(pooled);
+        if (group.lacksLeader()) {
+            pooled.take();
+            pooled.askStatus(() -> {});
+        } else {
+            release(pooled);
+        }
     }
 
     private void openFailed(OpenFailure reason) {
@@ -329,6 +359,14 @@
         silent.forEach(PooledConnection::discard);
     }
 
+    private void closeIdle(long now) {
+        connections.stream()
+                .filter(c -> !c.isBusy() && now - c.freedNanos() > IDLE.toNanos())
+                .skip(WARM)
+                .toList()
+                .forEach(PooledConnection::discard);
+    }
+
     private void retireAll() {
         connections.forEach(PooledConnection::retire);
         connections.stream().filter(c -> !c.isBusy()).toList().forEach(PooledConnection::discard);
--- a/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
@@ -23,6 +23,8 @@
     private InstanceConnection connection;
     private boolean open = true;
     private boolean busy;
+    private boolean pinned;
+    private long freedNanos;
     private boolean retired;
     private TransactionState state = TransactionState.IDLE;
     private Moment sentAt;
@@ -67,6 +69,11 @@
         return open;
     }
 
+    /** Notes that a client's transaction keeps the connection, also while it sends nothing. */
+    void pin() {
+        pinned = true;
+    }
+
     /**
      * Sends a statement of the user that holds the connection.
      *
@@ -146,8 +153,18 @@
         busy = true;
     }
 
-    void free() {
+    void free(long nowNanos) {
         busy = false;
+        pinned = false;
+        freedNanos = nowNanos;
+    }
+
+    boolean isPinned() {
+        return pinned;
+    }
+
+    long freedNanos() {
+        return freedNanos;
     }
 
     void retire() {
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -46,8 +46,14 @@
     /** How long finding the new primary takes once the old one says that it has been replaced. */
     private static final Duration HANDOVER_TIME = Duration.ofMillis(200);
 
-    /** Waiting statements per connection beyond which a queue only grows. */
-    private static final int WAITERS_PER_CONNECTION = 8;
+    /** How long finding the primary takes after a start: a connection to each instance. */
+    private static final Duration START_TIME = Duration.ofMillis(500);
+
+    /** A primary that is this much later than expected may stay away for long. */
+    private static final Duration OVERDUE = Duration.ofMillis(500);
+
+    /** Waiting statements for each one admitted; at 30 to 50 ms each they wait 240 to 400 ms. */
+    private static final int WAITERS_PER_STATEMENT = 8;
 
     private static final int MIN_WAITERS = 32;
 
@@ -57,11 +63,13 @@
     private final Map<InstanceId, InstanceStatus> statuses = new TreeMap<>();
     private final PrimaryPositions positions = PrimaryPositions.empty();
     private final List<ConnectionRequest> waiters = new ArrayList<>();
+    private CommitBreaker commits = CommitBreaker.empty();
     private Leadership leadership = Leadership.empty();
     private LogPosition acknowledged = LogPosition.empty();
     private long primaryExpected;
     private long requestedNanos;
     private int limit = 1;
+    private int members = 1;
     private final List<Proof> proofs = new ArrayList<>();
     private boolean proving;
     private boolean dispatching;
@@ -71,7 +79,7 @@
         this.name = name;
         this.context = context;
         this.requestedNanos = context.clock().nanoTime();
-        expectPrimaryIn(PROMOTION_TIME);
+        expectPrimaryIn(START_TIME);
     }
 
     /**
@@ -169,7 +177,7 @@
         InstancePool pool = pools.get(entry.id());
         if (pool == null) {
             pool = new InstancePool(this, context, entry);
-            pool.limit(limit);
+            pool.limit(limit, members);
             pools.put(entry.id(), pool);
             pool.openIfAllowed();
             return;
@@ -197,10 +205,12 @@
      * Sets how many connections this process may have to each instance.
      *
      * @param connections the limit, at least 1
+     * @param sharedBy how many processes share the instances
      */
-    public void limit(int connections) {
+    public void limit(int connections, int sharedBy) {
         limit = connections;
-        pools.values().forEach(pool -> pool.limit(connections));
+        members = sharedBy;
+        pools.values().forEach(pool -> pool.limit(connections, sharedBy));
     }
 
     /**
@@ -297,6 +307,25 @@
         dispatching = false;
     }
 
+    /**
+     * Tells whether a write may be sent to the primary. While commits go unanswered, only one at a
+     * time is let through to see whether they are acknowledged again.
+     *
+     * @return false if the write would only wait
+     */
+    public boolean acceptsWrites() {
+        return commits.accepts(context.clock().nanoTime());
+    }
+
+    /**
+     * Notes that a commit or single write is sent.
+     *
+     * @return to be run when it is answered or given up
+     */
+    public CommitBreaker.Ticket commitSent() {
+        return commits.sent(context.clock().nanoTime());
+    }
+
     /**
      * Returns how many statements wait for a connection.
      *
@@ -341,6 +370,10 @@
         }
     }
 
+    boolean lacksLeader() {
+        return leadership.leader().isEmpty();
+    }
+
     void suspicionChanged(InstanceEntry entry, boolean suspected, String reason) {
         if (leadership.isLeader(entry.id())) {
             expectPrimaryIn(PROMOTION_TIME);
@@ -405,15 +438,22 @@
                 InstanceChoice.order(usable(waiter).map(InstancePool::candidate)).stream()
                         .map(c -> pools.get(c.id()))
                         .toList();
-        for (InstancePool pool : candidates) {
+        List<InstancePool> admitting =
+                candidates.stream()
+                        .filter(p -> waiter.pinsConnection() || p.admitsStatement())
+                        .toList();
+        for (InstancePool pool : admitting) {
             Optional<PooledConnection> connection = pool.take(waiter.values());
             if (connection.isPresent()) {
                 waiters.removeIf(w -> w == waiter);
+                if (waiter.pinsConnection()) {
+                    connection.get().pin();
+                }
                 waiter.granted().accept(connection.get());
                 return;
             }
         }
-        candidates.stream().findFirst().ifPresent(InstancePool::openIfAllowed);
+        admitting.stream().findFirst().ifPresent(InstancePool::openIfAllowed);
     }
 
     private Stream<InstancePool> usable(ConnectionRequest request) {
@@ -428,7 +468,8 @@
     }
 
     private Optional<String> refusal(ConnectionRequest request) {
-        int most = Math.max(MIN_WAITERS, WAITERS_PER_CONNECTION * openConnections());
+        int admitted = pools.values().stream().mapToInt(InstancePool::statementLimit).sum();
+        int most = Math.max(MIN_WAITERS, WAITERS_PER_STATEMENT * admitted);
         if (waiters.size() >= most) {
             return Optional.of("queue of " + waiters.size() + " is full");
         }
@@ -447,7 +488,8 @@
         }
         Optional<InstanceId> leader = leadership.leader();
         boolean absent = leader.isEmpty() || isSuspected(leader.get());
-        return absent && request.deadlineNanos() - primaryExpected < 0;
+        boolean overdue = context.clock().nanoTime() - primaryExpected > OVERDUE.toNanos();
+        return absent && (overdue || request.deadlineNanos() - primaryExpected < 0);
     }
 
     private void expectPrimaryIn(Duration time) {
@@ -456,7 +498,8 @@
 
     private String unavailable() {
         long millis = (primaryExpected - context.clock().nanoTime()) / 1_000_000;
-        return "no primary, expected in " + Math.max(0, millis) + " ms";
+        long retryAfter = millis > 0 ? millis : PROMOTION_TIME.toMillis();
+        return "no primary, retry after " + retryAfter + " ms";
     }
 
     private void setLeadership(Leadership next, String reason) {
@@ -468,6 +511,7 @@
         if (!changed) {
             return;
         }
+        commits = CommitBreaker.empty();
         if (next.leader().isEmpty()) {
             expectPrimaryIn(HANDOVER_TIME);
         }
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
@@ -194,7 +194,7 @@
                                     service.connector(id -> !unreachable.contains(id)),
                                     FailureDomain.of("domain-b"),
                                     events));
-            group.limit(4);
+            group.limit(4, 5);
             service.instances().forEach(i -> group.put(i.entry()));
             coordinator =
                     FailoverCoordinator.of(
--- a/carobstage/src/test/java/org/carobstage/front/FleetTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/FleetTest.java
@@ -92,7 +92,7 @@
             fleets.add(fleet);
             watchShare(fleet);
         }
-        run(500);
+        run(4_000);
         return fleets;
     }
 
--- a/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
+++ b/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
@@ -48,7 +48,7 @@
                         name -> Optional.of(group),
                         DecisionLog.of(events, clock),
                         metrics);
-        group.limit(4);
+        group.limit(4, 5);
         service.instances().forEach(i -> group.put(i.entry()));
         tick();
         run(1_000);
--- a/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
@@ -33,7 +33,7 @@
 
     @BeforeEach
     void start() {
-        group.limit(4);
+        group.limit(4, 5);
         service.instances().forEach(i -> group.put(i.entry()));
         tick();
         run(Duration.ofSeconds(1));
@@ -79,7 +79,7 @@
             request(false);
         }
         run(Duration.ofMillis(100));
-        group.limit(1);
+        group.limit(1, 5);
         granted.forEach(PooledConnection::release);
 
         assertThat(service.instances()).allMatch(i -> i.openConnections() <= 1);
