--- a/carobstage/src/main/java/org/carobstage/front/Front.java
+++ b/carobstage/src/main/java/org/carobstage/front/Front.java
@@ -54,6 +54,7 @@
     private boolean listed;
     private boolean ready;
     private boolean stopping;
+    private boolean ended;
     private long lastTick;
     private long lastTickMillis;
 
@@ -305,9 +306,10 @@
     }
 
     private void endStop() {
-        if (stopped.getCount() == 0) {
+        if (ended) {
             return;
         }
+        ended = true;
         fleet.leave();
         events.record(EventCode.SHUTDOWN_ENDED, EventScope.empty(), "sessions=" + sessions.size());
         clock.schedule(stopped::countDown, TICK);
