--- a/carobstage/src/main/java/org/carobstage/cli/ExitCode.java
+++ b/carobstage/src/main/java/org/carobstage/cli/ExitCode.java
@@ -2,7 +2,7 @@
 
 import org.carobstage.error.ErrorCode;
 
-/** The exit codes of the program; docs/OPERATING.md lists them. */
+/** The exit codes of the program; docs/OPERATIONS.md lists them. */
 public enum ExitCode {
     /** All went well. */
     OK(0),
--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -86,6 +86,8 @@
     STATEMENT_FAILED(5004, Level.INFO),
     /** A session was refused or closed by the proxy. */
     SESSION_ENDED(5005, Level.INFO),
+    /** A statement succeeded later than the latency objective of its route. */
+    STATEMENT_SLOW(5006, Level.INFO),
     /** Log lines were dropped because they came faster than the limit. */
     LINES_DROPPED(1007, Level.WARNING),
     /** A transaction ended without its caller's commit or rollback. */
--- a/carobstage/src/main/java/org/carobstage/front/StatementRun.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementRun.java
@@ -65,6 +65,7 @@
     private boolean primaryOnly;
     private Optional<LogPosition> proven = Optional.empty();
     private boolean done;
+    private String basis = "";
     private String last = "";
 
     StatementRun(
@@ -121,7 +122,17 @@
         }
     }
 
+    private String describe(Evidence evidence) {
+        return "evidence="
+                + evidence.position()
+                + " age_ms="
+                + evidence.asked().age(received).toMillis()
+                + " own="
+                + session.written();
+    }
+
     private void proved(LogPosition position) {
+        basis = "proved=" + position;
         proven = Optional.of(position.max(session.written()));
         acquire(proven);
     }
@@ -154,10 +165,9 @@
         if (route.consistency() == Consistency.PRIMARY) {
             return proven;
         }
-        return group.positions()
-                .required(route.staleness(), received)
-                .map(Evidence::position)
-                .map(p -> p.max(session.written()));
+        Optional<Evidence> evidence = group.positions().required(route.staleness(), received);
+        basis = evidence.map(this::describe).orElse("evidence=none");
+        return evidence.map(Evidence::position).map(p -> p.max(session.written()));
     }
 
     private void granted(PooledConnection connection, Optional<LogPosition> required) {
@@ -260,7 +270,9 @@
             refuse("attempts=" + attempts + " last: " + reason);
             return;
         }
-        log(EventCode.STATEMENT_RETRIED, "attempt=" + attempts + " reason: " + reason);
+        log(
+                EventCode.STATEMENT_RETRIED,
+                "attempt=" + attempts + " " + basis + " reason: " + reason);
         if (nowhereElse()) {
             primaryOnly = true;
         }
@@ -289,7 +301,17 @@
         if (done) {
             return;
         }
-        String waited = "timeout=" + route.timeout().toMillis() + " ms, last: " + last;
+        String waited =
+                "timeout_ms="
+                        + route.timeout().toMillis()
+                        + " attempts="
+                        + attempts
+                        + " asked="
+                        + inFlight
+                        + " "
+                        + basis
+                        + " last: "
+                        + last;
         if (sent == 0) {
             refuse(waited);
         } else if (write) {
@@ -309,7 +331,9 @@
             fail(FailureCode.OUTCOME_UNKNOWN, reason);
             return;
         }
-        log(EventCode.STATEMENT_REFUSED, "waited=" + elapsed().toMillis() + " ms " + reason);
+        log(
+                EventCode.STATEMENT_REFUSED,
+                "waited_ms=" + elapsed().toMillis() + " " + basis + " reason: " + reason);
         deliver(Answer.failed(Failure.of(FailureCode.BUSY, reason), TransactionState.IDLE));
     }
 
@@ -322,6 +346,22 @@
         done = true;
         cleanUp();
         String outcome = answer.failure().map(f -> f.code().name()).orElse("DONE");
+        if (answer.succeeded() && elapsed().compareTo(route.targetLatency()) > 0) {
+            log(
+                    EventCode.STATEMENT_SLOW,
+                    "took_ms="
+                            + elapsed().toMillis()
+                            + " target_ms="
+                            + route.targetLatency().toMillis()
+                            + " attempts="
+                            + attempts
+                            + " asked="
+                            + inFlight
+                            + " "
+                            + basis
+                            + " last: "
+                            + last);
+        }
         context.metrics().served(route.consistency().name(), outcome, elapsed());
         then.accept(answer.withState(TransactionState.IDLE));
     }
--- a/carobstage/src/main/java/org/carobstage/settings/SettingsReader.java
+++ b/carobstage/src/main/java/org/carobstage/settings/SettingsReader.java
@@ -21,7 +21,7 @@
 import org.carobstage.security.Secret;
 import org.carobstage.settings.CheckedIni.Section;
 
-/** Reads a process's settings from an INI file; docs/OPERATING.md lists them. */
+/** Reads a process's settings from an INI file; docs/OPERATIONS.md lists them. */
 public final class SettingsReader {
     private static final int MAX_ENTRY_VMS = 10_000;
     private static final int MIN_BODY_BYTES = 64;
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -3,7 +3,6 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +16,6 @@
 import org.carobstage.event.EventScope;
 import org.carobstage.freshness.Moment;
 import org.carobstage.freshness.PrimaryPositions;
-import org.carobstage.freshness.PrimaryPositions.Evidence;
 import org.carobstage.model.GroupId;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
@@ -40,18 +38,6 @@
     /** The interval of status questions while no leader is known. */
     private static final Duration SEARCH_INTERVAL = Duration.ofMillis(100);
 
-    /** How long a change of the primary takes from its loss: detection, order and promotion. */
-    private static final Duration PROMOTION_TIME = Duration.ofMillis(1_700);
-
-    /** How long finding the new primary takes once the old one says that it has been replaced. */
-    private static final Duration HANDOVER_TIME = Duration.ofMillis(200);
-
-    /** How long finding the primary takes after a start: a connection to each instance. */
-    private static final Duration START_TIME = Duration.ofMillis(500);
-
-    /** A primary that is this much later than expected may stay away for long. */
-    private static final Duration OVERDUE = Duration.ofMillis(500);
-
     /** Waiting statements for each one admitted; at 30 to 50 ms each they wait 240 to 400 ms. */
     private static final int WAITERS_PER_STATEMENT = 8;
 
@@ -62,24 +48,21 @@
     private final Map<InstanceId, InstancePool> pools = new TreeMap<>();
     private final Map<InstanceId, InstanceStatus> statuses = new TreeMap<>();
     private final PrimaryPositions positions = PrimaryPositions.empty();
-    private final List<ConnectionRequest> waiters = new ArrayList<>();
+    private final ConnectionQueue waiters = ConnectionQueue.empty();
     private CommitBreaker commits = CommitBreaker.empty();
     private Leadership leadership = Leadership.empty();
     private LogPosition acknowledged = LogPosition.empty();
-    private long primaryExpected;
+    private final PrimaryOutlook outlook;
     private long requestedNanos;
     private int limit = 1;
     private int members = 1;
-    private final List<Proof> proofs = new ArrayList<>();
-    private boolean proving;
-    private boolean dispatching;
-    private boolean dispatchAgain;
+    private final LeadProofs proofs = LeadProofs.empty();
 
     private ServiceGroup(ServiceName name, UpstreamContext context) {
         this.name = name;
         this.context = context;
         this.requestedNanos = context.clock().nanoTime();
-        expectPrimaryIn(START_TIME);
+        this.outlook = PrimaryOutlook.atStart(context.clock().nanoTime());
     }
 
     /**
@@ -225,11 +208,7 @@
             request.refused().accept(refusal.get());
             return;
         }
-        int at = waiters.size();
-        while (at > 0 && waiters.get(at - 1).deadlineNanos() - request.deadlineNanos() > 0) {
-            at--;
-        }
-        waiters.add(at, request);
+        waiters.add(request);
         dispatch();
     }
 
@@ -247,8 +226,8 @@
             long deadlineNanos,
             Consumer<LogPosition> proven,
             Consumer<String> refused) {
-        proofs.add(new Proof(since, deadlineNanos, proven, refused));
-        settleProofs();
+        proofs.add(since, deadlineNanos, proven, refused);
+        settleProofs(false);
     }
 
     /**
@@ -257,7 +236,7 @@
      * @param request the request
      */
     public void cancel(ConnectionRequest request) {
-        waiters.removeIf(w -> w == request);
+        waiters.remove(w -> w == request);
     }
 
     /**
@@ -293,18 +272,7 @@
 
     /** Grants connections to those who wait, the earliest deadline first. */
     public void dispatch() {
-        if (dispatching) {
-            dispatchAgain = true;
-            return;
-        }
-        dispatching = true;
-        do {
-            dispatchAgain = false;
-            for (ConnectionRequest waiter : List.copyOf(waiters)) {
-                grant(waiter);
-            }
-        } while (dispatchAgain);
-        dispatching = false;
+        waiters.offerAll(this::grant);
     }
 
     /**
@@ -381,7 +349,7 @@
 
     void suspicionChanged(InstanceEntry entry, boolean suspected, String reason) {
         if (leadership.isLeader(entry.id())) {
-            expectPrimaryIn(PROMOTION_TIME);
+            outlook.primaryLost(context.clock().nanoTime());
         }
         record(
                 suspected ? EventCode.INSTANCE_SUSPECTED : EventCode.INSTANCE_TRUSTED,
@@ -401,69 +369,44 @@
         return now - Math.max(pool.heardNanos(), pool.askedNanos()) >= QUIET_INTERVAL.toNanos();
     }
 
-    private void settleProofs() {
-        Optional<Evidence> newest = positions.newest();
-        long now = context.clock().nanoTime();
-        List<Proof> settled =
-                proofs.stream().filter(p -> newest.filter(e -> p.isMetBy(e)).isPresent()).toList();
-        proofs.removeAll(settled);
-        proofs.removeIf(p -> now - p.deadlineNanos() >= 0);
-        settled.forEach(p -> p.proven().accept(newest.orElseThrow().position()));
-        if (!proofs.isEmpty() && !proving) {
-            proving = true;
-            long deadline = proofs.stream().mapToLong(Proof::deadlineNanos).max().orElse(now);
-            acquire(
-                    new ConnectionRequest(
-                            ConnectionRequest.Use.PRIMARY,
-                            Set.of(),
-                            Map.of(),
-                            deadline,
-                            connection -> connection.askStatus(this::proofAnswered),
-                            this::proofRefused));
-        }
+    private void askForProof(long deadlineNanos) {
+        acquire(
+                new ConnectionRequest(
+                        ConnectionRequest.Use.PRIMARY,
+                        Set.of(),
+                        Map.of(),
+                        deadlineNanos,
+                        connection -> connection.askStatus(() -> settleProofs(true)),
+                        proofs::refuse));
     }
 
-    private void proofAnswered() {
-        proving = false;
-        settleProofs();
+    private void settleProofs(boolean answered) {
+        proofs.settle(positions.newest(), context.clock().nanoTime(), answered)
+                .ifPresent(this::askForProof);
     }
 
-    private void proofRefused(String reason) {
-        proving = false;
-        List<Proof> refused = List.copyOf(proofs);
-        proofs.clear();
-        refused.forEach(p -> p.refused().accept(reason));
-    }
-
-    private void grant(ConnectionRequest waiter) {
-        if (!waiters.contains(waiter)) {
-            return;
-        }
-        List<InstancePool> candidates =
+    private Optional<PooledConnection> grant(ConnectionRequest waiter) {
+        List<InstancePool> admitting =
                 InstanceChoice.order(usable(waiter).map(InstancePool::candidate)).stream()
                         .map(c -> pools.get(c.id()))
-                        .toList();
-        List<InstancePool> admitting =
-                candidates.stream()
                         .filter(p -> waiter.pinsConnection() || p.admitsStatement())
                         .toList();
-        for (InstancePool pool : admitting) {
-            Optional<PooledConnection> connection = pool.take(waiter.values());
-            if (connection.isPresent()) {
-                waiters.removeIf(w -> w == waiter);
-                if (waiter.pinsConnection()) {
-                    connection.get().pin();
-                }
-                waiter.granted().accept(connection.get());
-                return;
-            }
+        Optional<PooledConnection> free =
+                admitting.stream()
+                        .map(p -> p.take(waiter.values()))
+                        .flatMap(Optional::stream)
+                        .findFirst();
+        if (free.isEmpty()) {
+            admitting.stream().findFirst().ifPresent(InstancePool::openIfAllowed);
+        } else if (waiter.pinsConnection()) {
+            free.get().pin();
         }
-        admitting.stream().findFirst().ifPresent(InstancePool::openIfAllowed);
+        return free;
     }
 
     private Stream<InstancePool> usable(ConnectionRequest request) {
         if (request.needsPrimary()) {
-            return leadership.leader().map(pools::get).stream();
+            return leadership.leader().map(pools::get).filter(p -> !p.isSuspected()).stream();
         }
         Collection<InstancePool> all = pools.values();
         boolean othersDrain = all.stream().anyMatch(p -> !p.entry().draining());
@@ -482,29 +425,19 @@
     }
 
     private void refuseHopeless() {
-        List<ConnectionRequest> hopeless = waiters.stream().filter(this::hopeless).toList();
-        waiters.removeAll(hopeless);
-        hopeless.forEach(w -> w.refused().accept(unavailable()));
+        waiters.remove(this::hopeless).forEach(w -> w.refused().accept(unavailable()));
     }
 
     private boolean hopeless(ConnectionRequest request) {
-        if (!request.needsPrimary()) {
-            return false;
-        }
         Optional<InstanceId> leader = leadership.leader();
         boolean absent = leader.isEmpty() || isSuspected(leader.get());
-        boolean overdue = context.clock().nanoTime() - primaryExpected > OVERDUE.toNanos();
-        return absent && (overdue || request.deadlineNanos() - primaryExpected < 0);
-    }
-
-    private void expectPrimaryIn(Duration time) {
-        primaryExpected = context.clock().nanoTime() + time.toNanos();
+        return request.needsPrimary()
+                && absent
+                && outlook.isTooLate(request.deadlineNanos(), context.clock().nanoTime());
     }
 
     private String unavailable() {
-        long millis = (primaryExpected - context.clock().nanoTime()) / 1_000_000;
-        long retryAfter = millis > 0 ? millis : PROMOTION_TIME.toMillis();
-        return "no primary, retry after " + retryAfter + " ms";
+        return outlook.describe(context.clock().nanoTime());
     }
 
     private void setLeadership(Leadership next, String reason) {
@@ -518,7 +451,7 @@
         }
         commits = CommitBreaker.empty();
         if (next.leader().isEmpty()) {
-            expectPrimaryIn(HANDOVER_TIME);
+            outlook.primaryReplaced(context.clock().nanoTime());
         }
         record(
                 EventCode.PRIMARY_KNOWN,
@@ -534,16 +467,4 @@
     private void record(EventCode code, String detail) {
         context.events().record(code, EventScope.of(GroupId.of(name.value())), detail);
     }
-
-    /** A wish for a position that covers every commit acknowledged before a moment. */
-    private record Proof(
-            Moment since,
-            long deadlineNanos,
-            Consumer<LogPosition> proven,
-            Consumer<String> refused) {
-        private boolean isMetBy(Evidence evidence) {
-            return evidence.asked().nanos() - since.nanos() >= 0
-                    && evidence.asked().epochNanos() - since.epochNanos() >= 0;
-        }
-    }
 }
--- a/carobstage/src/test/java/org/carobstage/fake/FakeStore.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeStore.java
@@ -83,6 +83,14 @@
         watch.then().accept(new StoreReply.Done<>(new MetadataStore.Page(items, revision, false)));
     }
 
+    private List<StoreItem> items() {
+        return values.entrySet().stream().map(e -> item(e.getKey(), e.getValue())).toList();
+    }
+
+    private static StoreItem item(String key, Value value) {
+        return new StoreItem(key, Optional.of(value.text()), value.revision());
+    }
+
     private void lapse(LeaseId lease, long until) {
         if (leases.getOrDefault(lease, 0L) == until) {
             end(lease);
@@ -127,24 +135,7 @@
 
         @Override
         public void list(Optional<String> after, Consumer<StoreReply<Page>> then) {
-            later(
-                    then,
-                    () ->
-                            new StoreReply.Done<>(
-                                    new Page(
-                                            values.entrySet().stream()
-                                                    .map(
-                                                            e ->
-                                                                    new StoreItem(
-                                                                            e.getKey(),
-                                                                            Optional.of(
-                                                                                    e.getValue()
-                                                                                            .text()),
-                                                                            e.getValue()
-                                                                                    .revision()))
-                                                    .toList(),
-                                            revision,
-                                            false)));
+            later(then, () -> new StoreReply.Done<>(new Page(items(), revision, false)));
         }
 
         @Override
