Keep votes as they stand in the store; spare draining instances and new sessions

Cause: reading the code: a vote that could not be withdrawn stood until its lease ended; with all staying replicas avoided a read waited for a draining one; a stop closed sessions that had just been opened, whose first statement may be under way; a draining primary was used without end. Change: the ballot of a process is what the store has acknowledged, written again after 500 ms; reads go to the primary when only draining instances are left; a draining primary is used for 6 s at most; a stop waits until a session was quiet for 200 ms. Each with a test but the 6 s. Ruled out: nothing.

--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -22,6 +22,7 @@
 import org.carobstage.sql.Statement;
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreItem;
+import org.carobstage.store.StoreReply;
 import org.carobstage.store.StoreWrite;
 import org.carobstage.upstream.ServiceGroup;
 
@@ -36,6 +37,9 @@
     /** Spaces the attempts of the processes to take the lease. */
     private static final Duration RANK_DELAY = Duration.ofMillis(250);
 
+    /** The pause before a vote that could not be written is tried again. */
+    private static final Duration VOTE_AGAIN = Duration.ofMillis(500);
+
     /** The pause after a replacement before the next one of the same service. */
     private static final Duration PAUSE = Duration.ofMillis(1_000);
 
@@ -167,26 +171,32 @@
 
     private void vote(
             ServiceGroup group, State state, Optional<InstanceId> dead, Optional<LeaseId> lease) {
-        Optional<Vote> vote = dead.map(id -> new Vote(id, group.acknowledged()));
-        if (vote.equals(state.vote) || vote.isPresent() && lease.isEmpty()) {
+        Ballot wanted = new Ballot(dead.map(id -> new Vote(id, group.acknowledged())), lease);
+        boolean same =
+                state.ballot.filter(b -> b.vote().isEmpty() && dead.isEmpty()).isPresent()
+                        || state.ballot.equals(Optional.of(wanted));
+        long now = context.clock().nanoTime();
+        if (same || dead.isPresent() && lease.isEmpty() || now - state.voteNotBefore < 0) {
             return;
         }
-        state.vote = vote;
+        state.ballot = Optional.of(wanted);
         String key = FailoverKeys.vote(group.name(), context.vm());
         StoreWrite write =
-                vote.map(v -> StoreWrite.put(key, v.text(), lease.get()))
+                wanted.vote()
+                        .map(v -> StoreWrite.put(key, v.text(), lease.get()))
                         .orElseGet(() -> StoreWrite.delete(key));
         context.record(
                 EventCode.REPLACEMENT_VOTE,
                 group.name(),
-                vote.map(v -> "primary=" + v.primary() + " acknowledged=" + v.acknowledged())
-                        .orElse("withdrawn"));
+                wanted.vote().map(Vote::text).orElse("withdrawn"));
         context.store()
                 .write(
                         write,
                         reply -> {
-                            if (!(reply instanceof org.carobstage.store.StoreReply.Done<Long>)) {
-                                state.vote = Optional.empty();
+                            if (!(reply instanceof StoreReply.Done<Long>)) {
+                                state.ballot = Optional.empty();
+                                state.voteNotBefore =
+                                        context.clock().nanoTime() + VOTE_AGAIN.toNanos();
                             }
                         });
     }
@@ -263,18 +273,25 @@
         return status.pausedTerm().isAfter(Term.ZERO);
     }
 
+    /** A vote as it stands in the store, and the lease that it ends with. */
+    private record Ballot(Optional<Vote> vote, Optional<LeaseId> lease) {
+        private static final Ballot NONE = new Ballot(Optional.empty(), Optional.empty());
+    }
+
     /** What this process knows and does about one service. */
     private static final class State {
         private final FailoverLease lease;
-        private Optional<Vote> vote = Optional.empty();
+        private Optional<Ballot> ballot = Optional.of(Ballot.NONE);
         private Optional<Long> wantedSince = Optional.empty();
         private Optional<Long> stoppedSince = Optional.empty();
         private long notBefore;
+        private long voteNotBefore;
         private boolean running;
 
         private State(FailoverContext context, ServiceName service) {
             this.lease = new FailoverLease(context, service);
             this.notBefore = context.clock().nanoTime();
+            this.voteNotBefore = notBefore;
         }
     }
 }
--- a/carobstage/src/main/java/org/carobstage/front/ClientSession.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientSession.java
@@ -30,6 +30,9 @@
     /** How long a session for an unknown database waits for a route that may be under way. */
     private static final Duration NEW_ROUTE_WAIT = Duration.ofMillis(300);
 
+    /** A client that got its session or an answer this long ago is not about to send more. */
+    private static final Duration QUIET = Duration.ofMillis(200);
+
     private static final Duration ROUTES_POLL = Duration.ofMillis(50);
 
     private final FrontContext context;
@@ -42,6 +45,7 @@
     private Optional<ClientTransaction> transaction = Optional.empty();
     private Optional<StatementRun> running = Optional.empty();
     private LogPosition written = LogPosition.empty();
+    private long activeNanos;
     private boolean open;
     private boolean busy;
     private boolean stopping;
@@ -89,10 +93,13 @@
         awaitRoute(Duration.ZERO);
     }
 
-    /** Closes the session as soon as nothing is in progress. */
+    /**
+     * Closes the session once nothing is in progress and no statement is likely to be under way.
+     */
     void closeWhenIdle() {
         stopping = true;
-        if (isIdle()) {
+        boolean quiet = context.clock().nanoTime() - activeNanos >= QUIET.toNanos();
+        if (isIdle() && quiet) {
             end("stopping");
         }
     }
@@ -133,6 +140,7 @@
         boolean known = context.routes().get().isKnown();
         if (context.routes().get().route(database).isPresent()) {
             open = true;
+            activeNanos = context.clock().nanoTime();
             channel.ready();
             next();
         } else if (waited.compareTo(known ? NEW_ROUTE_WAIT : ROUTES_WAIT) < 0) {
@@ -283,6 +291,7 @@
         if (closed) {
             return;
         }
+        activeNanos = context.clock().nanoTime();
         channel.answer(answer);
         if (stopping && isIdle()) {
             end("stopping");
--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -155,8 +155,7 @@
                                 .map(Evidence::position)
                                 .map(p -> p.max(session.written()))
                         : Optional.empty();
-        boolean elsewhere = group.instances().stream().anyMatch(e -> !avoid.contains(e.id()));
-        boolean atPrimary = required.isEmpty() || !elsewhere;
+        boolean atPrimary = required.isEmpty() || !group.hasOthers(avoid);
         ConnectionRequest request =
                 new ConnectionRequest(
                         atPrimary ? Use.PRIMARY_TRANSACTION : Use.TRANSACTION,
@@ -273,7 +272,7 @@
 
     private void answered(PooledConnection c, Optional<Answer> answer) {
         sent = false;
-        ticket.ifPresent(t -> settle(t, answer));
+        ticket.ifPresent(t -> t.settle(answer.isPresent()));
         boolean commit = current instanceof Statement.Commit;
         if (pending.isEmpty()) {
             c.release();
@@ -364,14 +363,6 @@
         statementTimer.ifPresent(Clock.Timer::cancel);
     }
 
-    private static void settle(CommitBreaker.Ticket sentCommit, Optional<Answer> answer) {
-        if (answer.isPresent()) {
-            sentCommit.answered();
-        } else {
-            sentCommit.connectionLost();
-        }
-    }
-
     private void log(EventCode code, String detail) {
         context.log().record(code, route.database(), currentId, detail);
     }
--- a/carobstage/src/main/java/org/carobstage/front/StatementRun.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementRun.java
@@ -209,7 +209,7 @@
                 session.shared(statement, prepared),
                 answer -> {
                     sent--;
-                    ticket.ifPresent(t -> settle(t, answer));
+                    ticket.ifPresent(t -> t.settle(answer.isPresent()));
                     connection.release();
                     answered(instance, answer);
                 });
@@ -273,7 +273,7 @@
         log(
                 EventCode.STATEMENT_RETRIED,
                 "attempt=" + attempts + " " + basis + " reason: " + reason);
-        if (nowhereElse()) {
+        if (!group.hasOthers(avoid)) {
             primaryOnly = true;
         }
         if (pause.isZero()) {
@@ -286,32 +286,18 @@
     private void hedge() {
         if (!done && sent > 0 && attempts < MAX_ATTEMPTS && !primaryOnly) {
             avoid.addAll(inFlight);
-            if (!nowhereElse()) {
+            if (group.hasOthers(avoid)) {
                 context.metrics().count("hedged_reads_total");
                 attempt();
             }
         }
     }
 
-    private boolean nowhereElse() {
-        return group.instances().stream().allMatch(e -> avoid.contains(e.id()));
-    }
-
     private void expire() {
         if (done) {
             return;
         }
-        String waited =
-                "timeout_ms="
-                        + route.timeout().toMillis()
-                        + " attempts="
-                        + attempts
-                        + " asked="
-                        + inFlight
-                        + " "
-                        + basis
-                        + " last: "
-                        + last;
+        String waited = "timeout_ms=" + route.timeout().toMillis() + " " + inputs();
         if (sent == 0) {
             refuse(waited);
         } else if (write) {
@@ -353,14 +339,8 @@
                             + elapsed().toMillis()
                             + " target_ms="
                             + route.targetLatency().toMillis()
-                            + " attempts="
-                            + attempts
-                            + " asked="
-                            + inFlight
                             + " "
-                            + basis
-                            + " last: "
-                            + last);
+                            + inputs());
         }
         context.metrics().served(route.consistency().name(), outcome, elapsed());
         then.accept(answer.withState(TransactionState.IDLE));
@@ -372,16 +352,12 @@
         waiting.clear();
     }
 
-    private Duration elapsed() {
-        return Duration.ofNanos(context.clock().nanoTime() - received.nanos());
+    private String inputs() {
+        return "attempts=" + attempts + " asked=" + inFlight + " " + basis + " last: " + last;
     }
 
-    private static void settle(CommitBreaker.Ticket sentCommit, Optional<Answer> answer) {
-        if (answer.isPresent()) {
-            sentCommit.answered();
-        } else {
-            sentCommit.connectionLost();
-        }
+    private Duration elapsed() {
+        return Duration.ofNanos(context.clock().nanoTime() - received.nanos());
     }
 
     private void log(EventCode code, String detail) {
--- a/carobstage/src/main/java/org/carobstage/upstream/CommitBreaker.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/CommitBreaker.java
@@ -67,14 +67,14 @@
             this.sentNanos = sentNanos;
         }
 
-        /** Notes that the instance has answered: commits are let through again. */
-        public void answered() {
-            open = false;
-            unanswered.remove(this);
-        }
-
-        /** Notes that the connection is lost, which says nothing about other commits. */
-        public void connectionLost() {
+        /**
+         * Notes the end of the exchange. An answer lets commits through again; a lost connection
+         * says nothing about other commits.
+         *
+         * @param answered whether the instance has answered
+         */
+        public void settle(boolean answered) {
+            open &= !answered;
             unanswered.remove(this);
         }
 
--- a/carobstage/src/main/java/org/carobstage/upstream/InstancePool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstancePool.java
@@ -20,6 +20,9 @@
 
 /** The connections of this process to one instance, and whether the instance is alive. */
 final class InstancePool {
+    /** A primary that drains is used until it is replaced, but not beyond its shortest notice. */
+    private static final Duration DRAIN_LIMIT = Duration.ofMillis(6_000);
+
     /** Connections kept open without demand; opening one takes tens of ms and a slot. */
     private static final int WARM = 1;
 
@@ -65,6 +68,7 @@
     private int failures;
     private long openNotBefore;
     private long heardNanos;
+    private long drainingSince;
     private long askedNanos;
     private boolean suspected;
     private boolean closed;
@@ -76,6 +80,7 @@
         this.entry = requireNonNull(entry, "entry is null");
         this.openNotBefore = context.clock().nanoTime();
         this.heardNanos = openNotBefore;
+        this.drainingSince = openNotBefore;
         this.askedNanos = openNotBefore - TimeUnit.HOURS.toNanos(1);
     }
 
@@ -96,6 +101,9 @@
         boolean moved =
                 !newer.address().equals(entry.address())
                         || newer.bornMillis() != entry.bornMillis();
+        if (newer.draining() && !entry.draining()) {
+            drainingSince = context.clock().nanoTime();
+        }
         entry = newer;
         if (moved) {
             retireAll();
@@ -133,6 +141,12 @@
                 latencyMillis);
     }
 
+    /** Tells whether the instance has been draining for so long that it may not be used. */
+    boolean hasLeft() {
+        return entry.draining()
+                && context.clock().nanoTime() - drainingSince > DRAIN_LIMIT.toNanos();
+    }
+
     /** How many statements outside transactions this process keeps at the instance. */
     int statementLimit() {
         return 1 + (STATEMENTS_PER_SLOT * entry.slots() + members - 1) / members;
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -3,7 +3,6 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -113,6 +112,18 @@
         return pools.values().stream().map(InstancePool::entry).toList();
     }
 
+    /**
+     * Tells whether an instance that stays is left for a statement.
+     *
+     * @param avoid the instances that it can't go to
+     * @return false if only the primary remains
+     */
+    public boolean hasOthers(Set<InstanceId> avoid) {
+        return pools.values().stream()
+                .map(InstancePool::entry)
+                .anyMatch(e -> !e.draining() && !avoid.contains(e.id()));
+    }
+
     /**
      * Returns the last status of an instance.
      *
@@ -406,13 +417,15 @@
 
     private Stream<InstancePool> usable(ConnectionRequest request) {
         if (request.needsPrimary()) {
-            return leadership.leader().map(pools::get).filter(p -> !p.isSuspected()).stream();
+            return leadership
+                    .leader()
+                    .map(pools::get)
+                    .filter(p -> !p.isSuspected() && !p.hasLeft())
+                    .stream();
         }
-        Collection<InstancePool> all = pools.values();
-        boolean othersDrain = all.stream().anyMatch(p -> !p.entry().draining());
-        return all.stream()
+        return pools.values().stream()
                 .filter(p -> !request.avoid().contains(p.entry().id()))
-                .filter(p -> !othersDrain || !p.entry().draining());
+                .filter(p -> !p.entry().draining());
     }
 
     private Optional<String> refusal(ConnectionRequest request) {
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
@@ -156,6 +156,20 @@
         assertThat(service.orders()).isEmpty();
     }
 
+    @Test
+    void shouldWithdrawVoteWhenStoreWasAwayAsPrimaryAnsweredAgain() {
+        processes.get(0).unreachable.add(InstanceId.of("a"));
+        run(2_000);
+        assertThat(store.keys("carobstage/votes/")).hasSize(1);
+        processes.get(0).view.reachable(false);
+        processes.get(0).unreachable.clear();
+        run(2_000);
+        processes.get(0).view.reachable(true);
+        run(2_000);
+
+        assertThat(store.keys("carobstage/votes/")).isEmpty();
+    }
+
     @Test
     void shouldNotPromoteWhileStoreIsAway() {
         processes.forEach(p -> p.view.reachable(false));
--- a/carobstage/src/test/java/org/carobstage/front/ClientSessionTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ClientSessionTest.java
@@ -299,6 +299,32 @@
         assertThat(channel.closed).isTrue();
     }
 
+    @Test
+    void shouldLetNewSessionSendItsStatementWhenStopping() {
+        ClientSession session = fixture.open("bounded", channel);
+        session.closeWhenIdle();
+        assertThat(channel.closed).isFalse();
+        fixture.send(session, READ);
+        fixture.run(30);
+
+        assertThat(channel.last().succeeded()).isTrue();
+        assertThat(channel.closed).isTrue();
+    }
+
+    @Test
+    void shouldReadAtPrimaryWhenOnlyDrainingReplicaIsLeft() {
+        fixture.service.instance("b").setDeaf(true);
+        fixture.service.instance("c").drain();
+        fixture.group.put(fixture.service.entry("c"));
+        ClientSession session = fixture.open("own", channel);
+        fixture.send(session, WRITE);
+        fixture.run(40);
+        fixture.send(session, READ);
+        fixture.run(60);
+
+        assertThat(channel.last().signature()).isEqualTo("signed-by-a");
+    }
+
     @Test
     void shouldFreeConnectionWhenClientLeavesInTransaction() {
         ClientSession session = fixture.open("primary", channel);
--- a/carobstage/src/test/java/org/carobstage/upstream/CommitBreakerTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/CommitBreakerTest.java
@@ -10,7 +10,7 @@
 
     @Test
     void shouldLetCommitsThroughWhileTheyAreAnswered() {
-        breaker.sent(millis(0)).answered();
+        breaker.sent(millis(0)).settle(true);
 
         assertThat(breaker.accepts(millis(10_000))).isTrue();
     }
@@ -37,11 +37,18 @@
         breaker.sent(millis(0)).givenUp(millis(600));
         CommitBreaker.Ticket probe = breaker.sent(millis(700));
         assertThat(breaker.accepts(millis(710))).isFalse();
-        probe.answered();
+        probe.settle(true);
 
         assertThat(breaker.accepts(millis(720))).isTrue();
     }
 
+    @Test
+    void shouldStayClosedWhenConnectionOfCommitIsLost() {
+        breaker.sent(millis(0)).settle(false);
+
+        assertThat(breaker.accepts(millis(10_000))).isTrue();
+    }
+
     private static long millis(long millis) {
         return TimeUnit.MILLISECONDS.toNanos(millis);
     }
