--- a/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
@@ -44,6 +44,8 @@
     private Optional<FailureCode> refusal = Optional.empty();
     private int refusals;
     private int loseAnswers;
+    private int running;
+    private int mostRunning;
 
     FakeInstance(FakeService service, InstanceId id, String domain) {
         this.service = service;
@@ -96,6 +98,11 @@
         return ran;
     }
 
+    /** The most statements of clients that it had to run at once. */
+    public int mostRunning() {
+        return mostRunning;
+    }
+
     public int openConnections() {
         return connections.size();
     }
@@ -217,6 +224,8 @@
                 return;
             }
             questions.add(new Question(requestId, required, statement, whenAnswered));
+            running += requestId.isEmpty() ? 0 : 1;
+            mostRunning = Math.max(mostRunning, running);
             boolean heavy =
                     statement instanceof Statement.Read
                             || statement instanceof Statement.Execute
@@ -257,6 +266,7 @@
                 return;
             }
             questions.poll();
+            running -= question.id().isEmpty() ? 0 : 1;
             Answer answer = run(question);
             if (!question.id().isEmpty() && loseAnswers > 0 && answer.succeeded()) {
                 loseAnswers--;
