--- a/carobstage/src/main/java/org/carobstage/cli/CheckCommand.java
+++ b/carobstage/src/main/java/org/carobstage/cli/CheckCommand.java
@@ -7,6 +7,7 @@
 import java.util.function.Function;
 import java.util.stream.Stream;
 import org.carobstage.document.DocumentReader;
+import org.carobstage.front.FrontSettings;
 import org.carobstage.http.Json;
 import org.carobstage.settings.Fault;
 import org.carobstage.settings.SettingsReader;
@@ -17,6 +18,9 @@
     @Parameter(names = "--settings", description = "INI files of processes")
     private List<Path> settings = List.of();
 
+    @Parameter(names = "--front", description = "INI files of processes that serve sessions")
+    private List<Path> fronts = List.of();
+
     @Parameter(names = "--document", description = "INI files of teams' documents")
     private List<Path> documents = List.of();
 
@@ -25,14 +29,16 @@
 
     @Override
     public ExitCode run(Console console) {
-        if (settings.isEmpty() && documents.isEmpty()) {
-            console.err().println("name a file with --settings or --document");
+        if (settings.isEmpty() && fronts.isEmpty() && documents.isEmpty()) {
+            console.err().println("name a file with --settings, --front or --document");
             return ExitCode.USAGE;
         }
         List<Fault> faults =
-                Stream.concat(
+                Stream.of(
                                 faults(settings, CheckCommand::settings),
+                                faults(fronts, CheckCommand::front),
                                 faults(documents, CheckCommand::document))
+                        .flatMap(Function.identity())
                         .toList();
         if (json) {
             console.out().println(Json.text(faults));
@@ -51,6 +57,10 @@
         return SettingsReader.check(file.toString(), Texts.read(file)).faults();
     }
 
+    private static List<Fault> front(Path file) {
+        return FrontSettings.check(file.toString(), Texts.read(file)).faults();
+    }
+
     private static List<Fault> document(Path file) {
         return DocumentReader.check(file.toString(), Texts.read(file)).faults();
     }
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/front/FrontSettingsTest.java
@@ -0,0 +1,54 @@
+package org.carobstage.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.carobstage.model.Address;
+import org.carobstage.model.VmId;
+import org.carobstage.settings.Checked;
+import org.carobstage.settings.Fault;
+import org.junit.jupiter.api.Test;
+
+class FrontSettingsTest {
+    private static final String TEXT =
+            """
+            [vm]
+            id = front-1
+            domain = north
+            [front]
+            listen = 10.0.0.1:1
+            readiness-listen = 10.0.0.1:2
+            metrics-listen = 10.0.0.1:3
+            [platform]
+            store = 10.0.0.2:4
+            orders = 10.0.0.3:5
+            [stop]
+            limit = 6 s
+            """;
+
+    @Test
+    void shouldReadSettings() {
+        FrontSettings settings = FrontSettings.check("one.ini", TEXT).value().orElseThrow();
+
+        assertThat(settings.vm()).isEqualTo(VmId.of("front-1"));
+        assertThat(settings.store()).isEqualTo(Address.of("10.0.0.2", 4));
+        assertThat(settings.stopLimit()).isEqualTo(Duration.ofSeconds(6));
+    }
+
+    @Test
+    void shouldNameFileSectionAndKeyOfEachFault() {
+        String broken =
+                TEXT.replace("store = 10.0.0.2:4\n", "")
+                        .replace("limit = 6 s", "limit = soon")
+                        .replace("10.0.0.1:2", "nowhere");
+        Checked<FrontSettings> checked = FrontSettings.check("one.ini", broken);
+
+        assertThat(checked.value()).isEmpty();
+        assertThat(checked.faults()).extracting(Fault::toString).hasSize(3);
+        assertThat(checked.faults().toString())
+                .contains("one.ini")
+                .contains("store")
+                .contains("limit")
+                .contains("readiness-listen");
+    }
+}
