Move what is known of the leader out of the group of a service

Change: LeaderTracker keeps leadership, positions, statuses, outlook and the breaker; a primary that has drained for too long counts as absent, so its writes are refused at once. Ruled out: nothing.

--- a/carobstage/src/main/java/org/carobstage/upstream/InstancePool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstancePool.java
@@ -141,10 +141,12 @@
                 latencyMillis);
     }
 
-    /** Tells whether the instance has been draining for so long that it may not be used. */
-    boolean hasLeft() {
-        return entry.draining()
-                && context.clock().nanoTime() - drainingSince > DRAIN_LIMIT.toNanos();
+    /** Tells whether the instance answers and has not been draining for too long. */
+    boolean isUsable() {
+        boolean left =
+                entry.draining()
+                        && context.clock().nanoTime() - drainingSince > DRAIN_LIMIT.toNanos();
+        return !suspected && !left;
     }
 
     /** How many statements outside transactions this process keeps at the instance. */
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -45,13 +45,9 @@
     private final ServiceName name;
     private final UpstreamContext context;
     private final Map<InstanceId, InstancePool> pools = new TreeMap<>();
-    private final Map<InstanceId, InstanceStatus> statuses = new TreeMap<>();
-    private final PrimaryPositions positions = PrimaryPositions.empty();
+    private final LeaderTracker leader;
     private final ConnectionQueue waiters = ConnectionQueue.empty();
-    private CommitBreaker commits = CommitBreaker.empty();
-    private Leadership leadership = Leadership.empty();
     private LogPosition acknowledged = LogPosition.empty();
-    private final PrimaryOutlook outlook;
     private long requestedNanos;
     private int limit = 1;
     private int members = 1;
@@ -61,7 +57,7 @@
         this.name = name;
         this.context = context;
         this.requestedNanos = context.clock().nanoTime();
-        this.outlook = PrimaryOutlook.atStart(context.clock().nanoTime());
+        this.leader = new LeaderTracker(name, context, this::dispatch);
     }
 
     /**
@@ -91,7 +87,7 @@
      * @return the leadership
      */
     public Leadership leadership() {
-        return leadership;
+        return leader.leadership();
     }
 
     /**
@@ -100,7 +96,7 @@
      * @return the positions
      */
     public PrimaryPositions positions() {
-        return positions;
+        return leader.positions();
     }
 
     /**
@@ -131,7 +127,7 @@
      * @return its status, if it was ever given
      */
     public Optional<InstanceStatus> status(InstanceId id) {
-        return Optional.ofNullable(statuses.get(id));
+        return leader.status(id);
     }
 
     /**
@@ -191,8 +187,7 @@
      */
     public void remove(InstanceId id) {
         Optional.ofNullable(pools.remove(id)).ifPresent(InstancePool::close);
-        statuses.remove(id);
-        setLeadership(leadership.refused(id), "the instance is gone");
+        leader.remove(id);
     }
 
     /**
@@ -293,7 +288,7 @@
      * @return false if the write would only wait
      */
     public boolean acceptsWrites() {
-        return commits.accepts(context.clock().nanoTime());
+        return leader.commits().accepts(context.clock().nanoTime());
     }
 
     /**
@@ -302,7 +297,7 @@
      * @return to be run when it is answered or given up
      */
     public CommitBreaker.Ticket commitSent() {
-        return commits.sent(context.clock().nanoTime());
+        return leader.commits().sent(context.clock().nanoTime());
     }
 
     /** Asks every instance for its status. */
@@ -329,52 +324,39 @@
     }
 
     void provedLead(InstanceId id, LogPosition position, Moment asked) {
-        setLeadership(leadership.leads(id, position.term()), "it ran a statement as primary");
-        if (leadership.isLeader(id)) {
-            positions.add(position, asked, Moment.of(context.clock()));
-        }
+        leader.provedLead(id, position, asked);
     }
 
     void refusedAsPrimary(InstanceId id) {
-        if (leadership.isLeader(id)) {
-            setLeadership(leadership.refused(id), "it refused a statement as replica");
+        if (leadership().isLeader(id)) {
+            leader.refused(id);
             askAll();
         }
     }
 
     void status(InstanceId id, InstanceStatus status, Moment asked) {
-        statuses.put(id, status);
-        if (status.primary()) {
-            setLeadership(leadership.leads(id, status.term()), "its status says so");
-            if (leadership.isLeader(id)) {
-                positions.add(status.received(), asked, Moment.of(context.clock()));
-            }
-        } else {
-            setLeadership(leadership.follows(id, status.term()), "its status says replica");
-        }
+        leader.status(id, status, asked);
     }
 
     boolean lacksLeader() {
-        return leadership.leader().isEmpty();
+        return leadership().leader().isEmpty();
     }
 
     void suspicionChanged(InstanceEntry entry, boolean suspected, String reason) {
-        if (leadership.isLeader(entry.id())) {
-            outlook.primaryLost(context.clock().nanoTime());
-        }
+        leader.suspected(entry.id());
         record(
                 suspected ? EventCode.INSTANCE_SUSPECTED : EventCode.INSTANCE_TRUSTED,
                 "instance=" + entry.id() + " reason=" + reason);
     }
 
     private boolean isStatusDue(InstancePool pool, long now) {
-        if (leadership.leader().isEmpty()) {
+        if (lacksLeader()) {
             return now - pool.askedNanos() >= SEARCH_INTERVAL.toNanos();
         }
         boolean used = now - requestedNanos < UNUSED.toNanos();
-        if (used && leadership.isLeader(pool.entry().id())) {
+        if (used && leadership().isLeader(pool.entry().id())) {
             long evidence =
-                    positions.newest().map(e -> e.asked().nanos()).orElse(pool.askedNanos());
+                    positions().newest().map(e -> e.asked().nanos()).orElse(pool.askedNanos());
             return now - Math.max(evidence, pool.askedNanos()) >= EVIDENCE_INTERVAL.toNanos();
         }
         return now - Math.max(pool.heardNanos(), pool.askedNanos()) >= QUIET_INTERVAL.toNanos();
@@ -392,7 +374,7 @@
     }
 
     private void settleProofs(boolean answered) {
-        proofs.settle(positions.newest(), context.clock().nanoTime(), answered)
+        proofs.settle(positions().newest(), context.clock().nanoTime(), answered)
                 .ifPresent(this::askForProof);
     }
 
@@ -417,11 +399,7 @@
 
     private Stream<InstancePool> usable(ConnectionRequest request) {
         if (request.needsPrimary()) {
-            return leadership
-                    .leader()
-                    .map(pools::get)
-                    .filter(p -> !p.isSuspected() && !p.hasLeft())
-                    .stream();
+            return leadership().leader().map(pools::get).filter(InstancePool::isUsable).stream();
         }
         return pools.values().stream()
                 .filter(p -> !request.avoid().contains(p.entry().id()))
@@ -442,39 +420,15 @@
     }
 
     private boolean hopeless(ConnectionRequest request) {
-        Optional<InstanceId> leader = leadership.leader();
-        boolean absent = leader.isEmpty() || isSuspected(leader.get());
+        boolean absent =
+                leadership().leader().map(pools::get).filter(InstancePool::isUsable).isEmpty();
         return request.needsPrimary()
                 && absent
-                && outlook.isTooLate(request.deadlineNanos(), context.clock().nanoTime());
+                && leader.outlook().isTooLate(request.deadlineNanos(), context.clock().nanoTime());
     }
 
     private String unavailable() {
-        return outlook.describe(context.clock().nanoTime());
-    }
-
-    private void setLeadership(Leadership next, String reason) {
-        if (next.equals(leadership)) {
-            return;
-        }
-        boolean changed = !next.leader().equals(leadership.leader());
-        leadership = next;
-        if (!changed) {
-            return;
-        }
-        commits = CommitBreaker.empty();
-        if (next.leader().isEmpty()) {
-            outlook.primaryReplaced(context.clock().nanoTime());
-        }
-        record(
-                EventCode.PRIMARY_KNOWN,
-                "primary="
-                        + next.leader().map(InstanceId::value).orElse("none")
-                        + " term="
-                        + next.term()
-                        + " reason="
-                        + reason);
-        dispatch();
+        return leader.outlook().describe(context.clock().nanoTime());
     }
 
     private void record(EventCode code, String detail) {
