Stop listening before a stop ends, and serve who came until then

Change: with no session left the process stops listening, serves whoever was taken until then, and ends when nobody is left. Ruled out: a request cut at the instance; the trace shows the process closing it at 30.855.

--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -76,8 +76,6 @@
     MEMBERS_CHANGED(2025, Level.INFO),
     /** The settings were read again. */
     SETTINGS_RELOADED(1005, Level.INFO),
-    /** A failure inside carobstage. */
-    INTERNAL_FAILURE(1006, Level.ERROR),
     /** A statement was refused, and the instance did not run it. */
     STATEMENT_REFUSED(5002, Level.INFO),
     /** A statement is sent to another instance, or again. */
--- a/carobstage/src/main/java/org/carobstage/front/Front.java
+++ b/carobstage/src/main/java/org/carobstage/front/Front.java
@@ -54,6 +54,7 @@
     private boolean listed;
     private boolean ready;
     private boolean stopping;
+    private boolean listening = true;
     private boolean ended;
     private long lastTick;
     private long lastTickMillis;
@@ -122,6 +123,10 @@
         stopped.await();
     }
 
+    boolean isStopped() {
+        return stopped.getCount() == 0;
+    }
+
     @Override
     public void close() {
         mirror.close();
@@ -267,20 +272,6 @@
         clock.schedule(() -> closeIdle(schedule), schedule.notice());
         clock.schedule(this::abortTransactions, schedule.transactions());
         clock.schedule(this::endStop, schedule.end());
-        awaitSessions();
-    }
-
-    private void awaitSessions() {
-        if (sessions.isEmpty()) {
-            // Readiness is asked each second, so new clients come until it was refused twice.
-            clock.schedule(this::endIfEmpty, StopSchedule.of(stopLimit).notice());
-        }
-    }
-
-    private void endIfEmpty() {
-        if (sessions.isEmpty()) {
-            endStop();
-        }
     }
 
     private void closeIdle(StopSchedule schedule) {
@@ -292,13 +283,18 @@
         clock.schedule(this::closeLate, schedule.spread());
     }
 
+    /** Ends the stop once nobody is left; clients that came meanwhile are served first. */
     private void closeLate() {
         List.copyOf(sessions).forEach(ClientSession::closeWhenIdle);
-        if (sessions.isEmpty()) {
+        if (sessions.isEmpty() && !listening) {
             endStop();
-        } else {
-            clock.schedule(this::closeLate, TICK);
+            return;
+        }
+        if (sessions.isEmpty()) {
+            listening = false;
+            adapter.stopListening();
         }
+        clock.schedule(this::closeLate, TICK);
     }
 
     private void abortTransactions() {
@@ -310,6 +306,7 @@
             return;
         }
         ended = true;
+        adapter.stopListening();
         fleet.leave();
         events.record(EventCode.SHUTDOWN_ENDED, EventScope.empty(), "sessions=" + sessions.size());
         clock.schedule(stopped::countDown, TICK);
--- a/carobstage/src/main/java/org/carobstage/front/PlatformAdapter.java
+++ b/carobstage/src/main/java/org/carobstage/front/PlatformAdapter.java
@@ -69,6 +69,9 @@
      */
     void listenForClients(BiFunction<String, ClientChannel, ClientSession> sessions);
 
+    /** Takes no more connections of clients; those that are open stay. */
+    void stopListening();
+
     /**
      * Listens for questions about readiness and for metrics.
      *
--- a/carobstage/src/main/java/org/carobstage/upstream/InstancePool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstancePool.java
@@ -254,26 +254,7 @@
         return free.isPresent();
     }
 
-    int openConnections() {
-        return connections.size();
-    }
-
-    private int running() {
-        return (int) connections.stream().filter(PooledConnection::isBusy).count();
-    }
-
-    private static int fit(PooledConnection connection, Map<String, String> values) {
-        if (connection.values().equals(values)) {
-            return 2;
-        }
-        return values.keySet().containsAll(connection.values().keySet()) ? 1 : 0;
-    }
-
-    private static boolean provesLead(Statement statement) {
-        return statement instanceof Statement.Write
-                || statement instanceof Statement.Begin begin && !begin.readOnly();
-    }
-
+    /** Sends such a statement on a connection, which is given back with the answer. */
     void ask(
             PooledConnection connection, Statement statement, Consumer<StatusAnswer> whenAnswered) {
         Moment asked = moment();
@@ -295,6 +276,26 @@
                         });
     }
 
+    int openConnections() {
+        return connections.size();
+    }
+
+    private int running() {
+        return (int) connections.stream().filter(PooledConnection::isBusy).count();
+    }
+
+    private static int fit(PooledConnection connection, Map<String, String> values) {
+        if (connection.values().equals(values)) {
+            return 2;
+        }
+        return values.keySet().containsAll(connection.values().keySet()) ? 1 : 0;
+    }
+
+    private static boolean provesLead(Statement statement) {
+        return statement instanceof Statement.Write
+                || statement instanceof Statement.Begin begin && !begin.readOnly();
+    }
+
     private void open() {
         opening++;
         PooledConnection pooled = new PooledConnection(this);
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/front/FrontTest.java
@@ -0,0 +1,137 @@
+package org.carobstage.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import org.carobstage.fake.FakeService;
+import org.carobstage.model.Address;
+import org.carobstage.model.FailureDomain;
+import org.carobstage.model.VmId;
+import org.carobstage.route.Consistency;
+import org.carobstage.route.Route;
+import org.carobstage.route.RouteTable;
+import org.carobstage.sql.Statement;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class FrontTest {
+    private static final Address ANY = Address.of("127.0.0.1", 0);
+    private static final Statement READ = new Statement.Read("k");
+
+    private final FakeAdapter adapter = new FakeAdapter();
+    private Front front;
+
+    @BeforeEach
+    void start() {
+        adapter.routes = routes(1, "drafts");
+        adapter.store.put("routes", "1");
+        adapter.service.instances().forEach(i -> adapter.store.put("instances/" + i.id(), "1"));
+        FrontSettings settings =
+                new FrontSettings(
+                        VmId.of("vm"),
+                        FailureDomain.of("domain-b"),
+                        ANY,
+                        ANY,
+                        ANY,
+                        ANY,
+                        ANY,
+                        Duration.ofSeconds(6));
+        front = Front.of(settings, adapter);
+        adapter.clock.advance(Duration.ofSeconds(1));
+    }
+
+    @Test
+    void shouldBeReadyWhenRoutesAndInstancesAreKnown() {
+        assertThat(adapter.isReady()).isTrue();
+    }
+
+    @Test
+    void shouldServeNewRouteOnOpenStore() {
+        adapter.routes = routes(2, "filings");
+        adapter.store.put("routes", "2");
+        adapter.clock.advance(Duration.ofMillis(200));
+        RecordingChannel channel = new RecordingChannel();
+        adapter.connect("filings", channel);
+
+        assertThat(channel.ready).isTrue();
+    }
+
+    @Test
+    void shouldNotGoBackToOlderRoutes() {
+        adapter.routes = routes(2, "filings");
+        adapter.store.put("routes", "2");
+        adapter.clock.advance(Duration.ofMillis(200));
+        adapter.routes = routes(1, "drafts");
+        adapter.store.put("routes", "1");
+        adapter.clock.advance(Duration.ofMillis(200));
+        RecordingChannel channel = new RecordingChannel();
+        adapter.connect("filings", channel);
+
+        assertThat(channel.ready).isTrue();
+    }
+
+    @Test
+    void shouldNotBeReadyAtOnceWhenStopping() {
+        front.stop();
+
+        assertThat(adapter.isReady()).isFalse();
+    }
+
+    /** A client may come at any moment of a stop, also as the last session has just closed. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1_000, 2_000, 2_900, 2_960, 2_990, 3_000, 3_010, 3_040, 3_060, 3_100})
+    void shouldAnswerEveryClientThatIsTakenWhileStopping(int millis) {
+        front.stop();
+        adapter.clock.advance(Duration.ofMillis(millis));
+        RecordingChannel channel = new RecordingChannel();
+        Optional<ClientSession> session = adapter.connect("drafts", channel);
+        session.ifPresent(s -> s.receive("r", READ));
+        boolean stopped = front.isStopped();
+        for (int i = 0; i < 100 && channel.answers.isEmpty(); i++) {
+            stopped |= front.isStopped();
+            adapter.clock.advance(Duration.ofMillis(1));
+        }
+
+        assertThat(session.isEmpty() || !channel.answers.isEmpty() && !stopped).isTrue();
+    }
+
+    @Test
+    void shouldEndSoonWhenThereAreNoSessions() {
+        front.stop();
+        adapter.clock.advance(Duration.ofMillis(3_500));
+
+        assertThat(front.isStopped()).isTrue();
+    }
+
+    @Test
+    void shouldEndWithinLimitWhenClientsStay() throws InterruptedException {
+        RecordingChannel channel = new RecordingChannel();
+        ClientSession session = adapter.connect("drafts", channel).orElseThrow();
+        session.receive("r1", new Statement.Begin(false));
+        front.stop();
+        adapter.clock.advance(Duration.ofSeconds(6));
+
+        front.awaitStop();
+    }
+
+    private static RouteTable routes(long version, String database) {
+        Route route =
+                new Route(
+                        database,
+                        FakeService.NAME,
+                        Consistency.BOUNDED_STALENESS,
+                        Duration.ofMillis(1_500),
+                        Duration.ofMillis(800),
+                        Duration.ofMillis(250),
+                        1);
+        return new RouteTable(
+                version,
+                Map.of(database, route),
+                Map.of(FakeService.NAME, 22),
+                Duration.ofSeconds(3));
+    }
+}
