Send a primary no writes from the vote against it until the vote is withdrawn

Primary a and replica c had crashed; b was chosen since it held every commit that the votes named; a and c came back while b was being promoted, and a write sent to a was acknowledged by both before b took over. Change: a process that may have a vote standing sends its primary no writes. The withdrawal is conditional on no lease of a failover, so a holder that sees its own lease has seen every withdrawal before it. A vote names no commit while answers to writes may still come. A failover abandoned without an order ends its lease at once, so that writes go on. Test: FailoverCoordinatorTest.shouldSendNoWriteToOldPrimaryThatComesBackDuringFailover fails with the fence switched off; shouldSendWritesAgainWhenFailoverIsAbandoned. Ruled out: withdrawing at once and telling the holder by the store's watch (its watch may be behind); ending the lease after an order (a late order might be carried out under the next holder). Left open: a process that is cut off from the store alone has no vote; what it acknowledged in its last moments is not counted if a replica is out of reach too.

--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.event.EventCode;
@@ -44,13 +45,14 @@
     private final boolean planned;
     private final long fence;
     private final Supplier<Optional<LogPosition>> acknowledged;
-    private final Runnable ended;
+    private final Consumer<Boolean> ended;
     private final long startedNanos;
     private final Map<InstanceId, InstanceStatus> stopped = new HashMap<>();
     private final Set<InstanceId> asked = new HashSet<>();
     private Term term = Term.ZERO;
     private Optional<InstanceId> target = Optional.empty();
     private long orderedNanos;
+    private boolean ordered;
     private boolean unanswered;
     private boolean over;
 
@@ -61,7 +63,7 @@
             boolean planned,
             long fence,
             Supplier<Optional<LogPosition>> acknowledged,
-            Runnable ended) {
+            Consumer<Boolean> ended) {
         this.context = context;
         this.group = group;
         this.old = old;
@@ -210,6 +212,7 @@
         if (over) {
             return;
         }
+        ordered = true;
         orderedNanos = context.clock().nanoTime();
         InstanceId chosen = target.orElseThrow();
         context.orders().promote(group.name(), chosen, context.vm(), fence, this::ordered);
@@ -260,7 +263,7 @@
         toStop().stream()
                 .filter(id -> !group.leadership().isLeader(id))
                 .forEach(id -> group.order(id, new Statement.ResumeReplication(), answer -> {}));
-        ended.run();
+        ended.accept(ordered);
     }
 
     private Duration elapsed(long since) {
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -149,14 +149,14 @@
                                         planned,
                                         fence,
                                         () -> acknowledged(group, old, members),
-                                        () -> ended(state))
+                                        ordered -> ended(state, ordered))
                                 .start(),
-                () -> ended(state));
+                () -> ended(state, false));
     }
 
-    private void ended(State state) {
+    private void ended(State state, boolean ordered) {
         state.running = false;
-        state.lease.letLapse();
+        state.lease.release(ordered);
         state.notBefore = context.clock().nanoTime() + PAUSE.toNanos();
     }
 
@@ -176,38 +176,83 @@
         return group.instances().stream().filter(e -> e.id().equals(id)).findFirst();
     }
 
+    /**
+     * Votes against a primary that does not answer, and withdraws the vote when it answers again.
+     * While a vote may stand no write goes to that primary, since a failover counts on what the
+     * votes say was acknowledged.
+     */
     private void vote(
             ServiceGroup group, State state, Optional<InstanceId> dead, Optional<LeaseId> lease) {
-        Ballot wanted = new Ballot(dead.map(id -> new Vote(id, group.acknowledged())), lease);
-        boolean same =
-                state.ballot.filter(b -> b.vote().isEmpty() && dead.isEmpty()).isPresent()
-                        || state.ballot.equals(Optional.of(wanted));
-        long now = context.clock().nanoTime();
-        if (same || dead.isPresent() && lease.isEmpty() || now - state.voteNotBefore < 0) {
+        if (state.casting || context.clock().nanoTime() - state.voteNotBefore < 0) {
+            return;
+        }
+        if (dead.isEmpty()) {
+            withdraw(group, state);
+        } else if (lease.isPresent()) {
+            Optional<LogPosition> acknowledged =
+                    Optional.of(group.acknowledged()).filter(p -> !group.awaitsCommits());
+            Ballot ballot = new Ballot(new Vote(dead.get(), acknowledged), lease.get());
+            if (!state.ballot.equals(Optional.of(ballot))) {
+                cast(group, state, ballot);
+            }
+        }
+    }
+
+    private void cast(ServiceGroup group, State state, Ballot ballot) {
+        group.fence(Optional.of(ballot.vote().primary()));
+        String text = ballot.vote().text();
+        context.record(EventCode.REPLACEMENT_VOTE, group.name(), text);
+        state.casting = true;
+        context.store()
+                .write(
+                        StoreWrite.put(
+                                FailoverKeys.vote(group.name(), context.vm()),
+                                text,
+                                ballot.lease()),
+                        reply -> {
+                            state.casting = false;
+                            state.mayStand |= !(reply instanceof StoreReply.Refused<Long>);
+                            if (reply instanceof StoreReply.Done<Long>) {
+                                state.ballot = Optional.of(ballot);
+                            } else {
+                                voteAgainLater(state);
+                            }
+                        });
+    }
+
+    /** The store refuses the withdrawal while a failover is under way. */
+    private void withdraw(ServiceGroup group, State state) {
+        if (!state.mayStand) {
+            group.fence(Optional.empty());
+            return;
+        }
+        if (holders.containsKey(group.name())) {
             return;
         }
-        state.ballot = Optional.of(wanted);
-        String key = FailoverKeys.vote(group.name(), context.vm());
-        StoreWrite write =
-                wanted.vote()
-                        .map(v -> StoreWrite.put(key, v.text(), lease.get()))
-                        .orElseGet(() -> StoreWrite.delete(key));
-        context.record(
-                EventCode.REPLACEMENT_VOTE,
-                group.name(),
-                wanted.vote().map(Vote::text).orElse("withdrawn"));
+        context.record(EventCode.REPLACEMENT_VOTE, group.name(), "withdrawn");
+        state.casting = true;
         context.store()
                 .write(
-                        write,
+                        StoreWrite.deleteUnless(
+                                FailoverKeys.vote(group.name(), context.vm()),
+                                FailoverKeys.lease(group.name())),
                         reply -> {
-                            if (!(reply instanceof StoreReply.Done<Long>)) {
+                            state.casting = false;
+                            if (reply instanceof StoreReply.Done<Long>) {
+                                state.mayStand = false;
                                 state.ballot = Optional.empty();
-                                state.voteNotBefore =
-                                        context.clock().nanoTime() + VOTE_AGAIN.toNanos();
+                                group.fence(Optional.empty());
+                            } else {
+                                voteAgainLater(state);
                             }
                         });
     }
 
+    private void voteAgainLater(State state) {
+        state.ballot = Optional.empty();
+        state.voteNotBefore = context.clock().nanoTime() + VOTE_AGAIN.toNanos();
+    }
+
     /** The holder may have died and left replicas stopped, so they are asked. */
     private void leaseEnded(ServiceName service) {
         holders.remove(service);
@@ -234,6 +279,10 @@
                 .count();
     }
 
+    /**
+     * Returns the newest commit that any process may have acknowledged, if all have told. A vote
+     * that was withdrawn before the lease was taken is known to be once the lease itself is seen.
+     */
     private Optional<LogPosition> acknowledged(
             ServiceGroup group, InstanceId primary, Set<VmId> members) {
         Map<VmId, Vote> ofService = votes.getOrDefault(group.name(), Map.of());
@@ -244,8 +293,12 @@
                                         Optional.ofNullable(ofService.get(m))
                                                 .filter(v -> v.primary().equals(primary))
                                                 .isPresent());
-        return all
-                ? ofService.values().stream().map(Vote::acknowledged).reduce(LogPosition::max)
+        boolean upToDate = context.vm().equals(holders.get(group.name()));
+        boolean known = ofService.values().stream().allMatch(v -> v.acknowledged().isPresent());
+        return all && known && upToDate
+                ? ofService.values().stream()
+                        .map(v -> v.acknowledged().get())
+                        .reduce(LogPosition::max)
                 : Optional.empty();
     }
 
@@ -298,19 +351,19 @@
     }
 
     /** A vote as it stands in the store, and the lease that it ends with. */
-    private record Ballot(Optional<Vote> vote, Optional<LeaseId> lease) {
-        private static final Ballot NONE = new Ballot(Optional.empty(), Optional.empty());
-    }
+    private record Ballot(Vote vote, LeaseId lease) {}
 
     /** What this process knows and does about one service. */
     private static final class State {
         private final FailoverLease lease;
-        private Optional<Ballot> ballot = Optional.of(Ballot.NONE);
+        private Optional<Ballot> ballot = Optional.empty();
         private Optional<Long> wantedSince = Optional.empty();
         private Optional<Long> stoppedSince = Optional.empty();
         private long askedNanos;
         private long notBefore;
         private long voteNotBefore;
+        private boolean casting;
+        private boolean mayStand;
         private boolean running;
 
         private State(FailoverContext context, ServiceName service) {
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
@@ -11,7 +11,8 @@
 
 /**
  * The lease that lets one process replace the primary of a service. Its fence is the revision at
- * which it was taken. It is left to lapse, so that holders do not change in quick succession.
+ * which it was taken. After an order it is left to lapse, so that holders do not change in quick
+ * succession.
  */
 final class FailoverLease {
     /** Long enough for a slow store, short enough to follow a holder that dies. */
@@ -25,6 +26,7 @@
     private long fence;
     private long validUntil;
     private boolean wanted;
+    private boolean used;
 
     FailoverLease(FailoverContext context, ServiceName service) {
         this.context = context;
@@ -57,9 +59,17 @@
                         });
     }
 
-    /** Stops renewing; the lease lapses at the end of its time. */
-    void letLapse() {
+    /**
+     * Gives the lease up. After an order it lapses at the end of its time; a lease without an order
+     * ends at once, so that writes may go to the old primary again.
+     */
+    void release(boolean ordered) {
         wanted = false;
+        used |= ordered;
+        if (!used) {
+            lease.ifPresent(id -> context.store().end(id, reply -> {}));
+            lease = Optional.empty();
+        }
     }
 
     private void create(LeaseId granted, long asked, LongConsumer held, Runnable notHeld) {
@@ -71,6 +81,7 @@
                         reply -> {
                             if (reply instanceof StoreReply.Done<Long> done) {
                                 lease = Optional.of(granted);
+                                used = false;
                                 fence = done.value();
                                 validUntil = asked + TTL.toNanos();
                                 context.record(
--- a/carobstage/src/main/java/org/carobstage/failover/Vote.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Vote.java
@@ -7,12 +7,16 @@
 import org.carobstage.model.LogPosition;
 
 /**
- * A process's report that a primary does not answer it.
+ * A process's report that a primary does not answer it. Until it is withdrawn the process sends
+ * that primary no writes.
  *
  * @param primary the primary
- * @param acknowledged the newest commit that the process has acknowledged to a client
+ * @param acknowledged the newest commit that the process has acknowledged to a client; nothing
+ *     while answers to writes may still come
  */
-record Vote(InstanceId primary, LogPosition acknowledged) {
+record Vote(InstanceId primary, Optional<LogPosition> acknowledged) {
+    private static final String UNKNOWN = "-";
+
     Vote {
         requireNonNull(primary, "primary is null");
         requireNonNull(acknowledged, "acknowledged is null");
@@ -24,8 +28,12 @@
             return Optional.empty();
         }
         try {
-            LogPosition position =
-                    LogPosition.of(Long.parseLong(parts[1]), Long.parseLong(parts[2]));
+            Optional<LogPosition> position =
+                    parts[1].equals(UNKNOWN)
+                            ? Optional.empty()
+                            : Optional.of(
+                                    LogPosition.of(
+                                            Long.parseLong(parts[1]), Long.parseLong(parts[2])));
             return Optional.of(new Vote(InstanceId.of(parts[0]), position));
         } catch (IllegalArgumentException e) {
             return Optional.empty();
@@ -33,6 +41,8 @@
     }
 
     String text() {
-        return primary + " " + acknowledged.term() + " " + acknowledged.offset();
+        String position =
+                acknowledged.map(p -> p.term() + " " + p.offset()).orElse(UNKNOWN + " " + UNKNOWN);
+        return primary + " " + position;
     }
 }
--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -254,7 +254,7 @@
                     wrote |=
                             current instanceof Statement.Write
                                     || prepared.map(PreparedStatement::write).orElse(false);
-                    if (commit && wrote && !group.acceptsWrites()) {
+                    if (commit && wrote && !group.acceptsWrites(c.instance().id())) {
                         fail(FailureCode.ROLLED_BACK, "commits are not acknowledged");
                         return;
                     }
--- a/carobstage/src/main/java/org/carobstage/front/StatementRun.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementRun.java
@@ -191,7 +191,7 @@
     }
 
     private void send(PooledConnection connection, Optional<LogPosition> required) {
-        if (write && !group.acceptsWrites()) {
+        if (write && !group.acceptsWrites(connection.instance().id())) {
             connection.release();
             refuse("commits at " + connection.instance().id() + " are not acknowledged");
             return;
--- a/carobstage/src/main/java/org/carobstage/store/StoreWrite.java
+++ b/carobstage/src/main/java/org/carobstage/store/StoreWrite.java
@@ -52,6 +52,17 @@
         return new StoreWrite(List.of(), List.of(), List.of(key));
     }
 
+    /**
+     * Creates the deletion of a key while another one does not exist.
+     *
+     * @param key the key to delete
+     * @param absent the key that must not exist
+     * @return the change
+     */
+    public static StoreWrite deleteUnless(String key, String absent) {
+        return new StoreWrite(List.of(new Condition(absent, 0)), List.of(), List.of(key));
+    }
+
     /**
      * A key whose revision must stand.
      *
--- a/carobstage/src/main/java/org/carobstage/upstream/CommitBreaker.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/CommitBreaker.java
@@ -47,6 +47,11 @@
         return !open;
     }
 
+    /** Tells whether a commit is unanswered and not given up. */
+    boolean awaits() {
+        return !unanswered.isEmpty();
+    }
+
     /**
      * Notes that a commit is sent.
      *
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -51,6 +51,7 @@
     private long requestedNanos;
     private int limit = 1;
     private int members = 1;
+    private Optional<InstanceId> fenced = Optional.empty();
     private final LeadProofs proofs = LeadProofs.empty();
 
     private ServiceGroup(ServiceName name, UpstreamContext context) {
@@ -285,10 +286,12 @@
      * Tells whether a write may be sent to the primary. While commits go unanswered, only one at a
      * time is let through to see whether they are acknowledged again.
      *
-     * @return false if the write would only wait
+     * @param instance the primary
+     * @return false if the write would only wait or the primary is being replaced
      */
-    public boolean acceptsWrites() {
-        return leader.commits().accepts(context.clock().nanoTime());
+    public boolean acceptsWrites(InstanceId instance) {
+        return !fenced.equals(Optional.of(instance))
+                && leader.commits().accepts(context.clock().nanoTime());
     }
 
     /**
@@ -300,6 +303,28 @@
         return leader.commits().sent(context.clock().nanoTime());
     }
 
+    /**
+     * Tells whether an answer to a write that was sent may still come.
+     *
+     * @return false if no acknowledgement is outstanding
+     */
+    public boolean awaitsCommits() {
+        return leader.commits().awaits();
+    }
+
+    /**
+     * Keeps statements for the primary from an instance that is being replaced.
+     *
+     * @param instance the instance, or nothing to end it
+     */
+    public void fence(Optional<InstanceId> instance) {
+        boolean ends = fenced.isPresent() && instance.isEmpty();
+        fenced = instance;
+        if (ends) {
+            dispatch();
+        }
+    }
+
     /** Asks every instance for its status. */
     public void askAll() {
         pools.values().forEach(p -> p.order(new Statement.AskStatus(), answer -> {}));
@@ -399,13 +424,21 @@
 
     private Stream<InstancePool> usable(ConnectionRequest request) {
         if (request.needsPrimary()) {
-            return leadership().leader().map(pools::get).filter(InstancePool::isUsable).stream();
+            return primaryPool().stream();
         }
         return pools.values().stream()
                 .filter(p -> !request.avoid().contains(p.entry().id()))
                 .filter(p -> !p.entry().draining());
     }
 
+    private Optional<InstancePool> primaryPool() {
+        return leadership()
+                .leader()
+                .filter(id -> !fenced.equals(Optional.of(id)))
+                .map(pools::get)
+                .filter(InstancePool::isUsable);
+    }
+
     private Optional<String> refusal(ConnectionRequest request) {
         int admitted = pools.values().stream().mapToInt(InstancePool::statementLimit).sum();
         int most = Math.max(MIN_WAITERS, WAITERS_PER_STATEMENT * admitted);
@@ -420,10 +453,8 @@
     }
 
     private boolean hopeless(ConnectionRequest request) {
-        boolean absent =
-                leadership().leader().map(pools::get).filter(InstancePool::isUsable).isEmpty();
         return request.needsPrimary()
-                && absent
+                && primaryPool().isEmpty()
                 && leader.outlook().isTooLate(request.deadlineNanos(), context.clock().nanoTime());
     }
 
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.carobstage.event.EventLog;
@@ -22,6 +23,7 @@
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreMirror;
 import org.carobstage.store.StoreReply;
+import org.carobstage.upstream.ConnectionRequest;
 import org.carobstage.upstream.ServiceGroup;
 import org.carobstage.upstream.UpstreamContext;
 import org.junit.jupiter.api.BeforeEach;
@@ -166,6 +168,40 @@
         assertThat(service.orders()).isEmpty();
     }
 
+    @Test
+    void shouldSendNoWriteToOldPrimaryThatComesBackDuringFailover() {
+        instance("c").crash();
+        instance("a").crash();
+        run(1_500);
+        assertThat(service.orders()).hasSize(1);
+        instance("a").comeBack();
+        instance("c").comeBack();
+        List<InstanceId> granted = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            processes.forEach(p -> p.askForPrimary(granted));
+            run(50);
+        }
+
+        assertThat(granted).isNotEmpty().containsOnly(InstanceId.of("b"));
+    }
+
+    @Test
+    void shouldSendWritesAgainWhenFailoverIsAbandoned() {
+        instance("b").setDeaf(true);
+        instance("c").goDark();
+        processes.forEach(p -> p.group.commitSent());
+        instance("a").goDark();
+        run(3_000);
+        instance("a").comeBack();
+        run(3_000);
+        List<InstanceId> granted = new ArrayList<>();
+        processes.forEach(p -> p.askForPrimary(granted));
+        run(100);
+
+        assertThat(service.orders()).isEmpty();
+        assertThat(granted).containsOnly(InstanceId.of("a")).hasSize(PROCESSES);
+    }
+
     @Test
     void shouldWithdrawVoteWhenStoreWasAwayAsPrimaryAnsweredAgain() {
         processes.get(0).unreachable.add(InstanceId.of("a"));
@@ -238,6 +274,20 @@
             tick();
         }
 
+        private void askForPrimary(List<InstanceId> granted) {
+            group.acquire(
+                    new ConnectionRequest(
+                            ConnectionRequest.Use.PRIMARY,
+                            Set.of(),
+                            Map.of(),
+                            clock.nanoTime() + Duration.ofSeconds(1).toNanos(),
+                            connection -> {
+                                granted.add(connection.instance().id());
+                                connection.release();
+                            },
+                            reason -> {}));
+        }
+
         private void tick() {
             group.tick();
             Set<VmId> members = new HashSet<>();
