--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -44,9 +44,11 @@
     private Optional<ConnectionRequest> waiting = Optional.empty();
     private Optional<Clock.Timer> statementTimer = Optional.empty();
     private Optional<Clock.Timer> idleTimer = Optional.empty();
+    private Optional<Clock.Timer> repeatTimer = Optional.empty();
     private Optional<Consumer<Answer>> pending = Optional.empty();
     private Optional<CommitBreaker.Ticket> ticket = Optional.empty();
     private Statement current;
+    private Optional<PreparedStatement> currentPrepared = Optional.empty();
     private String currentId = "";
     private Moment started;
     private int attempts;
@@ -93,6 +95,7 @@
         idleTimer.ifPresent(Clock.Timer::cancel);
         pending = Optional.of(then);
         current = statement;
+        currentPrepared = prepared;
         currentId = id;
         sent = false;
         attempts = 0;
@@ -118,6 +121,7 @@
         if (!committing) {
             connection.ifPresent(c -> releaseOrDiscard(c, id));
         }
+        stopRepeating();
         pending = Optional.empty();
     }
 
@@ -136,7 +140,7 @@
 
     /** A statement in progress may still be set up on the connection, so nobody else gets it. */
     private void releaseOrDiscard(PooledConnection c, String id) {
-        if (pending.isPresent()) {
+        if (pending.isPresent() && repeatTimer.isEmpty()) {
             c.discard();
         } else {
             c.release(id);
@@ -287,10 +291,19 @@
             return;
         }
         Answer a = answer.get();
+        if (a.failedWith(FailureCode.BUSY) && a.state() == TransactionState.OPEN) {
+            forwardAgain(c);
+            return;
+        }
         if (!a.succeeded()) {
             log(
                     EventCode.STATEMENT_FAILED,
-                    "instance=" + c.instance().id() + " code=" + a.failure().get().code());
+                    "instance="
+                            + c.instance().id()
+                            + " code="
+                            + a.failure().get().code()
+                            + " state="
+                            + a.state());
             finishFailed(a);
             return;
         }
@@ -306,6 +319,24 @@
         deliver(a.withState(commit ? TransactionState.IDLE : TransactionState.OPEN));
     }
 
+    /** The statement has not run and the transaction stands, so its connection is asked again. */
+    private void forwardAgain(PooledConnection c) {
+        attempts++;
+        log(
+                EventCode.STATEMENT_RETRIED,
+                "attempt=" + attempts + " reason: instance=" + c.instance().id() + " code=BUSY");
+        Duration pause = BUSY_PAUSE.multipliedBy(Math.min(attempts, MAX_ATTEMPTS));
+        repeatTimer =
+                Optional.of(
+                        context.clock()
+                                .schedule(
+                                        () -> {
+                                            repeatTimer = Optional.empty();
+                                            forward(c, currentPrepared);
+                                        },
+                                        pause));
+    }
+
     private void expire() {
         if (pending.isEmpty()) {
             return;
@@ -315,7 +346,9 @@
         boolean unknown = sent && current instanceof Statement.Commit && wrote;
         boolean neverRan = connection.isEmpty();
         ticket.ifPresent(t -> t.givenUp(context.clock().nanoTime()));
-        connection.ifPresent(PooledConnection::discard);
+        if (repeatTimer.isEmpty()) {
+            connection.ifPresent(PooledConnection::discard);
+        }
         fail(
                 unknown
                         ? FailureCode.OUTCOME_UNKNOWN
@@ -344,6 +377,7 @@
         Consumer<Answer> then = pending.orElseThrow();
         pending = Optional.empty();
         statementTimer.ifPresent(Clock.Timer::cancel);
+        stopRepeating();
         if (!ended && !failed) {
             startIdleTimer();
         }
@@ -358,6 +392,11 @@
         idleTimer = Optional.of(context.clock().schedule(() -> abort("idle"), timeout));
     }
 
+    private void stopRepeating() {
+        repeatTimer.ifPresent(Clock.Timer::cancel);
+        repeatTimer = Optional.empty();
+    }
+
     private void stopTimers() {
         idleTimer.ifPresent(Clock.Timer::cancel);
         statementTimer.ifPresent(Clock.Timer::cancel);
