Cut a standing queue at the latency objective, and pause before a busy primary is asked again

Cause: with both replicas behind, all reads of a service go to its primary, a fifth more than its slots take. Change: the queue knows at which rate it is served and refuses at once what can't be served before its deadline, with the time to come back; a queue that has not been empty for 0.5 s is cut at the route's objective. 20 ms between questions for the proof of the lead. ConnectionAdmission is split off ServiceGroup. An instance that refuses connections is logged (3018).

--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -62,6 +62,8 @@
     FAILOVER_ORDER(3016, Level.INFO),
     /** A failover that this process led is over. */
     FAILOVER_ENDED(3017, Level.INFO),
+    /** An instance began to refuse connections. */
+    CONNECTIONS_REFUSED(3018, Level.WARNING),
     /** The store answers again. */
     STORE_REGAINED(2020, Level.INFO),
     /** The store does not answer or refuses calls. */
--- a/carobstage/src/main/java/org/carobstage/front/StatementRun.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementRun.java
@@ -147,6 +147,8 @@
                         primaryOnly ? Use.PRIMARY : Use.ANY_INSTANCE,
                         avoid,
                         session.values(),
+                        context.clock().nanoTime(),
+                        received.nanos() + route.targetLatency().toNanos(),
                         deadlineNanos,
                         connection -> {
                             waiting.remove(self[0]);
--- a/carobstage/src/main/java/org/carobstage/upstream/InstancePool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstancePool.java
@@ -72,6 +72,7 @@
     private long askedNanos;
     private boolean suspected;
     private boolean closed;
+    private boolean refused;
     private double latencyMillis = INITIAL_LATENCY;
 
     InstancePool(ServiceGroup group, UpstreamContext context, InstanceEntry entry) {
@@ -141,6 +142,11 @@
                 latencyMillis);
     }
 
+    /** How long statements take, as a moving average. */
+    Duration latency() {
+        return Duration.ofNanos((long) (latencyMillis * 1e6));
+    }
+
     /** Tells whether the instance answers and has not been draining for too long. */
     boolean isUsable() {
         boolean left =
@@ -315,6 +321,7 @@
 
     private void opened(PooledConnection pooled, InstanceConnection connection, InstanceEntry at) {
         opening--;
+        refused = false;
         pooled.attach(connection);
         connections.add(pooled);
         if (closed || !at.address().equals(entry.address())) {
@@ -337,6 +344,10 @@
         boolean alive = reason == OpenFailure.CONNECTION_LIMIT || reason == OpenFailure.REFUSED;
         if (alive) {
             heard();
+            if (!refused) {
+                refused = true;
+                group.connectionsRefused(entry, reason, connections.size());
+            }
             return;
         }
         failures++;
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -21,6 +21,7 @@
 import org.carobstage.model.ServiceName;
 import org.carobstage.sql.InstanceStatus;
 import org.carobstage.sql.Statement;
+import org.carobstage.upstream.ConnectionAdmission.Capacity;
 import org.carobstage.upstream.InstanceConnection.StatusAnswer;
 
 /** The instances of one service: their pools, which one leads, and who waits for a connection. */
@@ -37,16 +38,14 @@
     /** The interval of status questions while no leader is known. */
     private static final Duration SEARCH_INTERVAL = Duration.ofMillis(100);
 
-    /** Waiting statements for each one admitted; at 30 to 50 ms each they wait 240 to 400 ms. */
-    private static final int WAITERS_PER_STATEMENT = 8;
-
-    private static final int MIN_WAITERS = 32;
+    /** The pause before a primary that was too busy to prove its lead is asked again. */
+    private static final Duration PROOF_PAUSE = Duration.ofMillis(20);
 
     private final ServiceName name;
     private final UpstreamContext context;
     private final Map<InstanceId, InstancePool> pools = new TreeMap<>();
     private final LeaderTracker leader;
-    private final ConnectionQueue waiters = ConnectionQueue.empty();
+    private final ConnectionAdmission admission;
     private LogPosition acknowledged = LogPosition.empty();
     private long requestedNanos;
     private int limit = 1;
@@ -59,6 +58,7 @@
         this.context = context;
         this.requestedNanos = context.clock().nanoTime();
         this.leader = new LeaderTracker(name, context, this::dispatch);
+        this.admission = new ConnectionAdmission(leader.outlook());
     }
 
     /**
@@ -210,13 +210,9 @@
      */
     public void acquire(ConnectionRequest request) {
         requestedNanos = context.clock().nanoTime();
-        Optional<String> refusal = refusal(request);
-        if (refusal.isPresent()) {
-            request.refused().accept(refusal.get());
-            return;
-        }
-        waiters.add(request);
-        dispatch();
+        admission
+                .admit(request, capacity(), requestedNanos)
+                .ifPresentOrElse(request.refused(), this::dispatch);
     }
 
     /**
@@ -243,7 +239,7 @@
      * @param request the request
      */
     public void cancel(ConnectionRequest request) {
-        waiters.remove(w -> w == request);
+        admission.cancel(request);
     }
 
     /**
@@ -268,7 +264,7 @@
                 pool.askStatus(now);
             }
         }
-        refuseHopeless();
+        admission.review(capacity(), now);
         dispatch();
     }
 
@@ -279,7 +275,7 @@
 
     /** Grants connections to those who wait, the earliest deadline first. */
     public void dispatch() {
-        waiters.offerAll(this::grant);
+        admission.offerAll(context.clock().nanoTime(), this::grant);
     }
 
     /**
@@ -336,7 +332,7 @@
      * @return the length of the queue
      */
     public int waiting() {
-        return waiters.size();
+        return admission.size();
     }
 
     /**
@@ -374,6 +370,13 @@
                 "instance=" + entry.id() + " reason=" + reason);
     }
 
+    void connectionsRefused(
+            InstanceEntry entry, InstanceConnector.OpenFailure reason, int connections) {
+        record(
+                EventCode.CONNECTIONS_REFUSED,
+                "instance=" + entry.id() + " reason=" + reason + " connections=" + connections);
+    }
+
     private boolean isStatusDue(InstancePool pool, long now) {
         if (lacksLeader()) {
             return now - pool.askedNanos() >= SEARCH_INTERVAL.toNanos();
@@ -393,11 +396,25 @@
                         ConnectionRequest.Use.PRIMARY,
                         Set.of(),
                         Map.of(),
+                        context.clock().nanoTime(),
                         deadlineNanos,
-                        connection -> connection.askStatus(() -> settleProofs(true)),
+                        deadlineNanos,
+                        connection -> {
+                            long asked = context.clock().nanoTime();
+                            connection.askStatus(() -> proofAnswered(asked));
+                        },
                         proofs::refuse));
     }
 
+    /** A busy primary proves nothing and is asked again after a pause. */
+    private void proofAnswered(long asked) {
+        if (positions().newest().filter(e -> e.asked().nanos() - asked >= 0).isPresent()) {
+            settleProofs(true);
+        } else {
+            context.clock().schedule(() -> settleProofs(true), PROOF_PAUSE);
+        }
+    }
+
     private void settleProofs(boolean answered) {
         proofs.settle(positions().newest(), context.clock().nanoTime(), answered)
                 .ifPresent(this::askForProof);
@@ -439,27 +456,19 @@
                 .filter(InstancePool::isUsable);
     }
 
-    private Optional<String> refusal(ConnectionRequest request) {
-        int admitted = pools.values().stream().mapToInt(InstancePool::statementLimit).sum();
-        int most = Math.max(MIN_WAITERS, WAITERS_PER_STATEMENT * admitted);
-        if (waiters.size() >= most) {
-            return Optional.of("queue of " + waiters.size() + " is full");
-        }
-        return hopeless(request) ? Optional.of(unavailable()) : Optional.empty();
-    }
-
-    private void refuseHopeless() {
-        waiters.remove(this::hopeless).forEach(w -> w.refused().accept(unavailable()));
-    }
-
-    private boolean hopeless(ConnectionRequest request) {
-        return request.needsPrimary()
-                && primaryPool().isEmpty()
-                && leader.outlook().isTooLate(request.deadlineNanos(), context.clock().nanoTime());
+    private Capacity capacity() {
+        return new Capacity(
+                primaryPool().isPresent(),
+                pools.values().stream().mapToInt(InstancePool::statementLimit).sum(),
+                serviceTime());
     }
 
-    private String unavailable() {
-        return leader.outlook().describe(context.clock().nanoTime());
+    /** How long a statement takes at the quickest instance. */
+    private Duration serviceTime() {
+        return pools.values().stream()
+                .map(InstancePool::latency)
+                .min(Duration::compareTo)
+                .orElse(Duration.ZERO);
     }
 
     private void record(EventCode code, String detail) {
--- a/carobstage/src/test/java/org/carobstage/front/ClientSessionTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ClientSessionTest.java
@@ -197,6 +197,19 @@
         assertThat(channel.last().state()).isEqualTo(TransactionState.IDLE);
     }
 
+    @Test
+    void shouldPauseBeforeBusyPrimaryIsAskedForProofAgain() {
+        int before = fixture.service.instance("a").statusQuestions();
+        fixture.service.instance("a").refuseStatus(1_000);
+        send("primary", READ);
+        fixture.run(400);
+        assertThat(fixture.service.instance("a").statusQuestions() - before).isBetween(5, 25);
+        fixture.service.instance("a").refuseStatus(0);
+        fixture.run(100);
+
+        assertThat(channel.last().succeeded()).isTrue();
+    }
+
     @Test
     void shouldRepeatStatementOfTransactionWhenInstanceWasBusy() {
         ClientSession session = fixture.open("primary", channel);
--- a/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
@@ -153,6 +153,8 @@
                 primary ? ConnectionRequest.Use.PRIMARY : ConnectionRequest.Use.ANY_INSTANCE,
                 new HashSet<>(),
                 Map.of(),
+                clock.nanoTime(),
+                clock.nanoTime() + timeout.toNanos(),
                 clock.nanoTime() + timeout.toNanos(),
                 granted::add,
                 refused::add);
