Revert cutting a standing queue at the objective; ignore stalls in the rate

What can't be served before its deadline is still refused at once, now also with the time to come back if the queue is full. A pause of over 200 ms between grants is a stall, not a rate (DrainRateTest.shouldIgnoreStall).

--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -165,8 +165,6 @@
                         atPrimary ? Use.PRIMARY_TRANSACTION : Use.TRANSACTION,
                         avoid,
                         session.values(),
-                        context.clock().nanoTime(),
-                        started.nanos() + route.targetLatency().toNanos(),
                         started.nanos() + route.timeout().toNanos(),
                         granted -> {
                             waiting = Optional.empty();
--- a/carobstage/src/main/java/org/carobstage/front/StatementRun.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementRun.java
@@ -147,8 +147,6 @@
                         primaryOnly ? Use.PRIMARY : Use.ANY_INSTANCE,
                         avoid,
                         session.values(),
-                        context.clock().nanoTime(),
-                        received.nanos() + route.targetLatency().toNanos(),
                         deadlineNanos,
                         connection -> {
                             waiting.remove(self[0]);
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionAdmission.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionAdmission.java
@@ -46,7 +46,12 @@
     Optional<String> admit(ConnectionRequest request, Capacity capacity, long now) {
         int most = Math.max(MIN_WAITERS, WAITERS_PER_STATEMENT * capacity.statements());
         if (queue.size() >= most) {
-            return Optional.of("queue of " + queue.size() + " is full");
+            return Optional.of(
+                    "queue of "
+                            + queue.size()
+                            + " is full, retry after "
+                            + queue.expectedWait(request).toMillis()
+                            + " ms");
         }
         if (isHopeless(request, capacity, now)) {
             return Optional.of(outlook.describe(now));
@@ -61,13 +66,8 @@
      * @param now the monotonic time
      */
     void review(Capacity capacity, long now) {
-        if (!capacity.hasPrimary()) {
-            queue.primaryAbsent(now);
-        }
         queue.remove(r -> isHopeless(r, capacity, now))
                 .forEach(r -> r.refused().accept(outlook.describe(now)));
-        queue.removeLate(now, capacity.serviceTime())
-                .forEach(r -> r.refused().accept(tooLong(Duration.ofNanos(now - r.askedNanos()))));
     }
 
     private boolean isHopeless(ConnectionRequest request, Capacity capacity, long now) {
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
@@ -13,8 +13,6 @@
  * @param use what the connection is for
  * @param avoid instances that have refused the statement; the owner may add to it
  * @param values the session values that the connection had best have
- * @param askedNanos the monotonic time of the request
- * @param targetNanos the monotonic time until which the answer meets the latency objective
  * @param deadlineNanos the monotonic time at which the statement is given up
  * @param granted takes the connection
  * @param refused takes the reason if the wish can't be met before the deadline
@@ -23,8 +21,6 @@
         Use use,
         Set<InstanceId> avoid,
         Map<String, String> values,
-        long askedNanos,
-        long targetNanos,
         long deadlineNanos,
         Consumer<PooledConnection> granted,
         Consumer<String> refused) {
--- a/carobstage/src/main/java/org/carobstage/upstream/DrainRate.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/DrainRate.java
@@ -7,6 +7,9 @@
     /** The weight of the newest pause in the moving average; some ten pauses make it up. */
     private static final double NEWEST_WEIGHT = 0.1;
 
+    /** A pause this long is a stall, such as a change of primary, and says nothing of the rate. */
+    private static final Duration STALL = Duration.ofMillis(200);
+
     private double pauseNanos;
     private long grantedNanos;
     private boolean othersWait;
@@ -29,8 +32,8 @@
      * @param waiting whether other requests wait; if none did, the pause says nothing
      */
     void granted(long now, boolean waiting) {
-        if (othersWait) {
-            double pause = now - grantedNanos;
+        double pause = now - grantedNanos;
+        if (othersWait && pause < STALL.toNanos()) {
             pauseNanos =
                     pauseNanos == 0 ? pause : pauseNanos + NEWEST_WEIGHT * (pause - pauseNanos);
         }
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -396,8 +396,6 @@
                         ConnectionRequest.Use.PRIMARY,
                         Set.of(),
                         Map.of(),
-                        context.clock().nanoTime(),
-                        deadlineNanos,
                         deadlineNanos,
                         connection -> {
                             long asked = context.clock().nanoTime();
--- a/carobstage/src/test/java/org/carobstage/upstream/DrainRateTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/DrainRateTest.java
@@ -33,4 +33,13 @@
 
         assertThat(rate.expectedWait(1)).isEqualTo(Duration.ofMillis(10));
     }
+
+    @Test
+    void shouldIgnoreStall() {
+        rate.granted(0, true);
+        rate.granted(10 * MILLI, true);
+        rate.granted(1_010 * MILLI, true);
+
+        assertThat(rate.expectedWait(1)).isEqualTo(Duration.ofMillis(10));
+    }
 }
