Tell in a timeout's line what the statement waited for

Change: the line names the usable primary, the length of the queue and the open connections. Ruled out: logging each wait, which would grow with the load.

--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -342,7 +342,15 @@
             return;
         }
         waiting.ifPresent(group::cancel);
-        String reason = "timeout=" + route.timeout().toMillis() + " ms, sent=" + sent;
+        String reason =
+                "timeout_ms="
+                        + route.timeout().toMillis()
+                        + " sent="
+                        + sent
+                        + " attempts="
+                        + attempts
+                        + " "
+                        + group.describe();
         boolean unknown = sent && current instanceof Statement.Commit && wrote;
         boolean neverRan = connection.isEmpty();
         ticket.ifPresent(t -> t.givenUp(context.clock().nanoTime()));
--- a/carobstage/src/main/java/org/carobstage/front/StatementRun.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementRun.java
@@ -297,7 +297,13 @@
         if (done) {
             return;
         }
-        String waited = "timeout_ms=" + route.timeout().toMillis() + " " + inputs();
+        String waited =
+                "timeout_ms="
+                        + route.timeout().toMillis()
+                        + " "
+                        + inputs()
+                        + " "
+                        + group.describe();
         if (sent == 0) {
             refuse(waited);
         } else if (write) {
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -335,6 +335,20 @@
         return admission.size();
     }
 
+    /**
+     * Describes for a log line what a statement waited for.
+     *
+     * @return the primary, the length of the queue and the open connections
+     */
+    public String describe() {
+        return "primary="
+                + primaryPool().map(p -> p.entry().id().value()).orElse("none")
+                + " waiting="
+                + waiting()
+                + " connections="
+                + openConnections();
+    }
+
     /**
      * Returns how many connections are open.
      *
--- a/carobstage/src/test/java/org/carobstage/front/ClientSessionTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ClientSessionTest.java
@@ -239,6 +239,7 @@
         fixture.run(2_000);
 
         assertThat(channel.last().failedWith(FailureCode.ROLLED_BACK)).isTrue();
+        assertThat(channel.last().failure().get().text()).contains("primary=a", "waiting=0");
         assertThat(fixture.runs(id)).isZero();
     }
 
