--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -64,6 +64,8 @@
     FAILOVER_ENDED(3017, Level.INFO),
     /** An instance started to refuse connections. */
     CONNECTIONS_REFUSED(3018, Level.WARNING),
+    /** A primary that was replaced was told to step down. */
+    STEP_DOWN_REQUESTED(3019, Level.INFO),
     /** The store responds again. */
     STORE_REGAINED(2020, Level.INFO),
     /** The store does not respond or rejects calls. */
--- a/carobstage/src/main/java/org/carobstage/freshness/ClockReading.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/ClockReading.java
@@ -35,4 +35,16 @@
         return Duration.ofNanos(
                 Math.max(now.monotonicNanos - monotonicNanos, now.epochNanos - epochNanos));
     }
+
+    /**
+     * Returns the earlier of two readings by each clock.
+     *
+     * @param other the other reading
+     * @return a reading that is not later than either by any clock
+     */
+    public ClockReading earlier(ClockReading other) {
+        return new ClockReading(
+                monotonicNanos - other.monotonicNanos <= 0 ? monotonicNanos : other.monotonicNanos,
+                Math.min(epochNanos, other.epochNanos));
+    }
 }
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
@@ -0,0 +1,162 @@
+package org.carobstage.freshness;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.carobstage.freshness.PrimaryPositionHistory.ObservedPosition;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
+
+/**
+ * The log positions that the instances of a group report, and what they prove together. A commit is
+ * acknowledged when the primary and one replica have received it, so all instances but one include
+ * at least one that has received any given commit. The newest of their positions covers every
+ * commit acknowledged before the earliest of their requests, even if one of them is a former
+ * primary that does not know that it was replaced.
+ *
+ * <p>A replica counts only once it has reached a position that the primary reported after the
+ * replica became known. Until then, it may lack commits that were acknowledged before it joined.
+ */
+public final class PositionQuorum {
+    /** One instance cannot show that no other has been promoted. */
+    private static final int MIN_SIZE = 2;
+
+    private final Map<InstanceId, Member> members = new TreeMap<>();
+
+    private PositionQuorum() {}
+
+    /**
+     * Creates the quorum of a group without instances.
+     *
+     * @return the quorum
+     */
+    public static PositionQuorum empty() {
+        return new PositionQuorum();
+    }
+
+    /**
+     * Adds an instance, or adds it anew after a restart.
+     *
+     * @param id the instance
+     * @param now the current clock reading
+     */
+    public void add(InstanceId id, ClockReading now) {
+        members.put(
+                requireNonNull(id, "id is null"), new Member(requireNonNull(now, "now is null")));
+    }
+
+    /**
+     * Removes an instance.
+     *
+     * @param id the instance
+     */
+    public void remove(InstanceId id) {
+        members.remove(id);
+    }
+
+    /**
+     * Returns how many instances have to report.
+     *
+     * @return all but one, at least two unless there is only one
+     */
+    public int size() {
+        return members.size() <= 1 ? members.size() : Math.max(MIN_SIZE, members.size() - 1);
+    }
+
+    /**
+     * Records the position that an instance reported.
+     *
+     * @param id the instance; reports of unknown instances are ignored
+     * @param received the end of the log that it has received
+     * @param requestedAt when the report was requested
+     * @param primary whether the instance reported that it is primary
+     */
+    public void report(
+            InstanceId id, LogPosition received, ClockReading requestedAt, boolean primary) {
+        Member member = members.get(id);
+        if (member == null || member.isNewerThan(requestedAt)) {
+            return;
+        }
+        member.received = Optional.of(received);
+        member.requestedAt = Optional.of(requestedAt);
+        if (primary) {
+            member.caughtUp = true;
+            members.values().forEach(m -> m.setTarget(received, requestedAt));
+        }
+        members.values().forEach(Member::updateCaughtUp);
+    }
+
+    /**
+     * Returns when the last report of an instance was requested.
+     *
+     * @param id the instance
+     * @return the time, if the instance has reported
+     */
+    public Optional<ClockReading> requestedAt(InstanceId id) {
+        return Optional.ofNullable(members.get(id)).flatMap(m -> m.requestedAt);
+    }
+
+    /**
+     * Returns the newest position that enough instances confirm.
+     *
+     * @return a position that covers every commit acknowledged before the time it was requested at,
+     *     or empty if too few instances have reported
+     */
+    public Optional<ObservedPosition> newest() {
+        List<Member> latest =
+                members.values().stream()
+                        .filter(m -> m.caughtUp)
+                        .sorted(Comparator.comparingLong(Member::requestedNanos).reversed())
+                        .limit(size())
+                        .toList();
+        if (latest.isEmpty() || latest.size() < size()) {
+            return Optional.empty();
+        }
+        LogPosition position =
+                latest.stream()
+                        .map(m -> m.received.orElseThrow())
+                        .reduce(LogPosition.empty(), LogPosition::max);
+        return latest.stream()
+                .map(m -> m.requestedAt.orElseThrow())
+                .reduce(ClockReading::earlier)
+                .map(requestedAt -> new ObservedPosition(position, requestedAt));
+    }
+
+    private static final class Member {
+        private final ClockReading knownSince;
+        private Optional<LogPosition> target = Optional.empty();
+        private Optional<LogPosition> received = Optional.empty();
+        private Optional<ClockReading> requestedAt = Optional.empty();
+        private boolean caughtUp;
+
+        private Member(ClockReading knownSince) {
+            this.knownSince = knownSince;
+        }
+
+        private boolean isNewerThan(ClockReading other) {
+            return requestedAt
+                    .filter(r -> r.monotonicNanos() - other.monotonicNanos() > 0)
+                    .isPresent();
+        }
+
+        private void setTarget(LogPosition position, ClockReading positionRequestedAt) {
+            if (target.isEmpty()
+                    && positionRequestedAt.monotonicNanos() - knownSince.monotonicNanos() >= 0) {
+                target = Optional.of(position);
+            }
+        }
+
+        private void updateCaughtUp() {
+            caughtUp |=
+                    received.isPresent() && target.filter(received.get()::isAtLeast).isPresent();
+        }
+
+        private long requestedNanos() {
+            return requestedAt.orElseThrow().monotonicNanos();
+        }
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/freshness/PrimaryPositionHistory.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PrimaryPositionHistory.java
@@ -9,9 +9,10 @@
 import org.carobstage.model.LogPosition;
 
 /**
- * Log positions of a service's primary, each with the time of its request. A position reported by a
- * confirmed primary covers every commit acknowledged before the request was sent. A read needs only
- * the oldest position within its staleness bound, which lagging replicas are most likely to have.
+ * Log positions of a service's primary, each with the time of its request. A primary cannot tell by
+ * itself that it has not been replaced, so a position is used only once a {@link PositionQuorum}
+ * has confirmed its term at that time or later. A read needs only the oldest position within its
+ * staleness bound, which lagging replicas are most likely to have.
  */
 public final class PrimaryPositionHistory {
     /** Closer positions do not make more replicas eligible for a read. */
@@ -23,9 +24,8 @@
     /** Allows for the clock resolution of the client and of this VM. */
     private static final Duration CLOCK_MARGIN = Duration.ofMillis(20);
 
-    private final Deque<ObservedPosition> positions = new ArrayDeque<>();
-
-    private Optional<ObservedPosition> newest = Optional.empty();
+    private final Deque<ObservedPosition> confirmed = new ArrayDeque<>();
+    private final Deque<ObservedPosition> unconfirmed = new ArrayDeque<>();
 
     private PrimaryPositionHistory() {}
 
@@ -39,7 +39,7 @@
     }
 
     /**
-     * Adds a position reported by a confirmed primary.
+     * Adds a position reported by an instance that believes to be primary.
      *
      * @param position the last position of its log
      * @param requestedAt when the request was sent
@@ -47,25 +47,30 @@
      */
     public void add(LogPosition position, ClockReading requestedAt, ClockReading now) {
         requireNonNull(position, "position is null");
-        while (!positions.isEmpty()
-                && positions.peekFirst().requestedAt().age(now).compareTo(RETENTION) > 0) {
-            positions.removeFirst();
-        }
-        ObservedPosition next = new ObservedPosition(position, requestedAt);
-        if (newest.filter(e -> requestedAt.monotonicNanos() - e.requestedAt().monotonicNanos() < 0)
-                .isEmpty()) {
-            newest = Optional.of(next);
-        }
-        ObservedPosition last = positions.peekLast();
-        if (last == null
-                || requestedAt.monotonicNanos() - last.requestedAt().monotonicNanos()
-                        >= MIN_SPACING.toNanos()) {
-            positions.addLast(next);
-        }
+        removeExpired(unconfirmed, now);
+        addSpaced(unconfirmed, new ObservedPosition(position, requestedAt));
     }
 
     /**
-     * Returns the oldest position within a staleness bound.
+     * Confirms the positions of one term up to a time. No commit of a later term was acknowledged
+     * until then, so the primary's log held every acknowledged commit.
+     *
+     * @param evidence the position that a quorum confirms
+     * @param now the current clock reading
+     */
+    public void confirm(ObservedPosition evidence, ClockReading now) {
+        removeExpired(confirmed, now);
+        long confirmedNanos = evidence.requestedAt().monotonicNanos();
+        unconfirmed.stream()
+                .filter(p -> p.position().term().equals(evidence.position().term()))
+                .filter(p -> p.requestedAt().monotonicNanos() - confirmedNanos <= 0)
+                .forEach(p -> addSpaced(confirmed, p));
+        unconfirmed.removeIf(p -> p.requestedAt().monotonicNanos() - confirmedNanos <= 0);
+        addSpaced(confirmed, evidence);
+    }
+
+    /**
+     * Returns the oldest confirmed position within a staleness bound.
      *
      * @param maxStaleness the staleness bound of the read
      * @param receivedAt when the read arrived
@@ -73,18 +78,25 @@
      */
     public Optional<ObservedPosition> oldestWithin(Duration maxStaleness, ClockReading receivedAt) {
         Duration maxAge = maxStaleness.minus(CLOCK_MARGIN);
-        return positions.stream()
+        return confirmed.stream()
                 .filter(e -> e.requestedAt().age(receivedAt).compareTo(maxAge) <= 0)
                 .findFirst();
     }
 
-    /**
-     * Returns the most recently requested position.
-     *
-     * @return the position and the time of its request, if any is known
-     */
-    public Optional<ObservedPosition> newest() {
-        return newest;
+    private static void removeExpired(Deque<ObservedPosition> positions, ClockReading now) {
+        while (!positions.isEmpty()
+                && positions.peekFirst().requestedAt().age(now).compareTo(RETENTION) > 0) {
+            positions.removeFirst();
+        }
+    }
+
+    private static void addSpaced(Deque<ObservedPosition> positions, ObservedPosition next) {
+        ObservedPosition last = positions.peekLast();
+        if (last == null
+                || next.requestedAt().monotonicNanos() - last.requestedAt().monotonicNanos()
+                        >= MIN_SPACING.toNanos()) {
+            positions.addLast(next);
+        }
     }
 
     /**
--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 import org.carobstage.event.EventCode;
 import org.carobstage.freshness.ClockReading;
-import org.carobstage.freshness.PrimaryPositionHistory.ObservedPosition;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
 import org.carobstage.route.Consistency;
@@ -47,6 +46,7 @@
     private Optional<Clock.Timer> retryTimer = Optional.empty();
     private Optional<Consumer<StatementResult>> resultCallback = Optional.empty();
     private Optional<CommitCircuitBreaker.InFlightCommit> inFlightCommit = Optional.empty();
+    private final PrimaryConfirmation confirmation;
     private Statement currentStatement;
     private Optional<PreparedStatement> currentPrepared = Optional.empty();
     private String currentId = "";
@@ -71,6 +71,7 @@
         this.session = session;
         this.beginId = beginId;
         this.begin = begin;
+        this.confirmation = new PrimaryConfirmation(route, group, session);
         this.replicaAllowed = begin.isReadOnly() && route.consistency() != Consistency.PRIMARY;
         startIdleTimer();
     }
@@ -155,15 +156,23 @@
             return;
         }
         attempts++;
-        Optional<LogPosition> requiredPosition =
-                replicaAllowed
-                        ? group.primaryPositions()
-                                .oldestWithin(route.maxStaleness(), statementReceivedAt)
-                                .map(ObservedPosition::position)
-                                .map(p -> p.max(session.lastWritePosition()))
-                        : Optional.empty();
+        Optional<LogPosition> recentPosition = confirmation.recentPosition(statementReceivedAt);
+        Optional<LogPosition> requiredPosition = recentPosition.filter(p -> replicaAllowed);
         boolean usePrimary =
                 requiredPosition.isEmpty() || !group.hasOtherInstance(excludedInstances);
+        if (usePrimary) {
+            confirmation.request(
+                    recentPosition,
+                    statementReceivedAt,
+                    () -> sendWhenConfirmed(prepared),
+                    reason -> {
+                        connectionRequest.ifPresent(group::cancel);
+                        fail(FailureCode.BUSY, reason);
+                    });
+        }
+        if (resultCallback.isEmpty()) {
+            return;
+        }
         ConnectionRequest request =
                 new ConnectionRequest(
                         usePrimary ? Purpose.PRIMARY_TRANSACTION : Purpose.TRANSACTION,
@@ -185,6 +194,25 @@
         group.acquire(request);
     }
 
+    /** Sends the first statement once the transaction has begun and the primary is confirmed. */
+    private void sendWhenConfirmed(Optional<PreparedStatement> prepared) {
+        if (ended || resultCallback.isEmpty() || connection.isEmpty()) {
+            return;
+        }
+        PooledConnection pooled = connection.get();
+        PrimaryConfirmation.Outcome outcome = confirmation.poll();
+        if (outcome == PrimaryConfirmation.Outcome.CONFIRMED) {
+            setUpAndSend(pooled, prepared);
+        } else if (outcome == PrimaryConfirmation.Outcome.REPLACED) {
+            connection = Optional.empty();
+            pooled.release();
+            retryAcquire(
+                    prepared,
+                    "instance=" + pooled.instance().id() + " is no longer primary",
+                    BUSY_RETRY_DELAY);
+        }
+    }
+
     private void setUpAndBegin(
             PooledConnection acquired,
             Optional<LogPosition> requiredPosition,
@@ -223,7 +251,12 @@
                     }
                     if (begun) {
                         connection = Optional.of(acquired);
-                        setUpAndSend(acquired, prepared);
+                        if (onReplica) {
+                            setUpAndSend(acquired, prepared);
+                        } else {
+                            confirmation.onBegun(result.get().logPosition());
+                            sendWhenConfirmed(prepared);
+                        }
                         return;
                     }
                     boolean primaryChanged =
--- a/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
@@ -28,9 +28,9 @@
 
 /**
  * The execution of one statement outside a transaction. Reads are sent to any instance that has
- * reached the required log position. On primary routes this position is the read index, requested
- * from the primary after the read arrived. Reads are retried at other instances until the timeout.
- * A write is retried only after a rejection which guarantees that it was not executed.
+ * reached the required log position. On primary routes this position is the read index, which a
+ * quorum of instances confirms after the read arrived. Reads are retried at other instances until
+ * the timeout. A write is retried only after a rejection which guarantees that it was not executed.
  */
 final class StatementExecution {
     private static final int MAX_ATTEMPTS = 8;
@@ -142,10 +142,11 @@
         if (completed) {
             return;
         }
+        boolean usePrimary = isWrite || primaryOnly && group.hasUsablePrimary();
         ConnectionRequest[] request = new ConnectionRequest[1];
         request[0] =
                 new ConnectionRequest(
-                        primaryOnly ? Purpose.PRIMARY : Purpose.ANY_INSTANCE,
+                        usePrimary ? Purpose.PRIMARY : Purpose.ANY_INSTANCE,
                         excludedInstances,
                         session.sessionVariables(),
                         deadlineNanos,
@@ -257,10 +258,13 @@
         if (code != FailureCode.NOT_PRIMARY) {
             excludedInstances.add(instance);
         }
-        // Only the primary is certain to have reached a read index that it has just returned.
-        primaryOnly |= code == FailureCode.REPLICA_BEHIND && readIndex.isPresent();
+        // Only the primary is certain to have reached a read index.
+        primaryOnly |=
+                code == FailureCode.REPLICA_BEHIND
+                        && readIndex.isPresent()
+                        && group.hasUsablePrimary();
         boolean busyPrimary = primaryOnly && code != FailureCode.NOT_PRIMARY;
-        Duration delay = busyPrimary ? BUSY_RETRY_DELAY.multipliedBy(attempts) : Duration.ZERO;
+        Duration delay = busyPrimary ? retryDelay() : Duration.ZERO;
         retry("instance=" + instance + " code=" + code, delay);
     }
 
@@ -276,16 +280,25 @@
         log(
                 EventCode.STATEMENT_RETRIED,
                 "attempt=" + attempts + " " + positionSource + " reason: " + reason);
-        if (!group.hasOtherInstance(excludedInstances)) {
+        boolean tryAllAgain = !group.hasOtherInstance(excludedInstances);
+        if (tryAllAgain && group.hasUsablePrimary()) {
             primaryOnly = true;
+        } else if (tryAllAgain) {
+            // Without a primary, the replicas soon apply what they have received.
+            excludedInstances.clear();
         }
-        if (delay.isZero()) {
+        Duration pause = tryAllAgain && !primaryOnly ? retryDelay() : delay;
+        if (pause.isZero()) {
             attempt();
         } else {
-            timers.add(context.clock().schedule(this::attempt, delay));
+            timers.add(context.clock().schedule(this::attempt, pause));
         }
     }
 
+    private Duration retryDelay() {
+        return BUSY_RETRY_DELAY.multipliedBy(attempts);
+    }
+
     private void hedge() {
         if (!completed && pendingResults > 0 && attempts < MAX_ATTEMPTS && !primaryOnly) {
             excludedInstances.addAll(contactedInstances);
--- a/carobstage/src/main/java/org/carobstage/sql/Statement.java
+++ b/carobstage/src/main/java/org/carobstage/sql/Statement.java
@@ -87,6 +87,13 @@
     /** Resumes log replication at a paused replica. */
     record ResumeReplication() implements Statement {}
 
+    /**
+     * Makes a replica of a primary that was replaced and does not know it yet.
+     *
+     * @param term the term of the new primary; a primary of this or a later term is not affected
+     */
+    record StepDown(Term term) implements Statement {}
+
     /**
      * Returns whether the outcome of the statement is unknown if its result is lost.
      *
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
@@ -42,8 +42,14 @@
         return purpose == Purpose.TRANSACTION || purpose == Purpose.PRIMARY_TRANSACTION;
     }
 
+    boolean acceptsDraining() {
+        return purpose == Purpose.STATUS_QUERY;
+    }
+
     /** What a connection is for. */
     public enum Purpose {
+        /** A status query, which draining instances answer too. */
+        STATUS_QUERY,
         /** A statement that any instance may run. */
         ANY_INSTANCE,
         /** A statement that only the primary may run. */
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstancePools.java
@@ -0,0 +1,91 @@
+package org.carobstage.upstream;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.carobstage.discovery.InstanceEntry;
+import org.carobstage.model.InstanceId;
+
+/** The connection pools of the instances of one service. */
+final class InstancePools {
+    private final Map<InstanceId, InstanceConnectionPool> pools = new TreeMap<>();
+    private int connectionLimit = 1;
+    private int processCount = 1;
+
+    private InstancePools() {}
+
+    static InstancePools empty() {
+        return new InstancePools();
+    }
+
+    InstanceConnectionPool add(InstanceConnectionPool pool) {
+        requireNonNull(pool, "pool is null");
+        pool.setConnectionLimit(connectionLimit, processCount);
+        pools.put(pool.entry().id(), pool);
+        return pool;
+    }
+
+    void remove(InstanceId id) {
+        Optional.ofNullable(pools.remove(id)).ifPresent(InstanceConnectionPool::close);
+    }
+
+    void setConnectionLimit(int limit, int sharedBy) {
+        connectionLimit = limit;
+        processCount = sharedBy;
+        pools.values().forEach(pool -> pool.setConnectionLimit(limit, sharedBy));
+    }
+
+    Optional<InstanceConnectionPool> find(InstanceId id) {
+        return Optional.ofNullable(pools.get(id));
+    }
+
+    List<InstanceConnectionPool> all() {
+        return List.copyOf(pools.values());
+    }
+
+    List<InstanceEntry> entries() {
+        return pools.values().stream().map(InstanceConnectionPool::entry).toList();
+    }
+
+    Set<InstanceId> idsExcept(InstanceId excluded) {
+        return pools.keySet().stream()
+                .filter(id -> !id.equals(excluded))
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    /** Returns whether an instance that is neither draining nor excluded exists. */
+    boolean hasOther(Set<InstanceId> excluded) {
+        return entries().stream().anyMatch(e -> !e.draining() && !excluded.contains(e.id()));
+    }
+
+    /** Sorts pools by the expected latency of their instances. */
+    Stream<InstanceConnectionPool> rankByLatency(Stream<InstanceConnectionPool> candidates) {
+        return InstanceSelector.rankByLatency(candidates.map(InstanceConnectionPool::toCandidate))
+                .stream()
+                .map(c -> pools.get(c.id()));
+    }
+
+    int openConnectionCount() {
+        return pools.values().stream().mapToInt(InstanceConnectionPool::openConnectionCount).sum();
+    }
+
+    /** Returns how many statements outside transactions this process may have in flight. */
+    int statementLimit() {
+        return pools.values().stream().mapToInt(InstanceConnectionPool::statementLimit).sum();
+    }
+
+    /** Returns the average statement latency of the fastest instance. */
+    Duration serviceTime() {
+        return pools.values().stream()
+                .map(InstanceConnectionPool::averageLatency)
+                .min(Duration::compareTo)
+                .orElse(Duration.ZERO);
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
@@ -8,7 +8,9 @@
 import org.carobstage.event.EventCode;
 import org.carobstage.event.EventScope;
 import org.carobstage.freshness.ClockReading;
+import org.carobstage.freshness.PositionQuorum;
 import org.carobstage.freshness.PrimaryPositionHistory;
+import org.carobstage.freshness.PrimaryPositionHistory.ObservedPosition;
 import org.carobstage.model.GroupId;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
@@ -24,6 +26,7 @@
     private final UpstreamContext context;
     private final Runnable onChange;
     private final PrimaryPositionHistory primaryPositions = PrimaryPositionHistory.empty();
+    private final PositionQuorum quorum = PositionQuorum.empty();
     private final Map<InstanceId, InstanceStatus> statuses = new TreeMap<>();
     private final PrimaryRecoveryEstimate recoveryEstimate;
     private Leadership leadership = Leadership.empty();
@@ -44,6 +47,10 @@
         return primaryPositions;
     }
 
+    PositionQuorum quorum() {
+        return quorum;
+    }
+
     CommitCircuitBreaker commitCircuitBreaker() {
         return commitCircuitBreaker;
     }
@@ -61,7 +68,7 @@
         updateLeadership(
                 leadership.withLeader(id, position.term()),
                 "the instance executed a statement as primary");
-        addPosition(id, position, requestedAt);
+        reportPosition(id, position, requestedAt);
     }
 
     /** Records that an instance rejected a statement because it is a replica. */
@@ -77,12 +84,19 @@
             updateLeadership(
                     leadership.withLeader(id, status.term()),
                     "the instance reported that it is primary");
-            addPosition(id, status.receivedPosition(), requestedAt);
         } else {
             updateLeadership(
                     leadership.withFollower(id, status.term()),
                     "the instance reported that it is a replica");
         }
+        reportPosition(id, status.receivedPosition(), requestedAt);
+    }
+
+    /** Returns whether an instance reported that it is primary in a term that has ended. */
+    boolean isReplacedPrimary(InstanceId id) {
+        return status(id)
+                .filter(s -> s.isPrimary() && leadership.term().isAfter(s.term()))
+                .isPresent();
     }
 
     /** Records that an instance is suspected. */
@@ -92,15 +106,27 @@
         }
     }
 
+    /** Adds an instance, or adds it anew after a restart. */
+    void add(InstanceId id) {
+        quorum.add(id, ClockReading.now(context.clock()));
+    }
+
     void remove(InstanceId id) {
         statuses.remove(id);
+        quorum.remove(id);
         updateLeadership(leadership.withoutLeader(id), "the instance was removed");
     }
 
-    private void addPosition(InstanceId id, LogPosition position, ClockReading requestedAt) {
+    private void reportPosition(InstanceId id, LogPosition position, ClockReading requestedAt) {
+        ClockReading now = ClockReading.now(context.clock());
+        Optional<ObservedPosition> before = quorum.newest();
+        quorum.report(id, position, requestedAt, leadership.isLeader(id));
         if (leadership.isLeader(id)) {
-            primaryPositions.add(position, requestedAt, ClockReading.now(context.clock()));
+            primaryPositions.add(position, requestedAt, now);
         }
+        quorum.newest()
+                .filter(newest -> !before.equals(Optional.of(newest)))
+                .ifPresent(newest -> primaryPositions.confirm(newest, now));
     }
 
     private void updateLeadership(Leadership next, String reason) {
--- a/carobstage/src/main/java/org/carobstage/upstream/Leadership.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/Leadership.java
@@ -40,10 +40,12 @@
      *
      * @param instance the instance
      * @param reportedTerm the newest term that it has seen
-     * @return the new state, without a leader if that instance was the leader
+     * @return the new state, without a leader if that instance was the leader or if the term is
+     *     newer than the leader's
      */
     public Leadership withFollower(InstanceId instance, Term reportedTerm) {
-        boolean lost = isLeader(instance) && !term.isAfter(reportedTerm);
+        boolean lost =
+                reportedTerm.isAfter(term) || isLeader(instance) && !term.isAfter(reportedTerm);
         Term newest = reportedTerm.isAfter(term) ? reportedTerm : term;
         return new Leadership(lost ? Optional.empty() : leader, newest);
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -4,10 +4,8 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.carobstage.discovery.InstanceEntry;
@@ -26,7 +24,7 @@
 
 /** The instances of one service: their pools, the leader and the queue for connections. */
 public final class ServiceGroup {
-    /** Age at which the primary's position is renewed; most come with results of statements. */
+    /** Age at which the confirmed position is renewed, to stay within the staleness of reads. */
     private static final Duration POSITION_INTERVAL = Duration.ofMillis(1_000);
 
     /** The interval of status queries to instances that run no statements; each takes a slot. */
@@ -38,20 +36,15 @@
     /** The interval of status queries while no leader is known. */
     private static final Duration SEARCH_INTERVAL = Duration.ofMillis(100);
 
-    /** The delay before a primary that was too busy to confirm its leadership is queried again. */
-    private static final Duration POSITION_RETRY_DELAY = Duration.ofMillis(20);
-
     private final ServiceName name;
     private final UpstreamContext context;
-    private final Map<InstanceId, InstanceConnectionPool> pools = new TreeMap<>();
+    private final InstancePools pools = InstancePools.empty();
     private final LeaderTracker leader;
     private final ConnectionAdmission admission;
     private LogPosition lastAcknowledgedPosition = LogPosition.empty();
     private long lastRequestNanos;
-    private int connectionLimit = 1;
-    private int processCount = 1;
     private Optional<InstanceId> fencedInstance = Optional.empty();
-    private final ReadIndexQueue reads = ReadIndexQueue.empty();
+    private final ReadIndexService readIndex;
 
     private ServiceGroup(ServiceName name, UpstreamContext context) {
         this.name = name;
@@ -59,6 +52,11 @@
         this.lastRequestNanos = context.clock().nanoTime();
         this.leader = new LeaderTracker(name, context, this::dispatch);
         this.admission = new ConnectionAdmission(leader.recoveryEstimate());
+        this.readIndex =
+                new ReadIndexService(
+                        context.clock(),
+                        leader.quorum(),
+                        new StatusQueries(pools, this::primaryPool, this::enqueue, this::cancel));
     }
 
     /**
@@ -91,6 +89,15 @@
         return leader.leadership();
     }
 
+    /**
+     * Returns whether the primary is known and responds.
+     *
+     * @return false while statements for the primary have to wait
+     */
+    public boolean hasUsablePrimary() {
+        return primaryPool().isPresent();
+    }
+
     /**
      * Returns the observed positions of the primary.
      *
@@ -106,7 +113,7 @@
      * @return their entries
      */
     public List<InstanceEntry> instances() {
-        return pools.values().stream().map(InstanceConnectionPool::entry).toList();
+        return pools.entries();
     }
 
     /**
@@ -116,9 +123,7 @@
      * @return false if there is none
      */
     public boolean hasOtherInstance(Set<InstanceId> excludedInstances) {
-        return pools.values().stream()
-                .map(InstanceConnectionPool::entry)
-                .anyMatch(e -> !e.draining() && !excludedInstances.contains(e.id()));
+        return pools.hasOther(excludedInstances);
     }
 
     /**
@@ -138,9 +143,7 @@
      * @return true if it is suspected
      */
     public boolean isSuspected(InstanceId id) {
-        return Optional.ofNullable(pools.get(id))
-                .map(InstanceConnectionPool::isSuspected)
-                .orElse(false);
+        return pools.find(id).filter(InstanceConnectionPool::isSuspected).isPresent();
     }
 
     /**
@@ -167,14 +170,16 @@
      * @param entry the entry
      */
     public void put(InstanceEntry entry) {
-        InstanceConnectionPool pool = pools.get(entry.id());
-        if (pool == null) {
-            pool = new InstanceConnectionPool(this, context, entry);
-            pool.setConnectionLimit(connectionLimit, processCount);
-            pools.put(entry.id(), pool);
-            pool.openIfAllowed();
+        Optional<InstanceConnectionPool> known = pools.find(entry.id());
+        if (known.isEmpty()) {
+            leader.add(entry.id());
+            pools.add(new InstanceConnectionPool(this, context, entry)).openIfAllowed();
             return;
         }
+        InstanceConnectionPool pool = known.get();
+        if (pool.entry().bornMillis() != entry.bornMillis()) {
+            leader.add(entry.id());
+        }
         boolean roleChanged = pool.entry().primary() != entry.primary();
         pool.update(entry);
         if (roleChanged) {
@@ -189,7 +194,7 @@
      * @param id the instance
      */
     public void remove(InstanceId id) {
-        Optional.ofNullable(pools.remove(id)).ifPresent(InstanceConnectionPool::close);
+        pools.remove(id);
         leader.remove(id);
     }
 
@@ -200,9 +205,7 @@
      * @param sharedBy how many processes share the instances
      */
     public void setConnectionLimit(int limit, int sharedBy) {
-        connectionLimit = limit;
-        processCount = sharedBy;
-        pools.values().forEach(pool -> pool.setConnectionLimit(limit, sharedBy));
+        pools.setConnectionLimit(limit, sharedBy);
     }
 
     /**
@@ -212,9 +215,7 @@
      */
     public void acquire(ConnectionRequest request) {
         lastRequestNanos = context.clock().nanoTime();
-        admission
-                .admit(request, capacity(), lastRequestNanos)
-                .ifPresentOrElse(request.onRejected(), this::dispatch);
+        enqueue(request);
     }
 
     /**
@@ -223,15 +224,33 @@
      * @param since the time
      * @param deadlineNanos the monotonic time in ns after which the call may end without a callback
      * @param onPosition receives the position
-     * @param onRejected receives the reason if no primary can confirm its leadership in time
+     * @param onRejected receives the reason if too few instances respond to confirm a position
      */
     public void requestReadIndex(
             ClockReading since,
             long deadlineNanos,
             Consumer<LogPosition> onPosition,
             Consumer<String> onRejected) {
-        reads.add(since, deadlineNanos, onPosition, onRejected);
-        completeReads(false);
+        lastRequestNanos = context.clock().nanoTime();
+        readIndex.request(since, deadlineNanos, false, onPosition, onRejected);
+    }
+
+    /**
+     * Finds a position like {@link #requestReadIndex} for a caller that itself sends the primary a
+     * statement whose result reports the primary's position.
+     *
+     * @param since the time
+     * @param deadlineNanos the monotonic time in ns after which the call may end without a callback
+     * @param onPosition receives the position
+     * @param onRejected receives the reason if too few instances respond to confirm a position
+     */
+    public void requestReadIndexBesidePrimary(
+            ClockReading since,
+            long deadlineNanos,
+            Consumer<LogPosition> onPosition,
+            Consumer<String> onRejected) {
+        lastRequestNanos = context.clock().nanoTime();
+        readIndex.request(since, deadlineNanos, true, onPosition, onRejected);
     }
 
     /**
@@ -253,26 +272,30 @@
      */
     public boolean trySendControlCommand(
             InstanceId id, Statement statement, Consumer<StatusResponse> callback) {
-        InstanceConnectionPool pool = pools.get(id);
-        return pool != null && pool.trySendControlCommand(statement, callback);
+        return pools.find(id)
+                .filter(pool -> pool.trySendControlCommand(statement, callback))
+                .isPresent();
     }
 
     /** Opens connections, queries statuses and probes silent instances; called by a timer. */
     public void tick() {
         long nowNanos = context.clock().nanoTime();
-        for (InstanceConnectionPool pool : List.copyOf(pools.values())) {
+        for (InstanceConnectionPool pool : pools.all()) {
             pool.tick(nowNanos);
             if (isStatusDue(pool, nowNanos)) {
                 pool.requestStatus(nowNanos);
             }
         }
+        if (isPositionDue(nowNanos)) {
+            readIndex.refresh();
+        }
         admission.rejectUnservable(capacity(), nowNanos);
         dispatch();
     }
 
     /** Restarts the timeouts of all instances after this process was paused. */
     public void resetTimersAfterPause() {
-        pools.values().forEach(InstanceConnectionPool::resetTimersAfterPause);
+        pools.all().forEach(InstanceConnectionPool::resetTimersAfterPause);
     }
 
     /** Grants connections to the waiting requests, the earliest deadline first. */
@@ -324,7 +347,7 @@
 
     /** Queries the status of every instance. */
     public void requestAllStatuses() {
-        pools.values()
+        pools.all()
                 .forEach(p -> p.trySendControlCommand(new Statement.QueryStatus(), response -> {}));
     }
 
@@ -357,11 +380,12 @@
      * @return the connections to all instances
      */
     public int openConnectionCount() {
-        return pools.values().stream().mapToInt(InstanceConnectionPool::openConnectionCount).sum();
+        return pools.openConnectionCount();
     }
 
     void onLeadershipConfirmed(InstanceId id, LogPosition position, ClockReading requestedAt) {
         leader.onLeadershipConfirmed(id, position, requestedAt);
+        readIndex.completeReads();
     }
 
     void onNotPrimary(InstanceId id) {
@@ -373,6 +397,10 @@
 
     void onStatus(InstanceId id, InstanceStatus status, ClockReading requestedAt) {
         leader.onStatus(id, status, requestedAt);
+        if (leader.isReplacedPrimary(id)) {
+            stepDown(id);
+        }
+        readIndex.completeReads();
     }
 
     boolean hasNoLeader() {
@@ -396,57 +424,39 @@
         if (hasNoLeader()) {
             return nowNanos - pool.statusRequestedNanos() >= SEARCH_INTERVAL.toNanos();
         }
-        boolean inUse = nowNanos - lastRequestNanos < UNUSED_AFTER.toNanos();
-        if (inUse && leadership().isLeader(pool.entry().id())) {
-            long positionNanos =
-                    primaryPositions()
-                            .newest()
-                            .map(e -> e.requestedAt().monotonicNanos())
-                            .orElse(pool.statusRequestedNanos());
-            return nowNanos - Math.max(positionNanos, pool.statusRequestedNanos())
-                    >= POSITION_INTERVAL.toNanos();
-        }
         return nowNanos - Math.max(pool.lastResponseNanos(), pool.statusRequestedNanos())
                 >= STATUS_INTERVAL.toNanos();
     }
 
-    private void requestPosition(long deadlineNanos) {
-        acquire(
-                new ConnectionRequest(
-                        ConnectionRequest.Purpose.PRIMARY,
-                        Set.of(),
-                        Map.of(),
-                        deadlineNanos,
-                        connection -> {
-                            long requestedAtNanos = context.clock().nanoTime();
-                            connection.requestStatus(() -> onPositionResponse(requestedAtNanos));
-                        },
-                        reads::failAll));
-    }
-
-    /** Retries after a delay if a busy primary has not confirmed its leadership. */
-    private void onPositionResponse(long requestedAtNanos) {
-        if (primaryPositions()
-                .newest()
-                .filter(e -> e.requestedAt().monotonicNanos() - requestedAtNanos >= 0)
-                .isPresent()) {
-            completeReads(true);
-        } else {
-            context.clock().schedule(() -> completeReads(true), POSITION_RETRY_DELAY);
+    private boolean isPositionDue(long nowNanos) {
+        boolean inUse = nowNanos - lastRequestNanos < UNUSED_AFTER.toNanos();
+        return inUse
+                && leader.quorum()
+                        .newest()
+                        .filter(
+                                p ->
+                                        nowNanos - p.requestedAt().monotonicNanos()
+                                                < POSITION_INTERVAL.toNanos())
+                        .isEmpty();
+    }
+
+    /** Tells a primary that was replaced while it was unreachable that its term has ended. */
+    private void stepDown(InstanceId id) {
+        Statement.StepDown command = new Statement.StepDown(leadership().term());
+        if (trySendControlCommand(id, command, response -> {})) {
+            record(EventCode.STEP_DOWN_REQUESTED, "instance=" + id + " term=" + command.term());
         }
     }
 
-    private void completeReads(boolean responded) {
-        reads.completeReady(primaryPositions().newest(), context.clock().nanoTime(), responded)
-                .ifPresent(this::requestPosition);
+    private void enqueue(ConnectionRequest request) {
+        admission
+                .admit(request, capacity(), context.clock().nanoTime())
+                .ifPresentOrElse(request.onRejected(), this::dispatch);
     }
 
     private Optional<PooledConnection> grant(ConnectionRequest request) {
         List<InstanceConnectionPool> accepting =
-                InstanceSelector.rankByLatency(
-                                usablePools(request).map(InstanceConnectionPool::toCandidate))
-                        .stream()
-                        .map(c -> pools.get(c.id()))
+                pools.rankByLatency(usablePools(request))
                         .filter(p -> request.pinsConnection() || p.canAcceptStatement())
                         .toList();
         Optional<PooledConnection> connection =
@@ -466,32 +476,21 @@
         if (request.needsPrimary()) {
             return primaryPool().stream();
         }
-        return pools.values().stream()
+        return pools.all().stream()
                 .filter(p -> !request.excludedInstances().contains(p.entry().id()))
-                .filter(p -> !p.entry().draining());
+                .filter(p -> request.acceptsDraining() || !p.entry().draining());
     }
 
     private Optional<InstanceConnectionPool> primaryPool() {
         return leadership()
                 .leader()
                 .filter(id -> !fencedInstance.equals(Optional.of(id)))
-                .map(pools::get)
+                .flatMap(pools::find)
                 .filter(InstanceConnectionPool::isUsable);
     }
 
     private Capacity capacity() {
-        return new Capacity(
-                primaryPool().isPresent(),
-                pools.values().stream().mapToInt(InstanceConnectionPool::statementLimit).sum(),
-                serviceTime());
-    }
-
-    /** Returns the average statement latency of the fastest instance. */
-    private Duration serviceTime() {
-        return pools.values().stream()
-                .map(InstanceConnectionPool::averageLatency)
-                .min(Duration::compareTo)
-                .orElse(Duration.ZERO);
+        return new Capacity(primaryPool().isPresent(), pools.statementLimit(), pools.serviceTime());
     }
 
     private void record(EventCode code, String detail) {
--- a/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
@@ -95,6 +95,11 @@
                 && pauseTerm.equals(Term.ZERO);
     }
 
+    /** Returns whether a commit of a primary reaches this replica; one of a newer term does not. */
+    boolean isReceivingFrom(FakeInstance source) {
+        return source != this && isReceivingReplication() && !term.isAfter(source.term());
+    }
+
     public InstanceEntry instanceEntry() {
         return FakeService.toInstanceEntry(this, draining);
     }
@@ -371,6 +376,8 @@
                 pauseTerm = pause.term();
             } else if (statement instanceof Statement.ResumeReplication) {
                 pauseTerm = Term.ZERO;
+            } else if (statement instanceof Statement.StepDown stepDown) {
+                service.stepDown(FakeInstance.this, stepDown.term());
             }
             if (!pending.requestId().isEmpty()) {
                 executedStatements.add(
--- a/carobstage/src/test/java/org/carobstage/fake/FakeService.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeService.java
@@ -31,6 +31,7 @@
     private final List<String> receivedPromotionRequests = new ArrayList<>();
     private long highestFencingToken;
     private boolean droppingPromotionResponses;
+    private boolean keepingFormerPrimary;
 
     private FakeService(Clock clock) {
         this.clock = clock;
@@ -75,6 +76,16 @@
         droppingPromotionResponses = drop;
     }
 
+    /** Lets a primary that is replaced believe that it still leads, until it steps down. */
+    public void keepFormerPrimary(boolean keep) {
+        keepingFormerPrimary = keep;
+    }
+
+    /** Completes a promotion at once. */
+    public void promote(String id) {
+        completePromotion(InstanceId.of(id));
+    }
+
     /** Returns the connector of a VM that reaches every responsive instance. */
     public InstanceConnector connector() {
         return connector(id -> true);
@@ -132,10 +143,19 @@
                         .map(FakeInstance::term)
                         .reduce(Term.ZERO, (a, b) -> a.isAfter(b) ? a : b)
                         .next();
-        instances.values().forEach(instance -> instance.follow(newPrimary, term));
+        instances.values().stream()
+                .filter(instance -> !keepingFormerPrimary || !instance.isPrimary())
+                .forEach(instance -> instance.follow(newPrimary, term));
         newPrimary.becomePrimary(term);
     }
 
+    /** Makes a replica of a primary whose term is over. */
+    void stepDown(FakeInstance instance, Term term) {
+        if (instance.isPrimary() && term.isAfter(instance.term())) {
+            instance.demote(term);
+        }
+    }
+
     /**
      * Assigns a log position to a commit and replicates it to the replicas that receive
      * replication.
@@ -145,14 +165,13 @@
                 LogPosition.of(primary.term().number(), primary.receivedPosition().offset() + 1);
         primary.receive(position);
         instances.values().stream()
-                .filter(instance -> instance != primary && instance.isReceivingReplication())
+                .filter(instance -> instance.isReceivingFrom(primary))
                 .forEach(instance -> instance.receive(position));
         return position;
     }
 
     boolean hasReceivingReplica(FakeInstance primary) {
-        return instances.values().stream()
-                .anyMatch(instance -> instance != primary && instance.isReceivingReplication());
+        return instances.values().stream().anyMatch(instance -> instance.isReceivingFrom(primary));
     }
 
     static InstanceEntry toInstanceEntry(FakeInstance instance, boolean draining) {
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
@@ -0,0 +1,102 @@
+package org.carobstage.freshness;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.carobstage.freshness.PrimaryPositionHistory.ObservedPosition;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
+import org.junit.jupiter.api.Test;
+
+class PositionQuorumTest {
+    private static final InstanceId A = InstanceId.of("a");
+    private static final InstanceId B = InstanceId.of("b");
+    private static final InstanceId C = InstanceId.of("c");
+
+    private final PositionQuorum quorum = groupOfThree();
+
+    @Test
+    void shouldNotTrustPrimaryAlone() {
+        quorum.report(A, LogPosition.of(1, 81), at(10), true);
+
+        assertThat(quorum.newest()).isEmpty();
+    }
+
+    @Test
+    void shouldConfirmPositionAtTheEarlierRequest() {
+        quorum.report(A, LogPosition.of(1, 81), at(10), true);
+        quorum.report(B, LogPosition.of(1, 81), at(14), false);
+
+        assertThat(quorum.newest()).contains(new ObservedPosition(LogPosition.of(1, 81), at(10)));
+    }
+
+    @Test
+    void shouldReturnPositionOfNewerTermWhenFormerPrimaryStillReports() {
+        catchUpAll();
+        quorum.report(A, LogPosition.of(1, 99), at(20), true);
+        quorum.report(B, LogPosition.of(2, 85), at(20), false);
+
+        assertThat(quorum.newest().map(ObservedPosition::position)).contains(LogPosition.of(2, 85));
+    }
+
+    @Test
+    void shouldConfirmNewestReceivedPositionWhenPrimaryIsLost() {
+        catchUpAll();
+        quorum.report(B, LogPosition.of(1, 90), at(40), false);
+        quorum.report(C, LogPosition.of(1, 86), at(50), false);
+
+        assertThat(quorum.newest()).contains(new ObservedPosition(LogPosition.of(1, 90), at(40)));
+    }
+
+    @Test
+    void shouldNotCountReplicaBeforeItHasCaughtUp() {
+        catchUpAll();
+        quorum.add(C, at(20));
+        quorum.report(A, LogPosition.of(1, 90), at(30), true);
+        quorum.report(C, LogPosition.of(1, 5), at(40), false);
+        assertThat(quorum.newest()).map(ObservedPosition::requestedAt).contains(at(10));
+
+        quorum.report(C, LogPosition.of(1, 90), at(50), false);
+
+        assertThat(quorum.newest()).map(ObservedPosition::requestedAt).contains(at(30));
+    }
+
+    @Test
+    void shouldNeedBothInstancesWhenThirdOneIsGone() {
+        catchUpAll();
+        quorum.remove(C);
+        quorum.report(A, LogPosition.of(1, 99), at(20), true);
+
+        assertThat(quorum.size()).isEqualTo(2);
+        assertThat(quorum.newest()).map(ObservedPosition::requestedAt).contains(at(10));
+    }
+
+    @Test
+    void shouldIgnoreReportThatIsOlderThanTheLatest() {
+        catchUpAll();
+        quorum.report(B, LogPosition.of(2, 85), at(30), false);
+        quorum.report(B, LogPosition.of(1, 81), at(20), false);
+        quorum.report(A, LogPosition.of(1, 81), at(30), true);
+
+        assertThat(quorum.newest().map(ObservedPosition::position)).contains(LogPosition.of(2, 85));
+    }
+
+    private void catchUpAll() {
+        quorum.report(A, LogPosition.of(1, 81), at(10), true);
+        quorum.report(B, LogPosition.of(1, 81), at(10), false);
+        quorum.report(C, LogPosition.of(1, 81), at(10), false);
+    }
+
+    private static PositionQuorum groupOfThree() {
+        PositionQuorum quorum = PositionQuorum.empty();
+        quorum.add(A, at(0));
+        quorum.add(B, at(0));
+        quorum.add(C, at(0));
+        return quorum;
+    }
+
+    private static ClockReading at(long millis) {
+        long nanos = TimeUnit.MILLISECONDS.toNanos(millis);
+        return new ClockReading(nanos, nanos);
+    }
+}
--- a/carobstage/src/test/java/org/carobstage/front/ClientSessionTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ClientSessionTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import org.carobstage.model.LogPosition;
 import org.carobstage.model.Term;
 import org.carobstage.route.RouteTable;
 import org.carobstage.sql.FailureCode;
@@ -77,7 +78,7 @@
         ClientSession session = fixture.openSession("bounded", channel);
         fixture.service.instance("b").setReplicationBlocked(true);
         fixture.service.instance("c").setReplicationBlocked(true);
-        fixture.service.instance("a").receive(org.carobstage.model.LogPosition.of(1, 50));
+        fixture.service.instance("a").receive(LogPosition.of(1, 50));
         fixture.advanceMillis(3_000);
         fixture.send(session, READ);
         fixture.advanceMillis(100);
@@ -198,12 +199,14 @@
     }
 
     @Test
-    void shouldDelayNextReadIndexRequestWhenPrimaryIsBusy() {
+    void shouldDelayNextReadIndexRequestWhenInstancesAreBusy() {
         int before = fixture.service.instance("a").statusQueryCount();
         fixture.service.instance("a").failStatusQueries(1_000);
+        fixture.service.instance("b").failStatusQueries(1_000);
         send("primary", READ);
         fixture.advanceMillis(400);
         assertThat(fixture.service.instance("a").statusQueryCount() - before).isBetween(5, 25);
+        assertThat(channel.results).isEmpty();
         fixture.service.instance("a").failStatusQueries(0);
         fixture.advanceMillis(100);
 
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/front/FormerPrimaryTest.java
@@ -0,0 +1,84 @@
+package org.carobstage.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.carobstage.model.LogPosition;
+import org.carobstage.sql.FailureCode;
+import org.carobstage.sql.Statement;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against stale reads after a failover during a network partition: the former primary does
+ * not know that it was replaced and still executes reads and begins transactions.
+ */
+class FormerPrimaryTest {
+    private static final Statement READ = new Statement.Read("k");
+
+    private final SessionFixture fixture = new SessionFixture();
+    private final RecordingChannel channel = new RecordingChannel();
+
+    @Test
+    void shouldNotReadAtFormerPrimaryThatBelievesToLead() {
+        ClientSession session = fixture.openSession("primary", channel);
+        fixture.service.keepFormerPrimary(true);
+        fixture.service.promote("c");
+        fixture.service.instance("b").receive(LogPosition.of(2, 9));
+        fixture.service.instance("c").receive(LogPosition.of(2, 9));
+        fixture.service.instance("b").failStatements(FailureCode.BUSY, 1);
+        fixture.send(session, READ);
+        fixture.advanceMillis(100);
+
+        assertThat(channel.lastResult().signature()).isEqualTo("signed-by-c");
+    }
+
+    @Test
+    void shouldNotReadInTransactionAtFormerPrimaryThatBelievesToLead() {
+        ClientSession session = fixture.openSession("primary", channel);
+        fixture.service.keepFormerPrimary(true);
+        fixture.service.promote("b");
+        fixture.service.instance("b").receive(LogPosition.of(2, 9));
+        fixture.send(session, new Statement.Begin(false));
+        String read = fixture.send(session, READ);
+        fixture.advanceMillis(400);
+
+        assertThat(channel.lastResult().isSuccessful()).isTrue();
+        assertThat(fixture.executedAt("a", read)).isFalse();
+    }
+
+    @Test
+    void shouldRejectReadAtOnceWhenOnlyFormerPrimaryIsReachable() {
+        ClientSession session = fixture.openSession("primary", channel);
+        fixture.service.keepFormerPrimary(true);
+        fixture.service.instance("b").stopResponding();
+        fixture.service.instance("c").stopResponding();
+        fixture.advanceMillis(2_500);
+        String read = fixture.send(session, READ);
+        fixture.advanceMillis(1);
+
+        assertThat(channel.lastResult().hasFailureCode(FailureCode.BUSY)).isTrue();
+        assertThat(fixture.executionCount(read)).isZero();
+    }
+
+    @Test
+    void shouldReadAtReplicasWhilePrimaryIsLost() {
+        ClientSession session = fixture.openSession("primary", channel);
+        ClientSession other = fixture.openSession("bounded", new RecordingChannel());
+        fixture.service.instance("a").crash();
+        fixture.advanceMillis(2_600);
+        fixture.send(session, READ);
+        String bounded = fixture.send(other, READ);
+        fixture.advanceMillis(200);
+
+        assertThat(channel.lastResult().isSuccessful()).isTrue();
+        assertThat(fixture.executionCount(bounded)).isEqualTo(1);
+    }
+
+    @Test
+    void shouldReadWithoutPrimaryWhenItIsBusy() {
+        fixture.service.instance("a").failStatusQueries(1_000);
+        fixture.send(fixture.openSession("primary", channel), READ);
+        fixture.advanceMillis(60);
+
+        assertThat(channel.lastResult().isSuccessful()).isTrue();
+    }
+}
--- a/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
+++ b/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
@@ -78,6 +78,11 @@
                 .count();
     }
 
+    boolean executedAt(String instance, String requestId) {
+        return service.instance(instance).executedStatements().stream()
+                .anyMatch(line -> line.startsWith(requestId + " "));
+    }
+
     private static Route route(String database, Consistency consistency) {
         return new Route(
                 database,
--- a/carobstage/src/test/java/org/carobstage/front/UnacknowledgedCommitsTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/UnacknowledgedCommitsTest.java
@@ -45,6 +45,11 @@
 
     @Test
     void shouldContinueReadingWhileCommitsAreNotAcknowledged() {
+        fixture.service.instance("b").recover();
+        fixture.service.instance("c").recover();
+        fixture.service.instance("b").setReplicationBlocked(true);
+        fixture.service.instance("c").setReplicationBlocked(true);
+        fixture.advanceMillis(1_000);
         int successfulReads = 0;
         for (int i = 0; i < 60; i++) {
             fixture.send(fixture.openSession("primary", new RecordingChannel()), WRITE);
--- a/carobstage/src/test/java/org/carobstage/upstream/ReadIndexQueueTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/ReadIndexQueueTest.java
@@ -17,26 +17,15 @@
     private final List<String> refused = new ArrayList<>();
 
     @Test
-    void shouldCompleteAllWaitingReadsWithOneRequest() {
+    void shouldCompleteOnlyReadsThatArrivedBeforeTheRequest() {
         addRead(0);
         addRead(1);
-        assertThat(queue.completeReady(Optional.empty(), millis(1), false)).isPresent();
-        addRead(1);
-        assertThat(queue.completeReady(Optional.empty(), millis(1), false)).isEmpty();
-
-        queue.completeReady(observedAt(2), millis(4), true);
-
-        assertThat(positions).hasSize(3);
-    }
-
-    @Test
-    void shouldRequestAgainForReadsThatArrivedAfterTheRequest() {
-        addRead(0);
-        queue.completeReady(Optional.empty(), millis(0), false);
         addRead(3);
 
-        assertThat(queue.completeReady(observedAt(1), millis(4), true)).isPresent();
-        assertThat(positions).hasSize(1);
+        queue.completeReady(observedAt(2), millis(4));
+
+        assertThat(positions).hasSize(2);
+        assertThat(queue.hasWaiting()).isTrue();
     }
 
     @Test
@@ -45,18 +34,19 @@
         ClockReading stepped = new ClockReading(millis(6), millis(-1_000));
         ObservedPosition observed = new ObservedPosition(LogPosition.of(1, 1), stepped);
 
-        queue.completeReady(Optional.of(observed), millis(7), false);
+        queue.completeReady(Optional.of(observed), millis(7));
 
         assertThat(positions).isEmpty();
     }
 
     @Test
-    void shouldRefuseAllReadsWhenNoPrimaryResponds() {
+    void shouldRefuseAllReadsWhenNoPositionCanBeConfirmed() {
         addRead(0);
-        queue.completeReady(Optional.empty(), millis(0), false);
-        queue.failAll("no primary");
+        queue.completeReady(Optional.empty(), millis(0));
+        queue.failAll("no quorum");
 
-        assertThat(refused).containsExactly("no primary");
+        assertThat(refused).containsExactly("no quorum");
+        assertThat(queue.hasWaiting()).isFalse();
     }
 
     private void addRead(long since) {
