Make promotion requests harmless where no fencing token is checked

A deployment may execute promotion requests without comparing fencing tokens, and an unanswered request may be executed up to 12 s later. A request of an earlier holder could then replace a newer primary.

- A request is recorded in the store before it is sent, in a write that holds only while the sender has the lease, and the record is removed once no request is left unanswered.
A later holder promotes only the recorded instance, or waits 15 s.
- Nothing is requested after the lease has ended, by the clock (monotonic or time of day) that shows more, with a margin of 300 ms: the monotonic clock does not count a suspension.
- The old primary is told to step down once the new one leads.
- Votes alone permit a promotion only if no process has disappeared from the store for 15 s: such a process may still acknowledge commits.
- A promotion that the platform refuses is given up after 15 s, and a malformed key under votes or members is logged instead of thrown to the watcher.

--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -17,6 +17,7 @@
 import org.carobstage.model.Term;
 import org.carobstage.sql.InstanceStatus;
 import org.carobstage.sql.Statement;
+import org.carobstage.store.StoreResponse;
 import org.carobstage.upstream.ServiceGroup;
 
 /**
@@ -36,14 +37,19 @@
     /** A promotion without effect is requested again at this interval, of the same instance. */
     private static final Duration PROMOTION_RETRY_INTERVAL = Duration.ofMillis(2_500);
 
-    /** The platform executes an unanswered promotion request within 12 s or not at all. */
-    private static final Duration PROMOTION_TIMEOUT = Duration.ofMillis(15_000);
+    /** The delay before a request that the platform was too busy to accept is sent again. */
+    private static final Duration REFUSED_RETRY_DELAY = Duration.ofMillis(200);
+
+    /** The delay before a record that the store did not confirm is written again. */
+    private static final Duration STORE_RETRY_DELAY = Duration.ofMillis(100);
 
     private final FailoverContext context;
     private final ServiceGroup group;
     private final InstanceId oldPrimary;
     private final boolean planned;
+    private final FailoverLease lease;
     private final long fencingToken;
+    private final Optional<InstanceId> pendingTarget;
     private final Supplier<Optional<LogPosition>> acknowledgedPosition;
     private final Consumer<Boolean> onEnded;
     private final long startedNanos;
@@ -61,14 +67,17 @@
             ServiceGroup group,
             InstanceId oldPrimary,
             boolean planned,
-            long fencingToken,
+            FailoverLease lease,
+            Optional<InstanceId> pendingTarget,
             Supplier<Optional<LogPosition>> acknowledgedPosition,
             Consumer<Boolean> onEnded) {
         this.context = context;
         this.group = group;
         this.oldPrimary = oldPrimary;
         this.planned = planned;
-        this.fencingToken = fencingToken;
+        this.lease = lease;
+        this.fencingToken = lease.fencingToken();
+        this.pendingTarget = pendingTarget;
         this.acknowledgedPosition = acknowledgedPosition;
         this.onEnded = onEnded;
         this.startedNanos = context.clock().nanoTime();
@@ -175,6 +184,7 @@
         Optional<LogPosition> newestAcknowledged = acknowledgedPosition.get();
         target =
                 FailoverCandidateSelector.select(candidates, replicas().size(), newestAcknowledged)
+                        .map(best -> preferPendingTarget(best, candidates))
                         .map(Replica::id);
         context.record(
                 EventCode.FAILOVER_CHOICE,
@@ -190,10 +200,19 @@
         if (target.isEmpty()) {
             abandon("no replica is known to hold every acknowledged commit");
         } else {
-            requestPromotion();
+            recordPromotion();
         }
     }
 
+    /** Prefers the target of a request that may still be executed, if its log is as long. */
+    private Replica preferPendingTarget(Replica best, List<Replica> candidates) {
+        return candidates.stream()
+                .filter(c -> pendingTarget.equals(Optional.of(c.id())))
+                .filter(c -> c.received().isAtLeast(best.received()))
+                .findFirst()
+                .orElse(best);
+    }
+
     private void awaitSuccessorCatchUp() {
         if (ended) {
             return;
@@ -217,7 +236,7 @@
                     EventCode.FAILOVER_CHOICE,
                     group.name(),
                     "target=" + successor + " newest=" + newest + " stopped=" + others);
-            requestPromotion();
+            recordPromotion();
         } else if (elapsedSince(startedNanos).compareTo(CATCH_UP_TIMEOUT) > 0) {
             abandon("the successor did not catch up in time");
         } else {
@@ -226,10 +245,37 @@
         }
     }
 
+    /** Records the request, so that a later holder knows what may still be executed. */
+    private void recordPromotion() {
+        if (ended) {
+            return;
+        }
+        InstanceId promoted = target.orElseThrow();
+        if (pendingTarget.filter(p -> !p.equals(promoted)).isPresent()) {
+            abandon("a request to promote " + pendingTarget.get() + " may still be executed");
+        } else {
+            lease.recordPromotion(promoted, this::onPromotionRecorded);
+        }
+    }
+
+    private void onPromotionRecorded(StoreResponse<Long> response) {
+        if (response instanceof StoreResponse.Success<Long>) {
+            requestPromotion();
+        } else if (response instanceof StoreResponse.Mismatch<Long> || !lease.isHeld()) {
+            abandon("the promotion request could not be recorded: " + response);
+        } else {
+            context.clock().schedule(this::recordPromotion, STORE_RETRY_DELAY);
+        }
+    }
+
     private void requestPromotion() {
         if (ended) {
             return;
         }
+        if (!lease.isHeld()) {
+            end("the lease ended before the promotion, unanswered=" + hasUnansweredRequest);
+            return;
+        }
         promotionRequested = true;
         promotionRequestedNanos = context.clock().nanoTime();
         InstanceId promoted = target.orElseThrow();
@@ -256,7 +302,11 @@
         if (outcome == PromotionClient.Outcome.REJECTED) {
             abandon("the promotion request was rejected");
         } else if (outcome == PromotionClient.Outcome.REFUSED) {
-            context.clock().schedule(this::requestPromotion, Duration.ofMillis(200));
+            if (elapsedSince(startedNanos).compareTo(PendingPromotion.TIMEOUT) > 0) {
+                end("the platform refused the promotion request for too long");
+            } else {
+                context.clock().schedule(this::requestPromotion, REFUSED_RETRY_DELAY);
+            }
         } else {
             awaitPromotion();
         }
@@ -268,8 +318,10 @@
         }
         InstanceId promoted = target.orElseThrow();
         if (group.leadership().isLeader(promoted)) {
+            group.trySendControlCommand(
+                    oldPrimary, new Statement.StepDown(group.leadership().term()), response -> {});
             end("promoted " + promoted + " in " + elapsedSince(startedNanos).toMillis() + " ms");
-        } else if (elapsedSince(startedNanos).compareTo(PROMOTION_TIMEOUT) > 0) {
+        } else if (elapsedSince(startedNanos).compareTo(PendingPromotion.TIMEOUT) > 0) {
             end("promotion had no effect, unanswered=" + hasUnansweredRequest);
         } else if (elapsedSince(promotionRequestedNanos).compareTo(PROMOTION_RETRY_INTERVAL) > 0) {
             requestPromotion();
@@ -288,6 +340,9 @@
             return;
         }
         ended = true;
+        if (promotionRequested && !hasUnansweredRequest) {
+            lease.clearPromotion();
+        }
         context.record(EventCode.FAILOVER_ENDED, group.name(), outcome);
         replicasToPause().stream()
                 .filter(id -> !group.leadership().isLeader(id))
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.event.EventCode;
+import org.carobstage.freshness.ClockReading;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
 import org.carobstage.model.ServiceName;
@@ -53,14 +54,24 @@
      */
     private static final Duration REPLICA_QUERY_INTERVAL = Duration.ofMillis(3_000);
 
+    /**
+     * A process that has disappeared from the store may still acknowledge commits, so the votes of
+     * the others do not cover them.
+     */
+    private static final Duration DEPARTED_MEMBER_TIMEOUT = Duration.ofMillis(15_000);
+
     private final FailoverContext context;
     private final Map<ServiceName, State> states = new TreeMap<>();
     private final Map<ServiceName, Map<VmId, Vote>> votes = new HashMap<>();
     private final Map<ServiceName, VmId> leaseHolders = new HashMap<>();
+    private final Map<ServiceName, PendingPromotion> pendingPromotions = new HashMap<>();
     private final Set<ServiceName> servicesToQuery = new HashSet<>();
+    private Set<VmId> lastMembers = Set.of();
+    private ClockReading membersStableSince;
 
     private FailoverCoordinator(FailoverContext context) {
         this.context = context;
+        this.membersStableSince = ClockReading.now(context.clock());
     }
 
     /**
@@ -86,6 +97,13 @@
                     .ifPresentOrElse(
                             vm -> leaseHolders.put(service, VmId.of(vm)),
                             () -> onLeaseEnded(service));
+        } else if (entry.key().startsWith(FailoverKeys.PROMOTION_PREFIX)) {
+            ServiceName service =
+                    ServiceName.of(entry.key().substring(FailoverKeys.PROMOTION_PREFIX.length()));
+            PendingPromotion.parse(entry, ClockReading.now(context.clock()))
+                    .ifPresentOrElse(
+                            p -> pendingPromotions.put(service, p),
+                            () -> pendingPromotions.remove(service));
         } else if (entry.key().startsWith(FailoverKeys.VOTE_PREFIX)) {
             applyVote(entry);
         }
@@ -100,6 +118,10 @@
      *     the process casts no vote
      */
     public void tick(List<ServiceGroup> groups, Set<VmId> members, Optional<LeaseId> lease) {
+        if (!members.containsAll(lastMembers)) {
+            membersStableSince = ClockReading.now(context.clock());
+        }
+        lastMembers = Set.copyOf(members);
         groups.forEach(group -> tick(group, members, lease));
     }
 
@@ -155,19 +177,26 @@
             Set<VmId> members) {
         state.failoverRunning = true;
         state.lease.acquire(
-                fencingToken ->
+                () ->
                         new Failover(
                                         context,
                                         group,
                                         oldPrimary,
                                         planned,
-                                        fencingToken,
+                                        state.lease,
+                                        pendingTarget(group.name()),
                                         () -> acknowledgedPosition(group, oldPrimary, members),
                                         requested -> onFailoverEnded(state, requested))
                                 .start(),
                 () -> onFailoverEnded(state, false));
     }
 
+    private Optional<InstanceId> pendingTarget(ServiceName service) {
+        return Optional.ofNullable(pendingPromotions.get(service))
+                .filter(p -> p.isPending(ClockReading.now(context.clock())))
+                .map(PendingPromotion::target);
+    }
+
     private void onFailoverEnded(State state, boolean promotionRequested) {
         state.failoverRunning = false;
         state.lease.release(promotionRequested);
@@ -315,9 +344,14 @@
                                                 .filter(v -> v.primary().equals(primary))
                                                 .isPresent());
         boolean leaseObserved = context.vm().equals(leaseHolders.get(group.name()));
+        boolean membersStable =
+                membersStableSince
+                                .age(ClockReading.now(context.clock()))
+                                .compareTo(DEPARTED_MEMBER_TIMEOUT)
+                        >= 0;
         boolean allPositionsKnown =
                 serviceVotes.values().stream().allMatch(v -> v.acknowledgedPosition().isPresent());
-        return allVoted && allPositionsKnown && leaseObserved
+        return allVoted && allPositionsKnown && leaseObserved && membersStable
                 ? serviceVotes.values().stream()
                         .map(v -> v.acknowledgedPosition().get())
                         .reduce(LogPosition::max)
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverKeys.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverKeys.java
@@ -8,12 +8,18 @@
     static final String VOTE_PREFIX = "carobstage/votes/";
     static final String LEASE_PREFIX = "carobstage/failover/";
 
+    static final String PROMOTION_PREFIX = "carobstage/promotions/";
+
     private FailoverKeys() {}
 
     static String vote(ServiceName service, VmId vm) {
         return VOTE_PREFIX + service + "/" + vm;
     }
 
+    static String promotion(ServiceName service) {
+        return PROMOTION_PREFIX + service;
+    }
+
     static String lease(ServiceName service) {
         return LEASE_PREFIX + service;
     }
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.function.LongConsumer;
+import java.util.function.Consumer;
 import org.carobstage.event.EventCode;
+import org.carobstage.freshness.ClockReading;
+import org.carobstage.model.InstanceId;
 import org.carobstage.model.ServiceName;
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreResponse;
@@ -20,11 +22,16 @@
 
     private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(1_000);
 
+    /** The holder stops this long before the lease expires, to allow for a request in transit. */
+    private static final Duration SAFETY_MARGIN = Duration.ofMillis(300);
+
+    private static final Duration USABLE_TIME = TTL.minus(SAFETY_MARGIN);
+
     private final FailoverContext context;
     private final ServiceName service;
     private Optional<LeaseId> lease = Optional.empty();
     private long fencingToken;
-    private long validUntilNanos;
+    private ClockReading renewedAt;
     private boolean inUse;
     private boolean usedForPromotion;
 
@@ -34,26 +41,32 @@
     }
 
     boolean isHeld() {
-        return lease.isPresent() && context.clock().nanoTime() - validUntilNanos < 0;
+        return lease.isPresent()
+                && renewedAt.age(ClockReading.now(context.clock())).compareTo(USABLE_TIME) < 0;
+    }
+
+    /** Returns the fencing token of the lease that is or was held last. */
+    long fencingToken() {
+        return fencingToken;
     }
 
     /** Acquires the lease, or renews it if it is already held. */
-    void acquire(LongConsumer onAcquired, Runnable onNotAcquired) {
+    void acquire(Runnable onAcquired, Runnable onNotAcquired) {
         inUse = true;
         if (isHeld()) {
             renew();
-            onAcquired.accept(fencingToken);
+            onAcquired.run();
             return;
         }
         lease = Optional.empty();
-        long requestedNanos = context.clock().nanoTime();
+        ClockReading requestedAt = ClockReading.now(context.clock());
         context.store()
                 .grantLease(
                         TTL,
                         response -> {
                             if (response instanceof StoreResponse.Success<LeaseId> success) {
                                 writeHolder(
-                                        success.value(), requestedNanos, onAcquired, onNotAcquired);
+                                        success.value(), requestedAt, onAcquired, onNotAcquired);
                             } else {
                                 onNotAcquired.run();
                             }
@@ -74,7 +87,10 @@
     }
 
     private void writeHolder(
-            LeaseId granted, long requestedNanos, LongConsumer onAcquired, Runnable onNotAcquired) {
+            LeaseId granted,
+            ClockReading requestedAt,
+            Runnable onAcquired,
+            Runnable onNotAcquired) {
         StoreWrite putHolder =
                 StoreWrite.putIfAbsent(FailoverKeys.lease(service), context.vm().value(), granted);
         context.store()
@@ -85,13 +101,13 @@
                                 lease = Optional.of(granted);
                                 usedForPromotion = false;
                                 fencingToken = success.value();
-                                validUntilNanos = requestedNanos + TTL.toNanos();
+                                renewedAt = requestedAt;
                                 context.record(
                                         EventCode.FAILOVER_LEASE_HELD,
                                         service,
                                         "fence=" + fencingToken);
                                 scheduleRenewal();
-                                onAcquired.accept(fencingToken);
+                                onAcquired.run();
                             } else {
                                 context.store().revokeLease(granted, revocation -> {});
                                 onNotAcquired.run();
@@ -99,6 +115,25 @@
                         });
     }
 
+    /**
+     * Records a promotion request before it is sent. The store accepts the record only while this
+     * process holds the lease.
+     */
+    void recordPromotion(InstanceId target, Consumer<StoreResponse<Long>> callback) {
+        StoreWrite write =
+                StoreWrite.put(FailoverKeys.promotion(service), target.value(), LeaseId.NONE)
+                        .onlyIf(FailoverKeys.lease(service), fencingToken);
+        context.store().write(write, callback);
+    }
+
+    /** Removes the record of a promotion request that the platform can no longer execute. */
+    void clearPromotion() {
+        StoreWrite write =
+                StoreWrite.delete(FailoverKeys.promotion(service))
+                        .onlyIf(FailoverKeys.lease(service), fencingToken);
+        context.store().write(write, response -> {});
+    }
+
     private void scheduleRenewal() {
         context.clock()
                 .schedule(
@@ -112,7 +147,7 @@
     }
 
     private void renew() {
-        long requestedNanos = context.clock().nanoTime();
+        ClockReading requestedAt = ClockReading.now(context.clock());
         lease.ifPresent(
                 id ->
                         context.store()
@@ -121,7 +156,7 @@
                                         response -> {
                                             if (response
                                                     instanceof StoreResponse.Success<LeaseId>) {
-                                                validUntilNanos = requestedNanos + TTL.toNanos();
+                                                renewedAt = requestedAt;
                                             } else if (response
                                                     instanceof StoreResponse.Mismatch<LeaseId>) {
                                                 lease = Optional.empty();
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/failover/PendingPromotion.java
@@ -0,0 +1,39 @@
+package org.carobstage.failover;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.carobstage.freshness.ClockReading;
+import org.carobstage.model.InstanceId;
+import org.carobstage.store.StoreEntry;
+
+/**
+ * A promotion request that the platform may still execute, as recorded in the store before it was
+ * sent. The platform need not compare fencing tokens, so until the request has ended, a later
+ * failover must not promote another instance: the old request would replace it again, and commits
+ * would be lost.
+ *
+ * @param target the instance to promote
+ * @param recordedAt when this process learned of the request
+ */
+record PendingPromotion(InstanceId target, ClockReading recordedAt) {
+    /** The platform executes an unanswered request within 12 s or not at all. */
+    static final Duration TIMEOUT = Duration.ofMillis(15_000);
+
+    PendingPromotion {
+        requireNonNull(target, "target is null");
+        requireNonNull(recordedAt, "recordedAt is null");
+    }
+
+    /** Reads the store entry of a request; empty if the request has ended or is unreadable. */
+    static Optional<PendingPromotion> parse(StoreEntry entry, ClockReading now) {
+        return entry.value()
+                .filter(text -> !text.isBlank())
+                .map(text -> new PendingPromotion(InstanceId.of(text), now));
+    }
+
+    boolean isPending(ClockReading now) {
+        return recordedAt.age(now).compareTo(TIMEOUT) < 0;
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -178,8 +178,16 @@
         } else if (decoded instanceof DecodedEntry.Unreadable unreadable) {
             recordUnreadableEntry(entry.key(), unreadable.reason());
         } else {
+            applyInternalEntry(entry);
+        }
+    }
+
+    private void applyInternalEntry(StoreEntry entry) {
+        try {
             membership.onStoreChange(entry);
             failoverCoordinator.onStoreChange(entry);
+        } catch (IllegalArgumentException e) {
+            recordUnreadableEntry(entry.key(), String.valueOf(e.getMessage()));
         }
     }
 
--- a/carobstage/src/main/java/org/carobstage/runtime/ManualClock.java
+++ b/carobstage/src/main/java/org/carobstage/runtime/ManualClock.java
@@ -64,6 +64,15 @@
         moveTo(end);
     }
 
+    /**
+     * Suspends the machine: the time of day advances, the monotonic clock and its timers do not.
+     *
+     * @param length the duration of the suspension
+     */
+    public void suspend(Duration length) {
+        instant = instant.plus(length);
+    }
+
     private void moveTo(long targetNanos) {
         instant = instant.plusNanos(targetNanos - nanos);
         nanos = targetNanos;
--- a/carobstage/src/main/java/org/carobstage/store/StoreWrite.java
+++ b/carobstage/src/main/java/org/carobstage/store/StoreWrite.java
@@ -1,5 +1,6 @@
 package org.carobstage.store;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -63,6 +64,19 @@
         return new StoreWrite(List.of(new Condition(absent, 0)), List.of(), List.of(key));
     }
 
+    /**
+     * Adds a condition.
+     *
+     * @param key the key
+     * @param revision the revision that the key must have, 0 if it must not exist
+     * @return the write with all conditions
+     */
+    public StoreWrite onlyIf(String key, long revision) {
+        List<Condition> all = new ArrayList<>(conditions);
+        all.add(new Condition(key, revision));
+        return new StoreWrite(all, puts, deletes);
+    }
+
     /**
      * A revision that a key must have for the write to be applied.
      *
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.carobstage.event.EventLog;
 import org.carobstage.fake.FakeInstance;
 import org.carobstage.fake.FakeMetadataStore;
@@ -176,6 +177,7 @@
 
     @Test
     void shouldSendNoWriteToOldPrimaryWhenItRecoversDuringFailover() {
+        keepMembersStable();
         instance("c").crash();
         instance("a").crash();
         advanceMillis(1_500);
@@ -236,6 +238,86 @@
         assertThat(service.receivedPromotionRequests()).isNotEmpty();
     }
 
+    @Test
+    void shouldNotPromoteOtherInstanceWhileEarlierRequestMayBeExecuted() {
+        store.put("carobstage/promotions/forms", "c");
+        instance("b").receive(LogPosition.of(1, 9));
+        instance("a").stopResponding();
+        advanceMillis(10_000);
+        assertThat(service.receivedPromotionRequests()).isEmpty();
+
+        advanceMillis(9_000);
+
+        assertThat(service.primary()).map(FakeInstance::id).contains(InstanceId.of("b"));
+    }
+
+    @Test
+    void shouldPromoteTargetOfEarlierRequestWhenItsLogIsAsLong() {
+        store.put("carobstage/promotions/forms", "b");
+        instance("a").stopResponding();
+        advanceMillis(4_000);
+
+        assertThat(service.primary()).map(FakeInstance::id).contains(InstanceId.of("b"));
+        assertThat(store.keys("carobstage/promotions/")).isEmpty();
+    }
+
+    @Test
+    void shouldKeepRecordOfRequestWhenResponseWasLost() {
+        service.dropPromotionResponses(true);
+        instance("a").stopResponding();
+        advanceMillis(4_000);
+
+        assertThat(service.receivedPromotionRequests()).isNotEmpty();
+        assertThat(store.keys("carobstage/promotions/")).hasSize(1);
+    }
+
+    @Test
+    void shouldNotRequestPromotionWhenHolderWasSuspendedBeyondItsLease() {
+        instance("a").stopResponding();
+        while (store.get("carobstage/failover/forms").isEmpty()) {
+            advanceMillis(1);
+        }
+        clock.suspend(Duration.ofSeconds(5));
+        processes.forEach(p -> p.storeClient.setReachable(false));
+        advanceMillis(2_500);
+
+        assertThat(service.receivedPromotionRequests()).isEmpty();
+    }
+
+    @Test
+    void shouldNotTrustVotesAloneWhenMemberHasDisappeared() {
+        keepMembersStable();
+        processes.get(2).leave();
+        advanceMillis(100);
+        instance("c").crash();
+        instance("a").crash();
+        advanceMillis(8_000);
+        assertThat(service.receivedPromotionRequests()).isEmpty();
+
+        advanceMillis(9_000);
+
+        assertThat(service.primary()).map(FakeInstance::id).contains(InstanceId.of("b"));
+    }
+
+    @Test
+    void shouldMakeFormerPrimaryStepDown() {
+        service.keepFormerPrimary(true);
+        instance("a").drain();
+        processes.forEach(p -> p.group.put(service.instanceEntry("a")));
+        advanceMillis(3_000);
+
+        assertThat(instance("a").isPrimary()).isFalse();
+        assertThat(service.instances()).filteredOn(FakeInstance::isPrimary).hasSize(1);
+    }
+
+    /** Advances to the time from which the votes of all members cover every commit. */
+    private void keepMembersStable() {
+        for (int i = 0; i < 16; i++) {
+            processes.forEach(p -> p.acquirePrimaryConnection(new ArrayList<>()));
+            advanceMillis(1_000);
+        }
+    }
+
     private FakeInstance instance(String id) {
         return service.instance(id);
     }
@@ -248,12 +330,14 @@
     private final class Process {
         private final Set<InstanceId> unreachable = new HashSet<>();
         private final FakeMetadataStore.Client storeClient = store.client();
+        private final VmId vm;
+        private boolean left;
         private final ServiceGroup group;
         private final FailoverCoordinator coordinator;
         private Optional<LeaseId> lease = Optional.empty();
 
         private Process(String name) {
-            VmId vm = VmId.of(name);
+            vm = VmId.of(name);
             EventLog events = EventLog.of(vm, clock, 100);
             group =
                     ServiceGroup.of(
@@ -282,7 +366,12 @@
                             lease =
                                     Optional.of(
                                             ((StoreResponse.Success<LeaseId>) response).value()));
-            tick();
+            clock.schedule(this::tick, Duration.ofMillis(50));
+        }
+
+        private void leave() {
+            left = true;
+            unreachable.addAll(Set.of(InstanceId.of("b"), InstanceId.of("c")));
         }
 
         private void acquirePrimaryConnection(List<InstanceId> granted) {
@@ -301,10 +390,11 @@
 
         private void tick() {
             group.tick();
-            Set<VmId> members = new HashSet<>();
-            for (int i = 0; i < PROCESSES; i++) {
-                members.add(VmId.of("vm-" + i));
-            }
+            Set<VmId> members =
+                    processes.stream()
+                            .filter(p -> !p.left)
+                            .map(p -> p.vm)
+                            .collect(Collectors.toSet());
             coordinator.tick(List.of(group), members, lease);
             clock.schedule(this::tick, Duration.ofMillis(50));
         }
