Keep every promise when the store is restored from a copy

A store that was restored from a copy has lost its latest writes and leases, assigns their revisions again and reports an era that is one higher in the header Store-Era. Nothing read that header; revisions were compared by number alone, so a key whose revision went back was ignored, and a fencing token could go back.

StoreRevision (era and number) and StoreEra are types of the store package. A response of an earlier era is dropped, a write that expects a revision of an earlier era is not sent or not confirmed. With the first response of a later era all keys are listed again, the process registers under a new lease, leases of failovers end, no failover starts for 3.5 s, votes alone permit none for 15 s, and recorded promotion requests stay known. Fencing tokens hold the era in their upper bits. An entry of an instance that an earlier heartbeat wrote does not replace a later one, so a draining instance does not return to use.

A failover is now also abandoned when it finds that the primary was already replaced.

--- a/carobstage/src/main/java/org/carobstage/discovery/InstanceEntry.java
+++ b/carobstage/src/main/java/org/carobstage/discovery/InstanceEntry.java
@@ -18,6 +18,7 @@
  * @param draining whether the instance is about to stop
  * @param primary whether the instance registered as primary
  * @param bornMillis the start time of the instance, in ms since the Unix epoch
+ * @param heartbeat the number of the heartbeat that wrote the entry, counted since the start
  */
 public record InstanceEntry(
         InstanceId id,
@@ -27,7 +28,8 @@
         int slots,
         boolean draining,
         boolean primary,
-        long bornMillis) {
+        long bornMillis,
+        long heartbeat) {
     /** Rejects null components. */
     public InstanceEntry {
         requireNonNull(id, "id is null");
@@ -35,4 +37,15 @@
         requireNonNull(address, "address is null");
         requireNonNull(domain, "domain is null");
     }
+
+    /**
+     * Returns whether the same run of the instance wrote another entry later. A store that was
+     * restored from a copy shows such earlier entries until the next heartbeat.
+     *
+     * @param other the other entry
+     * @return true if this entry is the earlier one
+     */
+    public boolean isEarlierThan(InstanceEntry other) {
+        return id.equals(other.id) && bornMillis == other.bornMillis && heartbeat < other.heartbeat;
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/discovery/InstanceRegistry.java
+++ b/carobstage/src/main/java/org/carobstage/discovery/InstanceRegistry.java
@@ -57,6 +57,15 @@
         }
     }
 
+    /**
+     * Ends the grace period of an entry that is listed again.
+     *
+     * @param id the instance
+     */
+    public void markPresent(InstanceId id) {
+        missingSince.remove(id);
+    }
+
     /**
      * Restarts the grace period of all missing entries after a store outage.
      *
--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -78,6 +78,8 @@
     INSTANCE_CHANGED(2024, Level.INFO),
     /** The set of processes that share the connections has changed. */
     MEMBERS_CHANGED(2025, Level.INFO),
+    /** The store was restored from a copy and has lost its latest changes. */
+    STORE_RESTORED(2026, Level.WARNING),
     /** The settings were reloaded. */
     SETTINGS_RELOADED(1005, Level.INFO),
     /** The proxy rejected a statement; if it is a write, no instance executed it. */
--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -18,6 +18,7 @@
 import org.carobstage.sql.InstanceStatus;
 import org.carobstage.sql.Statement;
 import org.carobstage.store.StoreResponse;
+import org.carobstage.store.StoreRevision;
 import org.carobstage.upstream.ServiceGroup;
 
 /**
@@ -171,6 +172,10 @@
             abandon("the old primary responds again");
             return;
         }
+        if (group.leadership().leader().filter(l -> !l.equals(oldPrimary)).isPresent()) {
+            abandon("the primary has already been replaced");
+            return;
+        }
         List<Replica> candidates =
                 replicas().stream()
                         .filter(e -> pausedReplicas.containsKey(e.id()))
@@ -258,10 +263,10 @@
         }
     }
 
-    private void onPromotionRecorded(StoreResponse<Long> response) {
-        if (response instanceof StoreResponse.Success<Long>) {
+    private void onPromotionRecorded(StoreResponse<StoreRevision> response) {
+        if (response instanceof StoreResponse.Success<StoreRevision>) {
             requestPromotion();
-        } else if (response instanceof StoreResponse.Mismatch<Long> || !lease.isHeld()) {
+        } else if (response instanceof StoreResponse.Mismatch<StoreRevision> || !lease.isHeld()) {
             abandon("the promotion request could not be recorded: " + response);
         } else {
             context.clock().schedule(this::recordPromotion, STORE_RETRY_DELAY);
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -24,6 +24,7 @@
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreEntry;
 import org.carobstage.store.StoreResponse;
+import org.carobstage.store.StoreRevision;
 import org.carobstage.store.StoreWrite;
 import org.carobstage.upstream.ServiceGroup;
 
@@ -60,6 +61,9 @@
      */
     private static final Duration DEPARTED_MEMBER_TIMEOUT = Duration.ofMillis(15_000);
 
+    /** The time in which members and votes that a restored store has lost are written again. */
+    private static final Duration RESTORE_GRACE_PERIOD = Duration.ofMillis(3_500);
+
     private final FailoverContext context;
     private final Map<ServiceName, State> states = new TreeMap<>();
     private final Map<ServiceName, Map<VmId, Vote>> votes = new HashMap<>();
@@ -81,7 +85,10 @@
      * @return the coordinator
      */
     public static FailoverCoordinator of(FailoverContext context) {
-        return new FailoverCoordinator(requireNonNull(context, "context is null"));
+        requireNonNull(context, "context is null");
+        FailoverCoordinator coordinator = new FailoverCoordinator(context);
+        context.store().era().addListener(coordinator::onStoreRestored);
+        return coordinator;
     }
 
     /**
@@ -103,7 +110,7 @@
             PendingPromotion.parse(entry, ClockReading.now(context.clock()))
                     .ifPresentOrElse(
                             p -> pendingPromotions.put(service, p),
-                            () -> pendingPromotions.remove(service));
+                            () -> removePendingPromotion(service, entry.revision().era()));
         } else if (entry.key().startsWith(FailoverKeys.VOTE_PREFIX)) {
             applyVote(entry);
         }
@@ -125,6 +132,24 @@
         groups.forEach(group -> tick(group, members, lease));
     }
 
+    /**
+     * Discards what rests on the lost history. Members and votes may be missing, and votes that
+     * were withdrawn may be back, so no failover starts until the processes have written them
+     * again.
+     */
+    private void onStoreRestored(long era) {
+        ClockReading now = ClockReading.now(context.clock());
+        membersStableSince = now;
+        states.values()
+                .forEach(
+                        state -> {
+                            state.lease.onStoreRestored();
+                            state.storedVote = Optional.empty();
+                            state.postponeFailover(
+                                    now.monotonicNanos() + RESTORE_GRACE_PERIOD.toNanos());
+                        });
+    }
+
     private void tick(ServiceGroup group, Set<VmId> members, Optional<LeaseId> lease) {
         State state = states.computeIfAbsent(group.name(), n -> new State(context, n));
         Optional<InstanceId> primary = findPrimary(group);
@@ -200,7 +225,7 @@
     private void onFailoverEnded(State state, boolean promotionRequested) {
         state.failoverRunning = false;
         state.lease.release(promotionRequested);
-        state.nextFailoverNanos = context.clock().nanoTime() + FAILOVER_COOLDOWN.toNanos();
+        state.postponeFailover(context.clock().nanoTime() + FAILOVER_COOLDOWN.toNanos());
     }
 
     /** Returns the known leader or, if there is none, the instance that registered as primary. */
@@ -260,8 +285,8 @@
                         response -> {
                             state.voteWritePending = false;
                             state.voteMayBeStored |=
-                                    !(response instanceof StoreResponse.Refused<Long>);
-                            if (response instanceof StoreResponse.Success<Long>) {
+                                    !(response instanceof StoreResponse.Refused<StoreRevision>);
+                            if (response instanceof StoreResponse.Success<StoreRevision>) {
                                 state.storedVote = Optional.of(leasedVote);
                             } else {
                                 scheduleVoteRetry(state);
@@ -287,7 +312,7 @@
                                 FailoverKeys.lease(group.name())),
                         response -> {
                             state.voteWritePending = false;
-                            if (response instanceof StoreResponse.Success<Long>) {
+                            if (response instanceof StoreResponse.Success<StoreRevision>) {
                                 state.voteMayBeStored = false;
                                 state.storedVote = Optional.empty();
                                 group.fence(Optional.empty());
@@ -316,11 +341,35 @@
         Map<VmId, Vote> serviceVotes =
                 votes.computeIfAbsent(ServiceName.of(parts[0]), n -> new TreeMap<>());
         VmId vm = VmId.of(parts[1]);
+        if (vm.equals(context.vm())) {
+            applyOwnVote(ServiceName.of(parts[0]), entry.value().isPresent());
+        }
         entry.value()
                 .flatMap(Vote::parse)
                 .ifPresentOrElse(vote -> serviceVotes.put(vm, vote), () -> serviceVotes.remove(vm));
     }
 
+    /** A restored store may have lost a vote of this process, or hold one that was withdrawn. */
+    private void applyOwnVote(ServiceName service, boolean stored) {
+        State state = states.get(service);
+        if (state == null || state.voteWritePending) {
+            return;
+        }
+        if (!stored) {
+            state.storedVote = Optional.empty();
+        } else if (state.storedVote.isEmpty()) {
+            state.voteMayBeStored = true;
+        }
+    }
+
+    /** Keeps a request that a restored store has lost, since the platform may still execute it. */
+    private void removePendingPromotion(ServiceName service, long era) {
+        PendingPromotion pending = pendingPromotions.get(service);
+        if (pending != null && pending.era() == era) {
+            pendingPromotions.remove(service);
+        }
+    }
+
     private long countVotes(ServiceName service, InstanceId primary, Set<VmId> members) {
         return votes.getOrDefault(service, Map.of()).entrySet().stream()
                 .filter(e -> members.contains(e.getKey()))
@@ -440,5 +489,11 @@
             this.replicasQueriedNanos = nextFailoverNanos;
             this.nextVoteNanos = nextFailoverNanos;
         }
+
+        private void postponeFailover(long untilNanos) {
+            if (untilNanos - nextFailoverNanos > 0) {
+                nextFailoverNanos = untilNanos;
+            }
+        }
     }
 }
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
@@ -9,12 +9,14 @@
 import org.carobstage.model.ServiceName;
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreResponse;
+import org.carobstage.store.StoreRevision;
 import org.carobstage.store.StoreWrite;
 
 /**
  * The lease that a process must hold to replace the primary of a service. Its fencing token is the
  * store revision at which it was acquired. A holder that has requested a promotion lets the lease
- * expire instead of revoking it, so that holders do not change in quick succession.
+ * expire instead of revoking it, so that holders do not change in quick succession. A lease does
+ * not outlive the era of the store in which it was acquired.
  */
 final class FailoverLease {
     /** Outlasts a slow store, yet lets another process acquire the lease soon after a crash. */
@@ -30,7 +32,7 @@
     private final FailoverContext context;
     private final ServiceName service;
     private Optional<LeaseId> lease = Optional.empty();
-    private long fencingToken;
+    private StoreRevision acquiredAt = StoreRevision.NONE;
     private ClockReading renewedAt;
     private boolean inUse;
     private boolean usedForPromotion;
@@ -47,7 +49,7 @@
 
     /** Returns the fencing token of the lease that is or was held last. */
     long fencingToken() {
-        return fencingToken;
+        return acquiredAt.toFencingToken();
     }
 
     /** Acquires the lease, or renews it if it is already held. */
@@ -73,6 +75,12 @@
                         });
     }
 
+    /** Drops the lease, which a restored store may have lost or granted to another process. */
+    void onStoreRestored() {
+        lease = Optional.empty();
+        usedForPromotion = false;
+    }
+
     /**
      * Releases the lease. It expires after its TTL if a promotion was requested under it. Otherwise
      * it is revoked at once, so that writes may go to the old primary again.
@@ -97,15 +105,15 @@
                 .write(
                         putHolder,
                         response -> {
-                            if (response instanceof StoreResponse.Success<Long> success) {
+                            if (response instanceof StoreResponse.Success<StoreRevision> success) {
                                 lease = Optional.of(granted);
                                 usedForPromotion = false;
-                                fencingToken = success.value();
+                                acquiredAt = success.value();
                                 renewedAt = requestedAt;
                                 context.record(
                                         EventCode.FAILOVER_LEASE_HELD,
                                         service,
-                                        "fence=" + fencingToken);
+                                        "fence=" + fencingToken());
                                 scheduleRenewal();
                                 onAcquired.run();
                             } else {
@@ -119,10 +127,10 @@
      * Records a promotion request before it is sent. The store accepts the record only while this
      * process holds the lease.
      */
-    void recordPromotion(InstanceId target, Consumer<StoreResponse<Long>> callback) {
+    void recordPromotion(InstanceId target, Consumer<StoreResponse<StoreRevision>> callback) {
         StoreWrite write =
                 StoreWrite.put(FailoverKeys.promotion(service), target.value(), LeaseId.NONE)
-                        .onlyIf(FailoverKeys.lease(service), fencingToken);
+                        .onlyIf(FailoverKeys.lease(service), acquiredAt);
         context.store().write(write, callback);
     }
 
@@ -130,7 +138,7 @@
     void clearPromotion() {
         StoreWrite write =
                 StoreWrite.delete(FailoverKeys.promotion(service))
-                        .onlyIf(FailoverKeys.lease(service), fencingToken);
+                        .onlyIf(FailoverKeys.lease(service), acquiredAt);
         context.store().write(write, response -> {});
     }
 
--- a/carobstage/src/main/java/org/carobstage/failover/PendingPromotion.java
+++ b/carobstage/src/main/java/org/carobstage/failover/PendingPromotion.java
@@ -16,8 +16,9 @@
  *
  * @param target the instance to promote
  * @param recordedAt when this process learned of the request
+ * @param era the era of the store that holds the record
  */
-record PendingPromotion(InstanceId target, ClockReading recordedAt) {
+record PendingPromotion(InstanceId target, ClockReading recordedAt, long era) {
     /** The platform executes an unanswered request within 12 s or not at all. */
     static final Duration TIMEOUT = Duration.ofMillis(15_000);
 
@@ -30,7 +31,10 @@
     static Optional<PendingPromotion> parse(StoreEntry entry, ClockReading now) {
         return entry.value()
                 .filter(text -> !text.isBlank())
-                .map(text -> new PendingPromotion(InstanceId.of(text), now));
+                .map(
+                        text ->
+                                new PendingPromotion(
+                                        InstanceId.of(text), now, entry.revision().era()));
     }
 
     boolean isPending(ClockReading now) {
--- a/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
@@ -15,6 +15,7 @@
 import org.carobstage.store.MetadataStore;
 import org.carobstage.store.StoreEntry;
 import org.carobstage.store.StoreResponse;
+import org.carobstage.store.StoreRevision;
 import org.carobstage.store.StoreWrite;
 
 /**
@@ -58,6 +59,7 @@
         this.events = requireNonNull(events, "events is null");
         this.startNanos = clock.nanoTime();
         this.members.add(vm);
+        store.era().addListener(era -> rejoin());
     }
 
     void join() {
@@ -75,6 +77,14 @@
                 });
     }
 
+    /** Joins with a new lease, since a restored store may have lost the lease or its key. */
+    private void rejoin() {
+        if (!leaving && lease.isPresent()) {
+            lease = Optional.empty();
+            join();
+        }
+    }
+
     /** Revokes the lease, so that the other processes can use the connections of this one. */
     void leave() {
         leaving = true;
@@ -127,7 +137,7 @@
         store.write(
                 StoreWrite.put(MEMBER_KEY_PREFIX + vm, vm.value(), grantedLease),
                 response -> {
-                    if (response instanceof StoreResponse.Success<Long>) {
+                    if (response instanceof StoreResponse.Success<StoreRevision>) {
                         lease = Optional.of(grantedLease);
                         clock.schedule(() -> renew(grantedLease), RENEWAL_INTERVAL);
                     } else {
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -210,6 +210,10 @@
     }
 
     private void register(InstanceEntry entry) {
+        if (instanceRegistry.find(entry.id()).filter(entry::isEarlierThan).isPresent()) {
+            instanceRegistry.markPresent(entry.id());
+            return;
+        }
         instanceRegistry.put(entry);
         events.record(EventCode.INSTANCE_CHANGED, EventScope.empty(), entry.toString());
         groups.values().stream()
--- a/carobstage/src/main/java/org/carobstage/store/MetadataStore.java
+++ b/carobstage/src/main/java/org/carobstage/store/MetadataStore.java
@@ -10,6 +10,13 @@
  * completes with exactly one response.
  */
 public interface MetadataStore {
+    /**
+     * Returns the era of the store, which changes when the store is restored from a copy.
+     *
+     * @return the era that the responses report
+     */
+    StoreEra era();
+
     /**
      * Lists one page of the keys that carobstage uses.
      *
@@ -25,15 +32,16 @@
      * @param wait the maximum wait
      * @param callback receives the changes, possibly none
      */
-    void watch(long revision, Duration wait, Consumer<StoreResponse<Page>> callback);
+    void watch(StoreRevision revision, Duration wait, Consumer<StoreResponse<Page>> callback);
 
     /**
-     * Applies a conditional write.
+     * Applies a conditional write. It succeeds only in the era of the revisions that it expects,
+     * since a later era assigns their numbers again.
      *
      * @param write the conditions and changes
      * @param callback receives the store's revision after the write
      */
-    void write(StoreWrite write, Consumer<StoreResponse<Long>> callback);
+    void write(StoreWrite write, Consumer<StoreResponse<StoreRevision>> callback);
 
     /**
      * Grants a lease.
@@ -66,7 +74,7 @@
      * @param revision the store's revision, after which to watch next
      * @param hasMore whether more pages follow
      */
-    record Page(List<StoreEntry> entries, long revision, boolean hasMore) {
+    record Page(List<StoreEntry> entries, StoreRevision revision, boolean hasMore) {
         /** Copies the list. */
         public Page {
             entries = List.copyOf(entries);
--- a/carobstage/src/main/java/org/carobstage/store/StoreEntry.java
+++ b/carobstage/src/main/java/org/carobstage/store/StoreEntry.java
@@ -11,10 +11,11 @@
  * @param value the value as UTF-8 text, empty if the key was deleted
  * @param revision the revision of its last change
  */
-public record StoreEntry(String key, Optional<String> value, long revision) {
+public record StoreEntry(String key, Optional<String> value, StoreRevision revision) {
     /** Rejects null components. */
     public StoreEntry {
         requireNonNull(key, "key is null");
         requireNonNull(value, "value is null");
+        requireNonNull(revision, "revision is null");
     }
 }
--- a/carobstage/src/main/java/org/carobstage/store/StoreWatcher.java
+++ b/carobstage/src/main/java/org/carobstage/store/StoreWatcher.java
@@ -37,8 +37,9 @@
     private final Clock clock;
     private final EventLog events;
     private final Listener listener;
-    private final Map<String, Long> revisions = new HashMap<>();
+    private final Map<String, StoreRevision> revisions = new HashMap<>();
     private Duration retryDelay = INITIAL_RETRY_DELAY;
+    private long run;
     private boolean reachable;
     private boolean initialListComplete;
     private boolean closed;
@@ -69,7 +70,8 @@
 
     /** Starts the first listing. */
     public void start() {
-        listPage(Optional.empty(), 0, new HashSet<>());
+        store.era().addListener(this::onRestored);
+        list();
     }
 
     /** Stops watching; responses that are still outstanding are ignored. */
@@ -86,26 +88,56 @@
         return reachable;
     }
 
-    private void listPage(Optional<String> after, long firstPageRevision, Set<String> listedKeys) {
-        store.list(after, response -> handleListResponse(response, firstPageRevision, listedKeys));
+    /** Lists all keys again; the revisions known so far may have been lost or assigned again. */
+    private void onRestored(long era) {
+        if (closed) {
+            return;
+        }
+        events.record(
+                EventCode.STORE_RESTORED,
+                EventScope.empty(),
+                "era=" + era + " known_keys=" + revisions.size() + " listing all keys again");
+        listener.onReconnected();
+        list();
+    }
+
+    /** Starts a listing, which replaces the listing or watch in progress. */
+    private void list() {
+        run++;
+        listPage(run, Optional.empty(), StoreRevision.NONE, new HashSet<>());
+    }
+
+    private void listPage(
+            long currentRun,
+            Optional<String> after,
+            StoreRevision firstPageRevision,
+            Set<String> listedKeys) {
+        store.list(
+                after,
+                response ->
+                        handleListResponse(currentRun, response, firstPageRevision, listedKeys));
     }
 
     private void handleListResponse(
-            StoreResponse<Page> response, long firstPageRevision, Set<String> listedKeys) {
-        if (closed) {
+            long currentRun,
+            StoreResponse<Page> response,
+            StoreRevision firstPageRevision,
+            Set<String> listedKeys) {
+        if (closed || currentRun != run) {
             return;
         }
         if (!(response instanceof StoreResponse.Success<Page> success)) {
-            retryAfterFailure("listing", response, this::start);
+            retryAfterFailure("listing", response);
             return;
         }
         Page page = success.value();
-        long watchRevision = firstPageRevision == 0 ? page.revision() : firstPageRevision;
+        StoreRevision watchRevision =
+                firstPageRevision.equals(StoreRevision.NONE) ? page.revision() : firstPageRevision;
         page.entries().forEach(entry -> listedKeys.add(entry.key()));
         page.entries().forEach(this::apply);
         if (page.hasMore() && !page.entries().isEmpty()) {
             String lastKey = page.entries().get(page.entries().size() - 1).key();
-            listPage(Optional.of(lastKey), watchRevision, listedKeys);
+            listPage(currentRun, Optional.of(lastKey), watchRevision, listedKeys);
             return;
         }
         List<String> deletedKeys =
@@ -114,34 +146,38 @@
         initialListComplete = true;
         handleSuccess();
         listener.onListed();
-        watch(watchRevision);
+        watch(currentRun, watchRevision);
     }
 
-    private void watch(long revision) {
-        if (!closed) {
-            store.watch(revision, WATCH_WAIT, response -> handleWatchResponse(revision, response));
+    private void watch(long currentRun, StoreRevision revision) {
+        if (!closed && currentRun == run) {
+            store.watch(
+                    revision,
+                    WATCH_WAIT,
+                    response -> handleWatchResponse(currentRun, revision, response));
         }
     }
 
-    private void handleWatchResponse(long revision, StoreResponse<Page> response) {
-        if (closed) {
+    private void handleWatchResponse(
+            long currentRun, StoreRevision revision, StoreResponse<Page> response) {
+        if (closed || currentRun != run) {
             return;
         }
         if (response instanceof StoreResponse.Success<Page> success) {
             handleSuccess();
             success.value().entries().forEach(this::apply);
-            long nextRevision = Math.max(revision, success.value().revision());
-            clock.schedule(() -> watch(nextRevision), WATCH_DELAY);
+            StoreRevision nextRevision = revision.max(success.value().revision());
+            clock.schedule(() -> watch(currentRun, nextRevision), WATCH_DELAY);
         } else if (response instanceof StoreResponse.HistoryGone<Page>) {
-            start();
+            list();
         } else {
-            retryAfterFailure("watch", response, this::start);
+            retryAfterFailure("watch", response);
         }
     }
 
     private void apply(StoreEntry entry) {
-        Long knownRevision = revisions.get(entry.key());
-        if (knownRevision != null && knownRevision >= entry.revision()) {
+        StoreRevision knownRevision = revisions.get(entry.key());
+        if (knownRevision != null && knownRevision.compareTo(entry.revision()) >= 0) {
             return;
         }
         if (entry.value().isPresent()) {
@@ -161,7 +197,7 @@
         }
     }
 
-    private void retryAfterFailure(String call, StoreResponse<Page> response, Runnable retry) {
+    private void retryAfterFailure(String call, StoreResponse<Page> response) {
         if (reachable || !initialListComplete) {
             events.record(
                     EventCode.STORE_LOST,
@@ -169,7 +205,14 @@
                     "call=" + call + " reply=" + response);
         }
         reachable = false;
-        clock.schedule(retry, retryDelay);
+        long failedRun = run;
+        clock.schedule(
+                () -> {
+                    if (failedRun == run) {
+                        list();
+                    }
+                },
+                retryDelay);
         retryDelay =
                 retryDelay.multipliedBy(2).compareTo(MAX_RETRY_DELAY) > 0
                         ? MAX_RETRY_DELAY
@@ -188,7 +231,10 @@
         /** All keys were listed. */
         void onListed();
 
-        /** The store responded for the first time, or again after a failure. */
+        /**
+         * The store responded for the first time, again after a failure, or for the first time
+         * after it was restored from a copy.
+         */
         void onReconnected();
 
         /**
--- a/carobstage/src/main/java/org/carobstage/store/StoreWrite.java
+++ b/carobstage/src/main/java/org/carobstage/store/StoreWrite.java
@@ -40,7 +40,9 @@
      */
     public static StoreWrite putIfAbsent(String key, String value, LeaseId lease) {
         return new StoreWrite(
-                List.of(new Condition(key, 0)), List.of(new Put(key, value, lease)), List.of());
+                List.of(new Condition(key, StoreRevision.NONE)),
+                List.of(new Put(key, value, lease)),
+                List.of());
     }
 
     /**
@@ -61,17 +63,18 @@
      * @return the write
      */
     public static StoreWrite deleteUnlessExists(String key, String absent) {
-        return new StoreWrite(List.of(new Condition(absent, 0)), List.of(), List.of(key));
+        return new StoreWrite(
+                List.of(new Condition(absent, StoreRevision.NONE)), List.of(), List.of(key));
     }
 
     /**
      * Adds a condition.
      *
      * @param key the key
-     * @param revision the revision that the key must have, 0 if it must not exist
+     * @param revision the revision that the key must have
      * @return the write with all conditions
      */
-    public StoreWrite onlyIf(String key, long revision) {
+    public StoreWrite onlyIf(String key, StoreRevision revision) {
         List<Condition> all = new ArrayList<>(conditions);
         all.add(new Condition(key, revision));
         return new StoreWrite(all, puts, deletes);
@@ -81,9 +84,9 @@
      * A revision that a key must have for the write to be applied.
      *
      * @param key the key
-     * @param revision the revision, 0 if the key must not exist
+     * @param revision the revision, {@link StoreRevision#NONE} if the key must not exist
      */
-    public record Condition(String key, long revision) {}
+    public record Condition(String key, StoreRevision revision) {}
 
     /**
      * A key to write.
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
@@ -177,7 +177,7 @@
 
     @Test
     void shouldSendNoWriteToOldPrimaryWhenItRecoversDuringFailover() {
-        keepMembersStable();
+        advanceSecondsInUse(16);
         instance("c").crash();
         instance("a").crash();
         advanceMillis(1_500);
@@ -286,7 +286,7 @@
 
     @Test
     void shouldNotTrustVotesAloneWhenMemberHasDisappeared() {
-        keepMembersStable();
+        advanceSecondsInUse(16);
         processes.get(2).leave();
         advanceMillis(100);
         instance("c").crash();
@@ -310,9 +310,97 @@
         assertThat(service.instances()).filteredOn(FakeInstance::isPrimary).hasSize(1);
     }
 
-    /** Advances to the time from which the votes of all members cover every commit. */
-    private void keepMembersStable() {
-        for (int i = 0; i < 16; i++) {
+    @Test
+    void shouldIncreaseFencingTokenWhenStoreWasRestored() {
+        store.copy();
+        instance("a").stopResponding();
+        advanceMillis(4_000);
+        FakeInstance secondPrimary = service.primary().orElseThrow();
+        instance("a").recover();
+        advanceMillis(4_000);
+        store.restore();
+        advanceSecondsInUse(4);
+        secondPrimary.stopResponding();
+        advanceSecondsInUse(10);
+
+        List<Long> fencingTokens =
+                service.receivedPromotionRequests().stream()
+                        .map(r -> Long.parseLong(r.split(" ")[1]))
+                        .toList();
+        assertThat(fencingTokens).hasSizeGreaterThan(1).isSorted().doesNotHaveDuplicates();
+    }
+
+    @Test
+    void shouldNotRequestPromotionUnderLeaseThatRestoredStoreHasLost() {
+        store.copy();
+        instance("a").stopResponding();
+        while (store.get("carobstage/failover/forms").isEmpty()) {
+            advanceMillis(1);
+        }
+        store.restore();
+        advanceMillis(3_000);
+        assertThat(service.receivedPromotionRequests()).isEmpty();
+
+        advanceMillis(6_000);
+
+        assertThat(service.receivedPromotionRequests()).hasSize(1);
+    }
+
+    @Test
+    void shouldCastVoteAgainWhenRestoredStoreHasLostIt() {
+        store.copy();
+        processes.get(0).unreachable.add(InstanceId.of("a"));
+        advanceMillis(2_000);
+        assertThat(store.keys("carobstage/votes/")).hasSize(1);
+        store.restore();
+        advanceMillis(1_000);
+
+        assertThat(store.keys("carobstage/votes/")).hasSize(1);
+    }
+
+    @Test
+    void shouldWithdrawVoteAgainWhenRestoredStoreBringsItBack() {
+        processes.get(0).unreachable.add(InstanceId.of("a"));
+        advanceMillis(2_000);
+        store.copy();
+        processes.get(0).unreachable.clear();
+        advanceMillis(2_000);
+        assertThat(store.keys("carobstage/votes/")).isEmpty();
+        store.restore();
+        advanceMillis(2_000);
+
+        assertThat(store.keys("carobstage/votes/")).isEmpty();
+    }
+
+    @Test
+    void shouldNotTrustVotesAloneAfterStoreWasRestored() {
+        advanceSecondsInUse(16);
+        store.copy();
+        store.restore();
+        advanceMillis(100);
+        instance("c").crash();
+        instance("a").crash();
+        advanceMillis(8_000);
+
+        assertThat(service.receivedPromotionRequests()).isEmpty();
+    }
+
+    @Test
+    void shouldRememberPendingRequestThatRestoredStoreHasLost() {
+        store.copy();
+        store.put("carobstage/promotions/forms", "c");
+        advanceMillis(100);
+        store.restore();
+        instance("b").receive(LogPosition.of(1, 9));
+        instance("a").stopResponding();
+        advanceMillis(10_000);
+
+        assertThat(service.receivedPromotionRequests()).isEmpty();
+    }
+
+    /** Advances while every process sends statements, so that it notices a silent primary. */
+    private void advanceSecondsInUse(int seconds) {
+        for (int i = 0; i < seconds; i++) {
             processes.forEach(p -> p.acquirePrimaryConnection(new ArrayList<>()));
             advanceMillis(1_000);
         }
--- a/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
@@ -12,7 +12,9 @@
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.MetadataStore;
 import org.carobstage.store.StoreEntry;
+import org.carobstage.store.StoreEra;
 import org.carobstage.store.StoreResponse;
+import org.carobstage.store.StoreRevision;
 import org.carobstage.store.StoreWrite;
 
 /**
@@ -21,13 +23,18 @@
  */
 public final class FakeMetadataStore {
     private static final Duration RESPONSE_DELAY = Duration.ofMillis(4);
+    private static final Duration RESTORED_TTL = Duration.ofSeconds(3);
 
     private final Clock clock;
     private final Map<String, Value> values = new TreeMap<>();
     private final List<StoreEntry> history = new ArrayList<>();
     private final List<Watch> watches = new ArrayList<>();
     private final Map<LeaseId, Long> leases = new HashMap<>();
+    private long era = 1;
     private long revision = 1;
+    private Map<String, Value> copiedValues = Map.of();
+    private Map<LeaseId, Long> copiedLeases = Map.of();
+    private long copiedRevision;
     private long historyStart = 1;
     private long nextLeaseId = 100;
 
@@ -49,7 +56,8 @@
 
     public void delete(String key) {
         if (values.remove(key) != null) {
-            recordChange(new StoreEntry(key, Optional.empty(), ++revision));
+            ++revision;
+            recordChange(new StoreEntry(key, Optional.empty(), currentRevision()));
         }
     }
 
@@ -69,9 +77,38 @@
         pending.forEach(watch -> watch.callback().accept(new StoreResponse.HistoryGone<>()));
     }
 
+    /** Copies the values and leases, which {@link #restore} brings back. */
+    public void copy() {
+        copiedValues = new TreeMap<>(values);
+        copiedLeases = new HashMap<>(leases);
+        copiedRevision = revision;
+    }
+
+    /**
+     * Restores the copy: later writes and leases are lost, revisions are assigned again, and every
+     * process learns of the next era with its next response.
+     */
+    public void restore() {
+        era++;
+        revision = copiedRevision;
+        historyStart = revision + 1;
+        values.clear();
+        values.putAll(copiedValues);
+        leases.clear();
+        copiedLeases.keySet().forEach(lease -> extend(lease, RESTORED_TTL));
+        history.clear();
+        List<Watch> pending = List.copyOf(watches);
+        watches.clear();
+        pending.forEach(watch -> watch.callback().accept(new StoreResponse.HistoryGone<>()));
+    }
+
+    private StoreRevision currentRevision() {
+        return new StoreRevision(era, revision);
+    }
+
     private void put(String key, String value, LeaseId lease) {
         values.put(key, new Value(value, ++revision, lease));
-        recordChange(new StoreEntry(key, Optional.of(value), revision));
+        recordChange(new StoreEntry(key, Optional.of(value), currentRevision()));
     }
 
     private void recordChange(StoreEntry entry) {
@@ -83,19 +120,22 @@
 
     private void complete(Watch watch) {
         List<StoreEntry> entries =
-                history.stream().filter(entry -> entry.revision() > watch.afterRevision()).toList();
+                history.stream()
+                        .filter(entry -> entry.revision().number() > watch.afterRevision())
+                        .toList();
         watch.callback()
                 .accept(
                         new StoreResponse.Success<>(
-                                new MetadataStore.Page(entries, revision, false)));
+                                new MetadataStore.Page(entries, currentRevision(), false)));
     }
 
     private List<StoreEntry> entries() {
         return values.entrySet().stream().map(e -> toStoreEntry(e.getKey(), e.getValue())).toList();
     }
 
-    private static StoreEntry toStoreEntry(String key, Value value) {
-        return new StoreEntry(key, Optional.of(value.text()), value.revision());
+    private StoreEntry toStoreEntry(String key, Value value) {
+        return new StoreEntry(
+                key, Optional.of(value.text()), new StoreRevision(era, value.revision()));
     }
 
     private void expireUnlessRenewed(LeaseId lease, long expiresAtNanos) {
@@ -130,6 +170,7 @@
     /** The connection of one process to the store; a test can interrupt it. */
     public final class Client implements MetadataStore {
         private final Map<LeaseId, Duration> ttls = new HashMap<>();
+        private final StoreEra storeEra = StoreEra.unknown();
         private boolean reachable = true;
         private int callCount;
 
@@ -141,16 +182,23 @@
             return callCount;
         }
 
+        @Override
+        public StoreEra era() {
+            return storeEra;
+        }
+
         @Override
         public void list(Optional<String> afterKey, Consumer<StoreResponse<Page>> callback) {
             respondLater(
                     callback,
-                    () -> new StoreResponse.Success<>(new Page(entries(), revision, false)));
+                    () ->
+                            new StoreResponse.Success<>(
+                                    new Page(entries(), currentRevision(), false)));
         }
 
         @Override
         public void watch(
-                long afterRevision, Duration wait, Consumer<StoreResponse<Page>> callback) {
+                StoreRevision after, Duration wait, Consumer<StoreResponse<Page>> callback) {
             callCount++;
             if (!reachable) {
                 clock.schedule(
@@ -158,20 +206,12 @@
                         wait);
                 return;
             }
-            if (afterRevision < historyStart - 1) {
+            if (after.number() < historyStart - 1 || after.number() > revision) {
                 callback.accept(new StoreResponse.HistoryGone<>());
                 return;
             }
-            Watch watch =
-                    new Watch(
-                            afterRevision,
-                            response ->
-                                    callback.accept(
-                                            reachable
-                                                    ? response
-                                                    : new StoreResponse.NoAnswer<>(
-                                                            "store unreachable")));
-            if (history.stream().anyMatch(entry -> entry.revision() > afterRevision)) {
+            Watch watch = new Watch(after.number(), response -> callback.accept(respond(response)));
+            if (history.stream().anyMatch(entry -> entry.revision().number() > after.number())) {
                 clock.schedule(() -> complete(watch), RESPONSE_DELAY);
                 return;
             }
@@ -186,7 +226,7 @@
         }
 
         @Override
-        public void write(StoreWrite change, Consumer<StoreResponse<Long>> callback) {
+        public void write(StoreWrite change, Consumer<StoreResponse<StoreRevision>> callback) {
             respondLater(
                     callback,
                     () -> {
@@ -195,7 +235,7 @@
                                         .allMatch(
                                                 condition ->
                                                         revisionOf(condition.key())
-                                                                == condition.revision());
+                                                                .equals(condition.revision()));
                         if (!conditionsHold) {
                             return new StoreResponse.Mismatch<>();
                         }
@@ -204,7 +244,7 @@
                                         update ->
                                                 put(update.key(), update.value(), update.lease()));
                         change.deletes().forEach(FakeMetadataStore.this::delete);
-                        return new StoreResponse.Success<>(revision);
+                        return new StoreResponse.Success<>(currentRevision());
                     });
         }
 
@@ -243,8 +283,18 @@
                                     : new StoreResponse.Mismatch<>());
         }
 
-        private long revisionOf(String key) {
-            return Optional.ofNullable(values.get(key)).map(Value::revision).orElse(0L);
+        private StoreRevision revisionOf(String key) {
+            return Optional.ofNullable(values.get(key))
+                    .map(value -> new StoreRevision(era, value.revision()))
+                    .orElse(StoreRevision.NONE);
+        }
+
+        private <T> StoreResponse<T> respond(StoreResponse<T> response) {
+            if (!reachable) {
+                return new StoreResponse.NoAnswer<>("store unreachable");
+            }
+            storeEra.observe(era);
+            return response;
         }
 
         private <T> void respondLater(
@@ -255,7 +305,7 @@
                     () ->
                             callback.accept(
                                     reachable
-                                            ? call.get()
+                                            ? respond(call.get())
                                             : new StoreResponse.NoAnswer<>("store unreachable")),
                     RESPONSE_DELAY);
         }
--- a/carobstage/src/test/java/org/carobstage/fake/FakeService.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeService.java
@@ -183,6 +183,7 @@
                 3,
                 draining,
                 instance.isPrimary(),
+                0,
                 0);
     }
 }
--- a/carobstage/src/test/java/org/carobstage/front/ClusterMembershipTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ClusterMembershipTest.java
@@ -75,6 +75,21 @@
         assertThat(memberships).allMatch(m -> m.connectionQuota(CONNECTION_LIMIT) == 1);
     }
 
+    @Test
+    void shouldKeepQuotaWhenRestoredStoreHasLostMembers() {
+        List<ClusterMembership> memberships = start(1);
+        store.copy();
+        memberships = List.of(memberships.get(0), start(1).get(0), start(1).get(0));
+        store.restore();
+        for (int i = 0; i < 100; i++) {
+            advanceMillis(50);
+            assertThat(memberships).allMatch(m -> m.connectionQuota(CONNECTION_LIMIT) == 6);
+        }
+
+        assertThat(memberships).allMatch(m -> m.members().size() == 3);
+        assertThat(store.keys("carobstage/members/")).hasSize(3);
+    }
+
     private List<ClusterMembership> start(int count) {
         List<ClusterMembership> memberships = new ArrayList<>();
         for (int i = 0; i < count; i++) {
--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
@@ -74,6 +74,18 @@
         assertThat(channel.isReady).isTrue();
     }
 
+    @Test
+    void shouldKeepServingWhenRestoredStoreLacksRoutesAndInstances() {
+        adapter.store.restore();
+        adapter.clock.advance(Duration.ofMillis(1_000));
+        RecordingChannel channel = new RecordingChannel();
+        ClientSession session = adapter.connect("drafts", channel).orElseThrow();
+        session.receive("r1", READ);
+        adapter.clock.advance(Duration.ofMillis(100));
+
+        assertThat(channel.lastResult().isSuccessful()).isTrue();
+    }
+
     @Test
     void shouldReportNotReadyAtOnceWhenStopping() {
         server.stop();
--- a/carobstage/src/test/java/org/carobstage/store/StoreWatcherTest.java
+++ b/carobstage/src/test/java/org/carobstage/store/StoreWatcherTest.java
@@ -69,6 +69,37 @@
         assertThat(reconnects).isEqualTo(2);
     }
 
+    @Test
+    void shouldListAgainWhenStoreIsRestoredFromCopy() {
+        store.put("servers/a", "x");
+        clock.advance(Duration.ofMillis(100));
+        store.copy();
+        store.put("op/config", "2");
+        store.put("servers/b", "y");
+        store.delete("servers/a");
+        clock.advance(Duration.ofMillis(100));
+        assertThat(values).containsOnlyKeys("op/config", "servers/b");
+
+        store.restore();
+        clock.advance(Duration.ofMillis(100));
+
+        assertThat(values).containsOnly(Map.entry("op/config", "1"), Map.entry("servers/a", "x"));
+        assertThat(reconnects).isEqualTo(2);
+    }
+
+    @Test
+    void shouldReportChangeWhenRestoredStoreAssignsItsRevisionAgain() {
+        store.copy();
+        store.put("op/config", "lost");
+        clock.advance(Duration.ofMillis(100));
+        store.restore();
+        clock.advance(Duration.ofMillis(100));
+        store.put("op/config", "again");
+        clock.advance(Duration.ofMillis(100));
+
+        assertThat(values).containsEntry("op/config", "again");
+    }
+
     @Test
     void shouldLimitCallsWhenNothingChanges() {
         int before = client.callCount();
