Query only the primary where a promotion fences the former one

The new setting enforces-fencing says so; with it the report of a primary suffices, a transaction needs no confirmation and a promotion request no record. Without a primary the replicas still confirm positions together, in both modes.

Ruled out: reading at the primary after one replica has confirmed the term (a primary that was demoted meanwhile runs the read on a log that it has not applied), and asking the store in place of a replica (the call costs more than the query).

--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -250,13 +250,18 @@
         }
     }
 
-    /** Records the request, so that a later holder knows what may still be executed. */
+    /**
+     * Records the request, so that a later holder knows what may still be executed. Enforced
+     * fencing makes this needless.
+     */
     private void recordPromotion() {
         if (ended) {
             return;
         }
         InstanceId promoted = target.orElseThrow();
-        if (pendingTarget.filter(p -> !p.equals(promoted)).isPresent()) {
+        if (context.fencingEnforced()) {
+            requestPromotion();
+        } else if (pendingTarget.filter(p -> !p.equals(promoted)).isPresent()) {
             abandon("a request to promote " + pendingTarget.get() + " may still be executed");
         } else {
             lease.recordPromotion(promoted, this::onPromotionRecorded);
@@ -345,7 +350,7 @@
             return;
         }
         ended = true;
-        if (promotionRequested && !hasUnansweredRequest) {
+        if (promotionRequested && !hasUnansweredRequest && !context.fencingEnforced()) {
             lease.clearPromotion();
         }
         context.record(EventCode.FAILOVER_ENDED, group.name(), outcome);
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverContext.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverContext.java
@@ -19,13 +19,15 @@
  * @param store the store that holds votes and leases
  * @param promotionClient the client that requests promotions from the platform
  * @param events the event log
+ * @param fencingEnforced whether the platform rejects requests with an outdated fencing token
  */
 public record FailoverContext(
         VmId vm,
         Clock clock,
         MetadataStore store,
         PromotionClient promotionClient,
-        EventLog events) {
+        EventLog events,
+        boolean fencingEnforced) {
     /** Rejects null components. */
     public FailoverContext {
         requireNonNull(vm, "vm is null");
--- a/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.carobstage.freshness.PrimaryPositionHistory.ObservedPosition;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
@@ -27,15 +28,22 @@
 
     private final Map<InstanceId, Member> members = new TreeMap<>();
 
-    private PositionQuorum() {}
+    private final boolean primarySuffices;
+    private Optional<ObservedPosition> primaryPosition = Optional.empty();
+
+    private PositionQuorum(boolean primarySuffices) {
+        this.primarySuffices = primarySuffices;
+    }
 
     /**
      * Creates the quorum of a group without instances.
      *
+     * @param primarySuffices whether a promotion ends the leadership of the former primary at once,
+     *     so that the report of a primary needs no confirmation
      * @return the quorum
      */
-    public static PositionQuorum empty() {
-        return new PositionQuorum();
+    public static PositionQuorum of(boolean primarySuffices) {
+        return new PositionQuorum(primarySuffices);
     }
 
     /**
@@ -67,6 +75,15 @@
         return members.size() <= 1 ? members.size() : Math.max(MIN_SIZE, members.size() - 1);
     }
 
+    /**
+     * Returns whether the report of a primary needs no confirmation.
+     *
+     * @return true if a promotion ends the leadership of the former primary at once
+     */
+    public boolean isPrimarySufficient() {
+        return primarySuffices;
+    }
+
     /**
      * Records the position that an instance reported.
      *
@@ -84,6 +101,7 @@
         member.received = Optional.of(received);
         member.requestedAt = Optional.of(requestedAt);
         if (primary) {
+            primaryPosition = Optional.of(new ObservedPosition(received, requestedAt));
             member.caughtUp = true;
             members.values().forEach(m -> m.setTarget(received, requestedAt));
         }
@@ -101,12 +119,21 @@
     }
 
     /**
-     * Returns the newest position that enough instances confirm.
+     * Returns the newest position that enough instances confirm, or that a sufficient primary
+     * reported.
      *
      * @return a position that covers every commit acknowledged before the time it was requested at,
      *     or empty if too few instances have reported
      */
     public Optional<ObservedPosition> newest() {
+        Optional<ObservedPosition> confirmed = newestOfQuorum();
+        return primarySuffices
+                ? Stream.concat(confirmed.stream(), primaryPosition.stream())
+                        .max(Comparator.comparingLong(p -> p.requestedAt().monotonicNanos()))
+                : confirmed;
+    }
+
+    private Optional<ObservedPosition> newestOfQuorum() {
         List<Member> latest =
                 members.values().stream()
                         .filter(m -> m.caughtUp)
--- a/carobstage/src/main/java/org/carobstage/front/PrimaryConfirmation.java
+++ b/carobstage/src/main/java/org/carobstage/front/PrimaryConfirmation.java
@@ -54,12 +54,16 @@
             Consumer<String> onRejected) {
         begunPosition = Optional.empty();
         confirmedPosition = confirmedPosition.or(() -> recentPosition);
+        if (group.isFencingEnforced()) {
+            confirmedPosition = Optional.of(LogPosition.empty());
+        }
         if (confirmedPosition.isPresent()) {
             return;
         }
-        group.requestReadIndexBesidePrimary(
+        group.requestReadIndex(
                 receivedAt,
                 receivedAt.monotonicNanos() + route.timeout().toNanos(),
+                true,
                 position -> {
                     confirmedPosition = Optional.of(position);
                     onConfirmed.run();
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -73,7 +73,11 @@
                         metrics);
         this.upstream =
                 new UpstreamContext(
-                        clock, adapter.instanceConnector(), settings.failureDomain(), events);
+                        clock,
+                        adapter.instanceConnector(),
+                        settings.failureDomain(),
+                        events,
+                        settings.fencingEnforced());
         this.membership =
                 new ClusterMembership(settings.vm(), adapter.metadataStore(), clock, events);
         this.failoverCoordinator =
@@ -83,7 +87,8 @@
                                 clock,
                                 adapter.metadataStore(),
                                 adapter.promotionClient(),
-                                events));
+                                events,
+                                settings.fencingEnforced()));
         this.storeWatcher =
                 StoreWatcher.of(
                         adapter.metadataStore(),
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServerSettings.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServerSettings.java
@@ -27,6 +27,8 @@
  * @param metricsAddress the address that serves metrics
  * @param storeAddress the address of the metadata store
  * @param promotionAddress the address of the service that promotes instances
+ * @param fencingEnforced whether the platform rejects promotion requests with an outdated fencing
+ *     token, and a promotion ends the leadership of the former primary at once
  * @param shutdownTimeout the maximum duration of a graceful shutdown
  */
 public record ProxyServerSettings(
@@ -37,6 +39,7 @@
         Address metricsAddress,
         Address storeAddress,
         Address promotionAddress,
+        boolean fencingEnforced,
         Duration shutdownTimeout) {
     private static final Duration MAX_SHUTDOWN_TIMEOUT = Duration.ofMinutes(10);
 
@@ -88,6 +91,8 @@
         Section platform = ini.section("platform");
         Address storeAddress = platform.required("store", Address::parse);
         Address promotionAddress = platform.required("orders", Address::parse);
+        boolean fencingEnforced =
+                platform.optional("enforces-fencing", ValueParsers::yesNo).orElse(false);
         Duration shutdownTimeout =
                 ini.section("stop")
                         .required(
@@ -103,6 +108,7 @@
                                 metricsAddress,
                                 storeAddress,
                                 promotionAddress,
+                                fencingEnforced,
                                 shutdownTimeout);
         return ini.build(settings);
     }
--- a/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
@@ -119,7 +119,8 @@
         if (isWrite || position.isPresent()) {
             acquire(position);
         } else {
-            group.requestReadIndex(receivedAt, deadlineNanos, this::onReadIndex, this::reject);
+            group.requestReadIndex(
+                    receivedAt, deadlineNanos, false, this::onReadIndex, this::reject);
         }
     }
 
--- a/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
@@ -26,7 +26,7 @@
     private final UpstreamContext context;
     private final Runnable onChange;
     private final PrimaryPositionHistory primaryPositions = PrimaryPositionHistory.empty();
-    private final PositionQuorum quorum = PositionQuorum.empty();
+    private final PositionQuorum quorum;
     private final Map<InstanceId, InstanceStatus> statuses = new TreeMap<>();
     private final PrimaryRecoveryEstimate recoveryEstimate;
     private Leadership leadership = Leadership.empty();
@@ -36,6 +36,7 @@
         this.service = requireNonNull(service, "service is null");
         this.context = requireNonNull(context, "context is null");
         this.onChange = requireNonNull(onChange, "onChange is null");
+        this.quorum = PositionQuorum.of(context.fencingEnforced());
         this.recoveryEstimate = PrimaryRecoveryEstimate.atStart(context.clock().nanoTime());
     }
 
--- a/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
@@ -69,7 +69,7 @@
 
     /** Starts a round, unless one is in flight, to keep the known positions recent. */
     void refresh() {
-        if (currentRound.isEmpty() && instances.byPreference().size() >= quorum.size()) {
+        if (currentRound.isEmpty() && instances.byPreference().size() >= requiredReports()) {
             needsPrimaryQuery = true;
             startRound();
         }
@@ -87,12 +87,12 @@
 
     private void startRound() {
         List<InstanceId> targets = instances.byPreference();
-        if (targets.size() < quorum.size()) {
+        if (targets.size() < requiredReports()) {
             reads.failAll(
                     "only "
                             + targets.size()
                             + " instances respond, "
-                            + quorum.size()
+                            + requiredReports()
                             + " have to confirm the position");
             return;
         }
@@ -103,11 +103,16 @@
         Optional<InstanceId> skipped = instances.primary().filter(id -> !needsPrimaryQuery);
         needsPrimaryQuery = false;
         targets.stream()
-                .limit(quorum.size())
+                .limit(requiredReports())
                 .filter(id -> !skipped.equals(Optional.of(id)))
                 .forEach(round::query);
     }
 
+    private int requiredReports() {
+        boolean primarySuffices = quorum.isPrimarySufficient() && instances.primary().isPresent();
+        return primarySuffices ? 1 : quorum.size();
+    }
+
     private void queryRemaining(Round round) {
         if (isCurrent(round)) {
             round.queryRemaining();
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -219,38 +219,32 @@
     }
 
     /**
-     * Finds a position that covers all commits acknowledged before a time; calls share one query.
+     * Returns whether an instance that acts as primary is certain to be the current one.
      *
-     * @param since the time
-     * @param deadlineNanos the monotonic time in ns after which the call may end without a callback
-     * @param onPosition receives the position
-     * @param onRejected receives the reason if too few instances respond to confirm a position
+     * @return true if a promotion ends the leadership of the former primary at once
      */
-    public void requestReadIndex(
-            ClockReading since,
-            long deadlineNanos,
-            Consumer<LogPosition> onPosition,
-            Consumer<String> onRejected) {
-        lastRequestNanos = context.clock().nanoTime();
-        readIndex.request(since, deadlineNanos, false, onPosition, onRejected);
+    public boolean isFencingEnforced() {
+        return context.fencingEnforced();
     }
 
     /**
-     * Finds a position like {@link #requestReadIndex} for a caller that itself sends the primary a
-     * statement whose result reports the primary's position.
+     * Finds a position that covers all commits acknowledged before a time; calls share one query.
      *
      * @param since the time
      * @param deadlineNanos the monotonic time in ns after which the call may end without a callback
+     * @param primaryQueried whether the caller itself sends the primary a statement whose result
+     *     reports the primary's position
      * @param onPosition receives the position
      * @param onRejected receives the reason if too few instances respond to confirm a position
      */
-    public void requestReadIndexBesidePrimary(
+    public void requestReadIndex(
             ClockReading since,
             long deadlineNanos,
+            boolean primaryQueried,
             Consumer<LogPosition> onPosition,
             Consumer<String> onRejected) {
         lastRequestNanos = context.clock().nanoTime();
-        readIndex.request(since, deadlineNanos, true, onPosition, onRejected);
+        readIndex.request(since, deadlineNanos, primaryQueried, onPosition, onRejected);
     }
 
     /**
--- a/carobstage/src/main/java/org/carobstage/upstream/UpstreamContext.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/UpstreamContext.java
@@ -13,9 +13,14 @@
  * @param connector opens connections
  * @param domain the failure domain of this VM
  * @param events the event log
+ * @param fencingEnforced whether a promotion ends the leadership of the former primary at once
  */
 public record UpstreamContext(
-        Clock clock, InstanceConnector connector, FailureDomain domain, EventLog events) {
+        Clock clock,
+        InstanceConnector connector,
+        FailureDomain domain,
+        EventLog events,
+        boolean fencingEnforced) {
     /** Rejects null components. */
     public UpstreamContext {
         requireNonNull(clock, "clock is null");
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
@@ -434,13 +434,19 @@
                                     clock,
                                     service.connector(id -> !unreachable.contains(id)),
                                     FailureDomain.of("domain-b"),
-                                    events));
+                                    events,
+                                    false));
             group.setConnectionLimit(4, 5);
             service.instances().forEach(i -> group.put(i.instanceEntry()));
             coordinator =
                     FailoverCoordinator.of(
                             new FailoverContext(
-                                    vm, clock, storeClient, service.promotionClient(), events));
+                                    vm,
+                                    clock,
+                                    storeClient,
+                                    service.promotionClient(),
+                                    events,
+                                    false));
             StoreWatcher.of(
                             storeClient,
                             clock,
--- a/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
+++ b/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
@@ -88,7 +88,7 @@
     }
 
     private static PositionQuorum groupOfThree() {
-        PositionQuorum quorum = PositionQuorum.empty();
+        PositionQuorum quorum = PositionQuorum.of(false);
         quorum.add(A, at(0));
         quorum.add(B, at(0));
         quorum.add(C, at(0));
--- a/carobstage/src/test/java/org/carobstage/front/FormerPrimaryTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/FormerPrimaryTest.java
@@ -59,6 +59,19 @@
         assertThat(fixture.executionCount(read)).isZero();
     }
 
+    @Test
+    void shouldQueryOnlyPrimaryWhenFencingIsEnforced() {
+        SessionFixture fenced = new SessionFixture(true);
+        int before = queryCount(fenced, "b") + queryCount(fenced, "c");
+        int primaryBefore = queryCount(fenced, "a");
+        fenced.send(fenced.openSession("primary", channel), READ);
+        fenced.advanceMillis(40);
+
+        assertThat(channel.lastResult().isSuccessful()).isTrue();
+        assertThat(queryCount(fenced, "a")).isEqualTo(primaryBefore + 1);
+        assertThat(queryCount(fenced, "b") + queryCount(fenced, "c")).isEqualTo(before);
+    }
+
     @Test
     void shouldReadAtReplicasWhilePrimaryIsLost() {
         ClientSession session = fixture.openSession("primary", channel);
@@ -81,4 +94,8 @@
 
         assertThat(channel.lastResult().isSuccessful()).isTrue();
     }
+
+    private static int queryCount(SessionFixture fixture, String instance) {
+        return fixture.service.instance(instance).statusQueryCount();
+    }
 }
--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerSettingsTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerSettingsTest.java
@@ -22,6 +22,7 @@
             [platform]
             store = 10.0.0.2:4
             orders = 10.0.0.3:5
+            enforces-fencing = yes
             [stop]
             limit = 6 s
             """;
@@ -33,6 +34,7 @@
 
         assertThat(settings.vm()).isEqualTo(VmId.of("front-1"));
         assertThat(settings.storeAddress()).isEqualTo(Address.of("10.0.0.2", 4));
+        assertThat(settings.fencingEnforced()).isTrue();
         assertThat(settings.shutdownTimeout()).isEqualTo(Duration.ofSeconds(6));
     }
 
--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
@@ -39,6 +39,7 @@
                         ANY_ADDRESS,
                         ANY_ADDRESS,
                         ANY_ADDRESS,
+                        false,
                         Duration.ofSeconds(6));
         server = ProxyServer.launch(settings, adapter);
         adapter.clock.advance(Duration.ofSeconds(1));
--- a/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
+++ b/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
@@ -35,12 +35,20 @@
     private int requestCount;
 
     SessionFixture() {
+        this(false);
+    }
+
+    SessionFixture(boolean fencingEnforced) {
         EventLog events = EventLog.of(VmId.of("vm"), clock, 100);
         group =
                 ServiceGroup.of(
                         FakeService.NAME,
                         new UpstreamContext(
-                                clock, service.connector(), FailureDomain.of("domain-b"), events));
+                                clock,
+                                service.connector(),
+                                FailureDomain.of("domain-b"),
+                                events,
+                                fencingEnforced));
         context =
                 new SessionContext(
                         clock,
--- a/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
@@ -27,7 +27,8 @@
                             clock,
                             service.connector(),
                             FailureDomain.of("domain-b"),
-                            EventLog.of(VmId.of("vm"), clock, 100)));
+                            EventLog.of(VmId.of("vm"), clock, 100),
+                            false));
     private final List<PooledConnection> granted = new ArrayList<>();
     private final List<String> refused = new ArrayList<>();
 
