Answer requests whose bodies arrive after a stop has begun

The check is now made when the head arrives, before the request is counted. The new test sends the body after the stop and failed before; the former one is no longer tagged known-red.

--- a/carobstage-testbed/src/test/java/org/carobstage/node/NodeFixture.java
+++ b/carobstage-testbed/src/test/java/org/carobstage/node/NodeFixture.java
@@ -2,12 +2,17 @@
 
 import io.servicetalk.concurrent.api.Executor;
 import io.servicetalk.concurrent.api.Executors;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -110,6 +115,37 @@
         return client.sendAsync(request, BodyHandlers.ofString());
     }
 
+    /** Sends the head of a statement request without its body. */
+    Socket sendHead(Node node, String body) throws IOException {
+        Address address = node.callerAddress();
+        Socket socket = new Socket(address.host(), address.port());
+        String head =
+                "POST /v1/statements HTTP/1.1\r\nhost: "
+                        + address
+                        + "\r\ncarobstage-service: forms\r\ncarobstage-class: save\r\n"
+                        + "content-type: application/json\r\ncontent-length: "
+                        + body.length()
+                        + "\r\n\r\n";
+        socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+        return socket;
+    }
+
+    String readStatusLine(Socket socket) throws IOException {
+        return new BufferedReader(
+                        new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))
+                .readLine();
+    }
+
+    /** Sends statements until the node, which is stopping, rejects one. */
+    void awaitRejectingNewRequests(Node node) {
+        for (int i = 0; i < 1_000; i++) {
+            if (sendStatement(node, "SELECT 1").join().statusCode() == 503) {
+                return;
+            }
+        }
+        throw new AssertionError("the node rejected none of 1,000 statements");
+    }
+
     HttpResponse<String> post(Address address, String path, Object body) throws Exception {
         HttpRequest request =
                 HttpRequest.newBuilder(URI.create("http://" + address + path))
--- a/carobstage-testbed/src/test/java/org/carobstage/node/NodeTest.java
+++ b/carobstage-testbed/src/test/java/org/carobstage/node/NodeTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -10,12 +12,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class NodeTest {
     private static final long SERVICE_MILLIS = 200;
     private static final int REQUESTS = 6;
+    private static final String BODY = "{\"group\":\"g\",\"sql\":\"SELECT 1\"}";
 
     private NodeFixture fixture;
 
@@ -32,7 +34,27 @@
     @Nested
     class Close {
         @Test
-        @Tag("known-red")
+        void shouldAnswerRequestWhenItsBodyArrivesAfterClose() throws Exception {
+            Node node = fixture.startNode("[stop]\nnotice = 0 s\nlimit = 10 s");
+            fixture.awaitServing(node);
+            CompletableFuture<Void> closing;
+            try (Socket socket = fixture.sendHead(node, BODY)) {
+                while (node.activeRequestCount() == 0) {
+                    Thread.onSpinWait();
+                }
+                closing = CompletableFuture.runAsync(node::close);
+                while (node.isReady()) {
+                    Thread.onSpinWait();
+                }
+                fixture.awaitRejectingNewRequests(node);
+                socket.getOutputStream().write(BODY.getBytes(StandardCharsets.UTF_8));
+
+                assertThat(fixture.readStatusLine(socket)).contains("200 OK");
+            }
+            closing.get(20, TimeUnit.SECONDS);
+        }
+
+        @Test
         void shouldAnswerAllRequestsInProgressWhenClosed() throws Exception {
             Node node = fixture.startNode("[stop]\nnotice = 0 s\nlimit = 10 s");
             fixture.awaitServing(node);
--- a/carobstage/src/main/java/org/carobstage/caller/CallerServer.java
+++ b/carobstage/src/main/java/org/carobstage/caller/CallerServer.java
@@ -53,7 +53,6 @@
     private final TokenCodec tokenCodec;
     private final CallerRequestReader reader;
     private final List<JsonServer> servers = new ArrayList<>();
-    private volatile boolean rejectsNewRequests;
 
     private CallerServer(StatementService service, TokenCodec tokenCodec, int maxBodyBytes) {
         this.service = service;
@@ -142,7 +141,7 @@
 
     /** Rejects statements and new transactions; open transactions continue. */
     public void rejectNewRequests() {
-        rejectsNewRequests = true;
+        servers.forEach(JsonServer::rejectNewRequests);
     }
 
     /** Closes the server once the requests in progress are complete; returns at once. */
@@ -178,7 +177,7 @@
     private Single<HttpResponse> route(HttpRequest request, CallerResponseWriter writer) {
         String path = request.path();
         boolean isPost = request.method().equals(HttpRequestMethod.POST);
-        if (rejectsNewRequests
+        if (JsonServer.isReceivedTooLate(request)
                 && (path.equals(STATEMENTS_PATH) || path.equals(TRANSACTIONS_PATH))) {
             throw CodedException.of(ErrorCode.STOPPING, "this process is stopping");
         }
--- a/carobstage/src/main/java/org/carobstage/http/JsonServer.java
+++ b/carobstage/src/main/java/org/carobstage/http/JsonServer.java
@@ -7,6 +7,7 @@
 import io.servicetalk.http.api.Http2SettingsBuilder;
 import io.servicetalk.http.api.HttpExecutionStrategy;
 import io.servicetalk.http.api.HttpProtocolConfig;
+import io.servicetalk.http.api.HttpRequest;
 import io.servicetalk.http.api.HttpServerBuilder;
 import io.servicetalk.http.api.HttpService;
 import io.servicetalk.http.netty.HttpProtocolConfigs;
@@ -130,6 +131,21 @@
         requestFilter.startDraining();
     }
 
+    /** Marks the requests that arrive from now on, see {@link #isReceivedTooLate}. */
+    public void rejectNewRequests() {
+        requestFilter.rejectNewRequests();
+    }
+
+    /**
+     * Returns whether a request began to arrive after {@link #rejectNewRequests}.
+     *
+     * @param request the request
+     * @return false if it counts as in progress
+     */
+    public static boolean isReceivedTooLate(HttpRequest request) {
+        return ServerRequestFilter.isReceivedTooLate(request);
+    }
+
     /** Closes the server once the requests in progress are complete; returns at once. */
     @Override
     public void close() {
--- a/carobstage/src/main/java/org/carobstage/http/ServerRequestFilter.java
+++ b/carobstage/src/main/java/org/carobstage/http/ServerRequestFilter.java
@@ -8,8 +8,10 @@
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.context.api.ContextMap;
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpExecutionStrategy;
+import io.servicetalk.http.api.HttpMetaData;
 import io.servicetalk.http.api.HttpResponseStatus;
 import io.servicetalk.http.api.HttpServiceContext;
 import io.servicetalk.http.api.StreamingHttpRequest;
@@ -34,12 +36,16 @@
  */
 final class ServerRequestFilter implements StreamingHttpServiceFilterFactory {
     private static final Logger LOGGER = System.getLogger(ServerRequestFilter.class.getName());
+    private static final ContextMap.Key<Boolean> RECEIVED_TOO_LATE =
+            ContextMap.Key.newKey("received-too-late", Boolean.class);
+
     private static final int HEADER_OVERHEAD_BYTES = 4;
     private static final int MAX_DISCARDED_BODY_FACTOR = 16;
 
     private final ServerLimits limits;
     private final ConnectionTracker connectionTracker;
     private volatile boolean draining;
+    private volatile boolean rejectsNewRequests;
 
     private ServerRequestFilter(ServerLimits limits, ConnectionTracker connectionTracker) {
         this.limits = limits;
@@ -57,6 +63,16 @@
         draining = true;
     }
 
+    /** Marks the requests whose heads arrive from now on. */
+    void rejectNewRequests() {
+        rejectsNewRequests = true;
+    }
+
+    /** Returns whether a request arrived after new ones are rejected. */
+    static boolean isReceivedTooLate(HttpMetaData request) {
+        return request.context().getOrDefault(RECEIVED_TOO_LATE, false);
+    }
+
     int activeRequestCount() {
         return connectionTracker.activeRequestCount();
     }
@@ -81,6 +97,8 @@
                 HttpServiceContext context,
                 StreamingHttpRequest request,
                 StreamingHttpResponseFactory responseFactory) {
+            // A request that counts as in progress must not be rejected when its body arrives.
+            request.context().put(RECEIVED_TOO_LATE, rejectsNewRequests);
             connectionTracker.requestStarted(context);
             return Single.defer(() -> handleWithLimits(context, request, responseFactory))
                     .onErrorResume(
