Promote without a replica that stopped before the primary

A replica that accepts no connections since before the primary's last report holds no commit beyond that report, so the votes of the remaining members suffice if the selected log covers it. The votes and the granting of connections move into classes of their own.

--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.event.EventCode;
 import org.carobstage.failover.FailoverCandidateSelector.Replica;
@@ -51,7 +50,7 @@
     private final FailoverLease lease;
     private final long fencingToken;
     private final Optional<InstanceId> pendingTarget;
-    private final Supplier<Optional<LogPosition>> acknowledgedPosition;
+    private final AcknowledgedPositions acknowledgedPositions;
     private final Consumer<Boolean> onEnded;
     private final long startedNanos;
     private final Map<InstanceId, InstanceStatus> pausedReplicas = new HashMap<>();
@@ -70,7 +69,7 @@
             boolean planned,
             FailoverLease lease,
             Optional<InstanceId> pendingTarget,
-            Supplier<Optional<LogPosition>> acknowledgedPosition,
+            AcknowledgedPositions acknowledgedPositions,
             Consumer<Boolean> onEnded) {
         this.context = context;
         this.group = group;
@@ -79,7 +78,7 @@
         this.lease = lease;
         this.fencingToken = lease.fencingToken();
         this.pendingTarget = pendingTarget;
-        this.acknowledgedPosition = acknowledgedPosition;
+        this.acknowledgedPositions = acknowledgedPositions;
         this.onEnded = onEnded;
         this.startedNanos = context.clock().nanoTime();
     }
@@ -186,7 +185,8 @@
                                                 pausedReplicas.get(e.id()).receivedPosition(),
                                                 e.draining()))
                         .toList();
-        Optional<LogPosition> newestAcknowledged = acknowledgedPosition.get();
+        Optional<LogPosition> newestAcknowledged =
+                acknowledgedPositions.newest(areOtherReplicasStopped(candidates));
         target =
                 FailoverCandidateSelector.select(candidates, replicas().size(), newestAcknowledged)
                         .map(best -> preferPendingTarget(best, candidates))
@@ -209,6 +209,20 @@
         }
     }
 
+    /**
+     * Returns whether every replica that was not paused stopped before a position that a paused one
+     * has reached, so that it holds no commit that the paused ones lack.
+     */
+    private boolean areOtherReplicasStopped(List<Replica> candidates) {
+        LogPosition longest =
+                candidates.stream()
+                        .map(Replica::received)
+                        .reduce(LogPosition.empty(), LogPosition::max);
+        return replicas().stream()
+                .filter(e -> !pausedReplicas.containsKey(e.id()))
+                .allMatch(e -> group.stoppedBefore(e.id()).filter(longest::isAtLeast).isPresent());
+    }
+
     /** Prefers the target of a request that may still be executed, if its log is as long. */
     private Replica preferPendingTarget(Replica best, List<Replica> candidates) {
         return candidates.stream()
@@ -366,4 +380,17 @@
     private Duration elapsedSince(long startNanos) {
         return Duration.ofNanos(context.clock().nanoTime() - startNanos);
     }
+
+    /** The positions that the processes acknowledged, as their votes report them. */
+    @FunctionalInterface
+    interface AcknowledgedPositions {
+        /**
+         * Returns the newest commit that any process may have acknowledged.
+         *
+         * @param otherReplicasStopped whether the replicas that were not paused hold no commit that
+         *     the paused ones lack
+         * @return the position, or empty if it is not known
+         */
+        Optional<LogPosition> newest(boolean otherReplicasStopped);
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -56,8 +56,8 @@
     private static final Duration REPLICA_QUERY_INTERVAL = Duration.ofMillis(3_000);
 
     /**
-     * A process that has disappeared from the store may still acknowledge commits, so the votes of
-     * the others do not cover them.
+     * A process that has disappeared from the store may have acknowledged commits that no vote
+     * covers. They matter if a replica that is out of reach may still hold them.
      */
     private static final Duration DEPARTED_MEMBER_TIMEOUT = Duration.ofMillis(15_000);
 
@@ -66,7 +66,7 @@
 
     private final FailoverContext context;
     private final Map<ServiceName, State> states = new TreeMap<>();
-    private final Map<ServiceName, Map<VmId, Vote>> votes = new HashMap<>();
+    private final FailoverVotes votes = FailoverVotes.empty();
     private final Map<ServiceName, VmId> leaseHolders = new HashMap<>();
     private final Map<ServiceName, PendingPromotion> pendingPromotions = new HashMap<>();
     private final Set<ServiceName> servicesToQuery = new HashSet<>();
@@ -165,7 +165,8 @@
         boolean replacementAgreed =
                 suspected.isPresent()
                         && hasEnoughVotes(
-                                countVotes(group.name(), suspected.get(), members), members.size());
+                                votes.count(group.name(), suspected.get(), members),
+                                members.size());
         long nowNanos = context.clock().nanoTime();
         if (!draining && !replacementAgreed) {
             state.failoverDueSince = Optional.empty();
@@ -210,7 +211,9 @@
                                         planned,
                                         state.lease,
                                         pendingTarget(group.name()),
-                                        () -> acknowledgedPosition(group, oldPrimary, members),
+                                        stopped ->
+                                                acknowledgedPosition(
+                                                        group, oldPrimary, members, stopped),
                                         requested -> onFailoverEnded(state, requested))
                                 .start(),
                 () -> onFailoverEnded(state, false));
@@ -338,15 +341,11 @@
         if (parts.length != 2) {
             return;
         }
-        Map<VmId, Vote> serviceVotes =
-                votes.computeIfAbsent(ServiceName.of(parts[0]), n -> new TreeMap<>());
         VmId vm = VmId.of(parts[1]);
         if (vm.equals(context.vm())) {
             applyOwnVote(ServiceName.of(parts[0]), entry.value().isPresent());
         }
-        entry.value()
-                .flatMap(Vote::parse)
-                .ifPresentOrElse(vote -> serviceVotes.put(vm, vote), () -> serviceVotes.remove(vm));
+        votes.record(ServiceName.of(parts[0]), vm, entry.value().flatMap(Vote::parse));
     }
 
     /** A restored store may have lost a vote of this process, or hold one that was withdrawn. */
@@ -370,41 +369,24 @@
         }
     }
 
-    private long countVotes(ServiceName service, InstanceId primary, Set<VmId> members) {
-        return votes.getOrDefault(service, Map.of()).entrySet().stream()
-                .filter(e -> members.contains(e.getKey()))
-                .filter(e -> e.getValue().primary().equals(primary))
-                .count();
-    }
-
     /**
      * Returns the newest commit that any process may have acknowledged, or empty if a process has
      * not reported its position. Votes that were withdrawn before this process acquired the lease
      * are gone from the local copy once the watch has delivered the lease.
      */
     private Optional<LogPosition> acknowledgedPosition(
-            ServiceGroup group, InstanceId primary, Set<VmId> members) {
-        Map<VmId, Vote> serviceVotes = votes.getOrDefault(group.name(), Map.of());
-        boolean allVoted =
-                members.stream()
-                        .allMatch(
-                                m ->
-                                        Optional.ofNullable(serviceVotes.get(m))
-                                                .filter(v -> v.primary().equals(primary))
-                                                .isPresent());
+            ServiceGroup group,
+            InstanceId primary,
+            Set<VmId> members,
+            boolean otherReplicasStopped) {
         boolean leaseObserved = context.vm().equals(leaseHolders.get(group.name()));
         boolean membersStable =
                 membersStableSince
                                 .age(ClockReading.now(context.clock()))
                                 .compareTo(DEPARTED_MEMBER_TIMEOUT)
                         >= 0;
-        boolean allPositionsKnown =
-                serviceVotes.values().stream().allMatch(v -> v.acknowledgedPosition().isPresent());
-        return allVoted && allPositionsKnown && leaseObserved && membersStable
-                ? serviceVotes.values().stream()
-                        .map(v -> v.acknowledgedPosition().get())
-                        .reduce(LogPosition::max)
-                : Optional.empty();
+        return votes.acknowledgedPosition(group.name(), primary, members)
+                .filter(p -> leaseObserved && (membersStable || otherReplicasStopped));
     }
 
     private long leaseAttemptDelay(ServiceName service, Set<VmId> members) {
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverVotes.java
@@ -0,0 +1,71 @@
+package org.carobstage.failover;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
+import org.carobstage.model.ServiceName;
+import org.carobstage.model.VmId;
+
+/** The votes of all processes, as the store holds them. */
+final class FailoverVotes {
+    private final Map<ServiceName, Map<VmId, Vote>> votes = new HashMap<>();
+
+    private FailoverVotes() {}
+
+    static FailoverVotes empty() {
+        return new FailoverVotes();
+    }
+
+    /**
+     * Records the vote of a process.
+     *
+     * @param service the service
+     * @param vm the VM of the process
+     * @param vote the vote, or empty if the process has none
+     */
+    void record(ServiceName service, VmId vm, Optional<Vote> vote) {
+        requireNonNull(vm, "vm is null");
+        Map<VmId, Vote> serviceVotes = votes.computeIfAbsent(service, n -> new TreeMap<>());
+        vote.ifPresentOrElse(v -> serviceVotes.put(vm, v), () -> serviceVotes.remove(vm));
+    }
+
+    /** Returns how many members voted to replace a primary. */
+    long count(ServiceName service, InstanceId primary, Set<VmId> members) {
+        return of(service).entrySet().stream()
+                .filter(e -> members.contains(e.getKey()))
+                .filter(e -> e.getValue().primary().equals(primary))
+                .count();
+    }
+
+    /**
+     * Returns the newest commit that a member has acknowledged.
+     *
+     * @return the position, or empty if a member has not voted to replace the primary, or if a vote
+     *     names no position
+     */
+    Optional<LogPosition> acknowledgedPosition(
+            ServiceName service, InstanceId primary, Set<VmId> members) {
+        Map<VmId, Vote> serviceVotes = of(service);
+        boolean allVoted =
+                members.stream()
+                        .map(serviceVotes::get)
+                        .allMatch(v -> v != null && v.primary().equals(primary));
+        boolean allPositionsKnown =
+                serviceVotes.values().stream().allMatch(v -> v.acknowledgedPosition().isPresent());
+        return allVoted && allPositionsKnown
+                ? serviceVotes.values().stream()
+                        .map(v -> v.acknowledgedPosition().get())
+                        .reduce(LogPosition::max)
+                : Optional.empty();
+    }
+
+    private Map<VmId, Vote> of(ServiceName service) {
+        return votes.getOrDefault(service, Map.of());
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/freshness/ClockReading.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/ClockReading.java
@@ -36,6 +36,16 @@
                 Math.max(now.monotonicNanos - monotonicNanos, now.epochNanos - epochNanos));
     }
 
+    /**
+     * Returns whether this reading was not taken before another one of the same process.
+     *
+     * @param other the other reading
+     * @return true if the monotonic time of this reading is the same or later
+     */
+    public boolean isSince(ClockReading other) {
+        return monotonicNanos - other.monotonicNanos >= 0;
+    }
+
     /**
      * Returns the earlier of two readings by each clock.
      *
--- a/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
@@ -103,11 +103,48 @@
         if (primary) {
             primaryPosition = Optional.of(new ObservedPosition(received, requestedAt));
             member.caughtUp = true;
-            members.values().forEach(m -> m.setTarget(received, requestedAt));
+            members.values().forEach(m -> m.onPrimaryPosition(received, requestedAt));
         }
         members.values().forEach(Member::updateCaughtUp);
     }
 
+    /**
+     * Records that an instance accepts no connections.
+     *
+     * @param id the instance
+     * @param now the current clock reading
+     */
+    public void markStopped(InstanceId id, ClockReading now) {
+        Optional.ofNullable(members.get(id))
+                .filter(m -> m.stoppedAt.isEmpty())
+                .ifPresent(m -> m.stoppedAt = Optional.of(now));
+    }
+
+    /**
+     * Records that an instance responds.
+     *
+     * @param id the instance
+     */
+    public void markRunning(InstanceId id) {
+        Optional.ofNullable(members.get(id))
+                .ifPresent(
+                        m -> {
+                            m.stoppedAt = Optional.empty();
+                            m.stoppedBefore = Optional.empty();
+                        });
+    }
+
+    /**
+     * Returns a position that a stopped replica has not passed.
+     *
+     * @param id the instance
+     * @return a position that the primary reported after the replica had stopped; empty if the
+     *     replica runs or the primary has not reported since
+     */
+    public Optional<LogPosition> stoppedBefore(InstanceId id) {
+        return Optional.ofNullable(members.get(id)).flatMap(m -> m.stoppedBefore);
+    }
+
     /**
      * Returns when the last report of an instance was requested.
      *
@@ -158,6 +195,8 @@
         private Optional<LogPosition> target = Optional.empty();
         private Optional<LogPosition> received = Optional.empty();
         private Optional<ClockReading> requestedAt = Optional.empty();
+        private Optional<ClockReading> stoppedAt = Optional.empty();
+        private Optional<LogPosition> stoppedBefore = Optional.empty();
         private boolean caughtUp;
 
         private Member(ClockReading knownSince) {
@@ -170,11 +209,14 @@
                     .isPresent();
         }
 
-        private void setTarget(LogPosition position, ClockReading positionRequestedAt) {
-            if (target.isEmpty()
-                    && positionRequestedAt.monotonicNanos() - knownSince.monotonicNanos() >= 0) {
+        private void onPrimaryPosition(LogPosition position, ClockReading positionRequestedAt) {
+            if (target.isEmpty() && positionRequestedAt.isSince(knownSince)) {
                 target = Optional.of(position);
             }
+            if (stoppedBefore.isEmpty()
+                    && stoppedAt.filter(positionRequestedAt::isSince).isPresent()) {
+                stoppedBefore = Optional.of(position);
+            }
         }
 
         private void updateCaughtUp() {
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
@@ -379,6 +379,9 @@
             return;
         }
         consecutiveFailures++;
+        if (reason == OpenFailure.RESET) {
+            group.onConnectionReset(entry.id());
+        }
         boolean silent =
                 reason == OpenFailure.NO_ANSWER
                         && silence(nowNanos).compareTo(PROBE_AFTER_SILENCE) > 0;
@@ -392,6 +395,7 @@
     private void recordResponse() {
         lastResponseNanos = context.clock().nanoTime();
         consecutiveFailures = 0;
+        group.onResponse(entry.id());
         if (suspected) {
             suspected = false;
             group.onSuspicionChanged(entry, false, "the instance responded");
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.event.EventCode;
 import org.carobstage.event.EventScope;
@@ -19,7 +18,6 @@
 import org.carobstage.model.ServiceName;
 import org.carobstage.sql.InstanceStatus;
 import org.carobstage.sql.Statement;
-import org.carobstage.upstream.ConnectionAdmission.Capacity;
 import org.carobstage.upstream.InstanceConnection.StatusResponse;
 
 /** The instances of one service: their pools, the leader and the queue for connections. */
@@ -40,7 +38,7 @@
     private final UpstreamContext context;
     private final InstancePools pools = InstancePools.empty();
     private final LeaderTracker leader;
-    private final ConnectionAdmission admission;
+    private final ConnectionDispatcher connections;
     private LogPosition lastAcknowledgedPosition = LogPosition.empty();
     private long lastRequestNanos;
     private Optional<InstanceId> fencedInstance = Optional.empty();
@@ -51,12 +49,18 @@
         this.context = context;
         this.lastRequestNanos = context.clock().nanoTime();
         this.leader = new LeaderTracker(name, context, this::dispatch);
-        this.admission = new ConnectionAdmission(leader.recoveryEstimate());
+        this.connections =
+                new ConnectionDispatcher(
+                        context.clock(), pools, this::primaryPool, leader.recoveryEstimate());
         this.readIndex =
                 new ReadIndexService(
                         context.clock(),
                         leader.quorum(),
-                        new StatusQueries(pools, this::primaryPool, this::enqueue, this::cancel));
+                        new StatusQueries(
+                                pools,
+                                this::primaryPool,
+                                connections::request,
+                                connections::cancel));
     }
 
     /**
@@ -146,6 +150,16 @@
         return pools.find(id).filter(InstanceConnectionPool::isSuspected).isPresent();
     }
 
+    /**
+     * Returns a position that a stopped replica has not passed.
+     *
+     * @param id the instance
+     * @return the position, or empty if the replica may have received any commit
+     */
+    public Optional<LogPosition> stoppedBefore(InstanceId id) {
+        return leader.quorum().stoppedBefore(id);
+    }
+
     /**
      * Returns the newest position of a commit that this process has acknowledged.
      *
@@ -215,7 +229,7 @@
      */
     public void acquire(ConnectionRequest request) {
         lastRequestNanos = context.clock().nanoTime();
-        enqueue(request);
+        connections.request(request);
     }
 
     /**
@@ -253,7 +267,7 @@
      * @param request the request
      */
     public void cancel(ConnectionRequest request) {
-        admission.cancel(request);
+        connections.cancel(request);
     }
 
     /**
@@ -283,7 +297,7 @@
         if (isPositionDue(nowNanos)) {
             readIndex.refresh();
         }
-        admission.rejectUnservable(capacity(), nowNanos);
+        connections.rejectUnservable();
         dispatch();
     }
 
@@ -294,7 +308,7 @@
 
     /** Grants connections to the waiting requests, the earliest deadline first. */
     public void dispatch() {
-        admission.assignConnections(context.clock().nanoTime(), this::grant);
+        connections.dispatch();
     }
 
     /**
@@ -351,7 +365,7 @@
      * @return the queue length
      */
     public int waitingCount() {
-        return admission.waitingCount();
+        return connections.waitingCount();
     }
 
     /**
@@ -408,6 +422,14 @@
                 "instance=" + entry.id() + " reason=" + reason);
     }
 
+    void onResponse(InstanceId id) {
+        leader.quorum().markRunning(id);
+    }
+
+    void onConnectionReset(InstanceId id) {
+        leader.quorum().markStopped(id, ClockReading.now(context.clock()));
+    }
+
     void onConnectionsRefused(InstanceEntry entry, InstanceConnector.OpenFailure reason, int open) {
         record(
                 EventCode.CONNECTIONS_REFUSED,
@@ -442,39 +464,6 @@
         }
     }
 
-    private void enqueue(ConnectionRequest request) {
-        admission
-                .admit(request, capacity(), context.clock().nanoTime())
-                .ifPresentOrElse(request.onRejected(), this::dispatch);
-    }
-
-    private Optional<PooledConnection> grant(ConnectionRequest request) {
-        List<InstanceConnectionPool> accepting =
-                pools.rankByLatency(usablePools(request))
-                        .filter(p -> request.pinsConnection() || p.canAcceptStatement())
-                        .toList();
-        Optional<PooledConnection> connection =
-                accepting.stream()
-                        .map(p -> p.tryAcquire(request.sessionVariables()))
-                        .flatMap(Optional::stream)
-                        .findFirst();
-        if (connection.isEmpty()) {
-            accepting.stream().findFirst().ifPresent(InstanceConnectionPool::openIfAllowed);
-        } else if (request.pinsConnection()) {
-            connection.get().pin();
-        }
-        return connection;
-    }
-
-    private Stream<InstanceConnectionPool> usablePools(ConnectionRequest request) {
-        if (request.needsPrimary()) {
-            return primaryPool().stream();
-        }
-        return pools.all().stream()
-                .filter(p -> !request.excludedInstances().contains(p.entry().id()))
-                .filter(p -> request.acceptsDraining() || !p.entry().draining());
-    }
-
     private Optional<InstanceConnectionPool> primaryPool() {
         return leadership()
                 .leader()
@@ -483,10 +472,6 @@
                 .filter(InstanceConnectionPool::isUsable);
     }
 
-    private Capacity capacity() {
-        return new Capacity(primaryPool().isPresent(), pools.statementLimit(), pools.serviceTime());
-    }
-
     private void record(EventCode code, String detail) {
         context.events().record(code, EventScope.of(GroupId.of(name.value())), detail);
     }
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
@@ -299,6 +299,18 @@
         assertThat(service.primary()).map(FakeInstance::id).contains(InstanceId.of("b"));
     }
 
+    @Test
+    void shouldTrustVotesWhenOtherReplicaStoppedBeforePrimary() {
+        instance("c").crash();
+        advanceSecondsInUse(2);
+        processes.get(2).leave();
+        advanceMillis(100);
+        instance("a").crash();
+        advanceMillis(4_000);
+
+        assertThat(service.primary()).map(FakeInstance::id).contains(InstanceId.of("b"));
+    }
+
     @Test
     void shouldMakeFormerPrimaryStepDown() {
         service.keepFormerPrimary(true);
