--- a/carobstage/src/main/java/org/carobstage/front/PlatformAdapter.java
+++ b/carobstage/src/main/java/org/carobstage/front/PlatformAdapter.java
@@ -1,12 +1,14 @@
 package org.carobstage.front;
 
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.failover.PromotionClient;
+import org.carobstage.model.Address;
 import org.carobstage.model.InstanceId;
 import org.carobstage.route.RouteTable;
 import org.carobstage.runtime.Clock;
@@ -66,8 +68,10 @@
      * Starts to accept client connections.
      *
      * @param sessionFactory opens a session for a database on a channel
+     * @return completes with the listen address, or exceptionally if it cannot be used
      */
-    void listenForClients(BiFunction<String, ClientChannel, ClientSession> sessionFactory);
+    CompletionStage<Address> listenForClients(
+            BiFunction<String, ClientChannel, ClientSession> sessionFactory);
 
     /** Stops accepting client connections; open ones are kept. */
     void stopListening();
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -13,12 +13,15 @@
 import java.util.concurrent.CountDownLatch;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.discovery.InstanceRegistry;
+import org.carobstage.error.CodedException;
+import org.carobstage.error.ErrorCode;
 import org.carobstage.event.EventCode;
 import org.carobstage.event.EventLog;
 import org.carobstage.event.EventScope;
 import org.carobstage.failover.FailoverContext;
 import org.carobstage.failover.FailoverCoordinator;
 import org.carobstage.front.PlatformAdapter.DecodedEntry;
+import org.carobstage.model.Address;
 import org.carobstage.model.ServiceName;
 import org.carobstage.route.RouteTable;
 import org.carobstage.runtime.Clock;
@@ -50,6 +53,7 @@
     private final ProxyMetrics metrics = ProxyMetrics.empty();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Duration shutdownTimeout;
+    private volatile Optional<Throwable> listenFailure = Optional.empty();
     private RouteTable routeTable = RouteTable.empty();
     private boolean storeListed;
     private boolean ready;
@@ -136,9 +140,14 @@
      * Waits until the shutdown is complete.
      *
      * @throws InterruptedException if the thread is interrupted
+     * @throws CodedException if the server ended because it cannot listen for clients
      */
     public void awaitStop() throws InterruptedException {
         stopped.await();
+        if (listenFailure.isPresent()) {
+            throw CodedException.of(
+                    ErrorCode.BAD_SETTINGS, "can't listen for clients", listenFailure.get());
+        }
     }
 
     boolean isStopped() {
@@ -154,15 +163,25 @@
     private void start() {
         lastTickNanos = clock.nanoTime();
         lastTickMillis = clock.instant().toEpochMilli();
-        adapter.listenForClients(this::openSession);
+        adapter.listenForClients(this::openSession).whenComplete(this::onListening);
         adapter.listenForProbes(
                 () -> ready && !stopping, () -> PrometheusExporter.export(metrics, groups));
         storeWatcher.start();
         membership.join();
-        events.record(EventCode.PROCESS_STARTED, EventScope.empty(), "");
         clock.schedule(this::tick, TICK_INTERVAL);
     }
 
+    /** Ends the process if clients could not reach it. */
+    private void onListening(Address address, Throwable failure) {
+        if (failure == null) {
+            events.record(
+                    EventCode.PROCESS_STARTED, EventScope.empty(), "client_address=" + address);
+        } else {
+            listenFailure = Optional.of(failure);
+            endShutdown();
+        }
+    }
+
     private ClientSession openSession(String database, ClientChannel channel) {
         ClientSession[] self = new ClientSession[1];
         self[0] = new ClientSession(context, channel, database, () -> sessions.remove(self[0]));
--- a/carobstage/src/test/java/org/carobstage/front/FakePlatformAdapter.java
+++ b/carobstage/src/test/java/org/carobstage/front/FakePlatformAdapter.java
@@ -1,13 +1,17 @@
 package org.carobstage.front;
 
+import java.net.BindException;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.carobstage.failover.PromotionClient;
 import org.carobstage.fake.FakeMetadataStore;
 import org.carobstage.fake.FakeService;
+import org.carobstage.model.Address;
 import org.carobstage.model.InstanceId;
 import org.carobstage.route.RouteTable;
 import org.carobstage.runtime.ManualClock;
@@ -29,6 +33,7 @@
     private BooleanSupplier readinessProbe = () -> false;
     private boolean listening;
     boolean isClosed;
+    boolean isAddressInUse;
 
     /** Connects a client, unless the server has stopped accepting connections. */
     Optional<ClientSession> connect(String database, ClientChannel channel) {
@@ -78,9 +83,14 @@
     }
 
     @Override
-    public void listenForClients(BiFunction<String, ClientChannel, ClientSession> factory) {
+    public CompletionStage<Address> listenForClients(
+            BiFunction<String, ClientChannel, ClientSession> factory) {
+        if (isAddressInUse) {
+            return CompletableFuture.failedFuture(new BindException("address in use"));
+        }
         sessionFactory = factory;
         listening = true;
+        return CompletableFuture.completedFuture(Address.of("127.0.0.1", 1));
     }
 
     @Override
--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
@@ -1,10 +1,12 @@
 package org.carobstage.front;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import org.carobstage.error.CodedException;
 import org.carobstage.fake.FakeService;
 import org.carobstage.model.Address;
 import org.carobstage.model.FailureDomain;
@@ -22,6 +24,18 @@
     private static final Address ANY_ADDRESS = Address.of("127.0.0.1", 0);
     private static final Statement READ = new Statement.Read("k");
 
+    private static final ProxyServerSettings SETTINGS =
+            new ProxyServerSettings(
+                    VmId.of("vm"),
+                    FailureDomain.of("domain-b"),
+                    ANY_ADDRESS,
+                    ANY_ADDRESS,
+                    ANY_ADDRESS,
+                    ANY_ADDRESS,
+                    ANY_ADDRESS,
+                    false,
+                    Duration.ofSeconds(6));
+
     private final FakePlatformAdapter adapter = new FakePlatformAdapter();
     private ProxyServer server;
 
@@ -30,18 +44,7 @@
         adapter.routeTable = routes(1, "drafts");
         adapter.store.put("routes", "1");
         adapter.service.instances().forEach(i -> adapter.store.put("instances/" + i.id(), "1"));
-        ProxyServerSettings settings =
-                new ProxyServerSettings(
-                        VmId.of("vm"),
-                        FailureDomain.of("domain-b"),
-                        ANY_ADDRESS,
-                        ANY_ADDRESS,
-                        ANY_ADDRESS,
-                        ANY_ADDRESS,
-                        ANY_ADDRESS,
-                        false,
-                        Duration.ofSeconds(6));
-        server = ProxyServer.launch(settings, adapter);
+        server = ProxyServer.launch(SETTINGS, adapter);
         adapter.clock.advance(Duration.ofSeconds(1));
     }
 
@@ -87,6 +90,18 @@
         assertThat(channel.lastResult().isSuccessful()).isTrue();
     }
 
+    @Test
+    void shouldEndWithErrorWhenClientAddressIsInUse() {
+        FakePlatformAdapter other = new FakePlatformAdapter();
+        other.isAddressInUse = true;
+        ProxyServer failing = ProxyServer.launch(SETTINGS, other);
+        other.clock.advance(Duration.ofMillis(100));
+
+        assertThatThrownBy(failing::awaitStop)
+                .isInstanceOf(CodedException.class)
+                .hasMessageContaining("can't listen for clients");
+    }
+
     @Test
     void shouldReportNotReadyAtOnceWhenStopping() {
         server.stop();
