Pace the watches of the store when changes follow each other

After six calls in quick succession the next one follows after 200 ms instead of 40 ms; two more per second may follow quickly. Ruled out: a longer wait of an idle watch, since a connection that went silent would hide a configuration beyond its bound.

--- a/carobstage/src/main/java/org/carobstage/store/StoreWatcher.java
+++ b/carobstage/src/main/java/org/carobstage/store/StoreWatcher.java
@@ -25,9 +25,6 @@
     /** Limits how long an unresponsive connection of a watch stays undetected. */
     private static final Duration WATCH_WAIT = Duration.ofMillis(4_000);
 
-    /** Combines changes in quick succession into one watch call. */
-    private static final Duration WATCH_DELAY = Duration.ofMillis(40);
-
     /** The first delay before a retry; it doubles with each failure up to the maximum. */
     private static final Duration INITIAL_RETRY_DELAY = Duration.ofMillis(100);
 
@@ -37,6 +34,7 @@
     private final Clock clock;
     private final EventLog events;
     private final Listener listener;
+    private final WatchPacing pacing;
     private final Map<String, StoreRevision> revisions = new HashMap<>();
     private Duration retryDelay = INITIAL_RETRY_DELAY;
     private long run;
@@ -49,6 +47,7 @@
         this.clock = clock;
         this.events = events;
         this.listener = listener;
+        this.pacing = WatchPacing.of(clock.nanoTime());
     }
 
     /**
@@ -167,7 +166,8 @@
             handleSuccess();
             success.value().entries().forEach(this::apply);
             StoreRevision nextRevision = revision.max(success.value().revision());
-            clock.schedule(() -> watch(currentRun, nextRevision), WATCH_DELAY);
+            clock.schedule(
+                    () -> watch(currentRun, nextRevision), pacing.nextDelay(clock.nanoTime()));
         } else if (response instanceof StoreResponse.HistoryGone<Page>) {
             list();
         } else {
