--- a/carobstage/src/main/java/org/carobstage/upstream/PrimaryRecoveryEstimate.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PrimaryRecoveryEstimate.java
@@ -8,7 +8,7 @@
      * The time from the loss of a primary to the next one: failure detection by other processes,
      * failover and promotion.
      */
-    private static final Duration PROMOTION_TIME = Duration.ofMillis(1_700);
+    static final Duration PROMOTION_TIME = Duration.ofMillis(1_700);
 
     /** The time to find the new primary after the old one has reported its replacement. */
     private static final Duration HANDOVER_TIME = Duration.ofMillis(200);
--- a/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
@@ -93,7 +93,9 @@
                             + targets.size()
                             + " instances respond, "
                             + requiredReports()
-                            + " have to confirm the position");
+                            + " have to confirm the position, retry after "
+                            + PrimaryRecoveryEstimate.PROMOTION_TIME.toMillis()
+                            + " ms");
             return;
         }
         Round round = new Round(targets);
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -34,6 +34,9 @@
     /** The interval of status queries while no leader is known. */
     private static final Duration SEARCH_INTERVAL = Duration.ofMillis(100);
 
+    /** The interval at which a former primary that still reports to lead is told to step down. */
+    private static final Duration STEP_DOWN_INTERVAL = Duration.ofMillis(500);
+
     private final ServiceName name;
     private final UpstreamContext context;
     private final InstancePools pools = InstancePools.empty();
@@ -41,6 +44,7 @@
     private final ConnectionDispatcher connections;
     private LogPosition lastAcknowledgedPosition = LogPosition.empty();
     private long lastRequestNanos;
+    private long stepDownNotBeforeNanos;
     private Optional<InstanceId> fencedInstance = Optional.empty();
     private final ReadIndexService readIndex;
 
@@ -48,6 +52,7 @@
         this.name = name;
         this.context = context;
         this.lastRequestNanos = context.clock().nanoTime();
+        this.stepDownNotBeforeNanos = lastRequestNanos;
         this.leader = new LeaderTracker(name, context, this::dispatch);
         this.connections =
                 new ConnectionDispatcher(
@@ -458,6 +463,11 @@
 
     /** Tells a primary that was replaced while it was unreachable that its term has ended. */
     private void stepDown(InstanceId id) {
+        long nowNanos = context.clock().nanoTime();
+        if (nowNanos - stepDownNotBeforeNanos < 0) {
+            return;
+        }
+        stepDownNotBeforeNanos = nowNanos + STEP_DOWN_INTERVAL.toNanos();
         Statement.StepDown command = new Statement.StepDown(leadership().term());
         if (trySendControlCommand(id, command, response -> {})) {
             record(EventCode.STEP_DOWN_REQUESTED, "instance=" + id + " term=" + command.term());
--- a/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
@@ -46,6 +46,8 @@
     private int remainingDrops;
     private int remainingStatusFailures;
     private int statusQueryCount;
+    private int stepDownCount;
+    private boolean ignoringStepDown;
     private int runningStatements;
     private int maxConcurrentStatements;
 
@@ -165,6 +167,19 @@
         remainingStatusFailures = count;
     }
 
+    /** Executes commands to step down without effect. */
+    public void ignoreStepDown() {
+        ignoringStepDown = true;
+    }
+
+    public boolean isIgnoringStepDown() {
+        return ignoringStepDown;
+    }
+
+    public int stepDownCount() {
+        return stepDownCount;
+    }
+
     public int statusQueryCount() {
         return statusQueryCount;
     }
@@ -377,6 +392,7 @@
             } else if (statement instanceof Statement.ResumeReplication) {
                 pauseTerm = Term.ZERO;
             } else if (statement instanceof Statement.StepDown stepDown) {
+                stepDownCount++;
                 service.stepDown(FakeInstance.this, stepDown.term());
             }
             if (!pending.requestId().isEmpty()) {
--- a/carobstage/src/test/java/org/carobstage/fake/FakeService.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeService.java
@@ -151,7 +151,8 @@
 
     /** Makes a replica of a primary whose term is over. */
     void stepDown(FakeInstance instance, Term term) {
-        if (instance.isPrimary() && term.isAfter(instance.term())) {
+        boolean outdated = instance.isPrimary() && term.isAfter(instance.term());
+        if (outdated && !instance.isIgnoringStepDown()) {
             instance.demote(term);
         }
     }
--- a/carobstage/src/test/java/org/carobstage/front/FormerPrimaryTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/FormerPrimaryTest.java
@@ -59,6 +59,23 @@
         assertThat(fixture.executionCount(read)).isZero();
     }
 
+    @Test
+    void shouldRepeatStepDownOnlyAtIntervalsWhenFormerPrimaryIgnoresIt() {
+        fixture.service.keepFormerPrimary(true);
+        fixture.service.instance("a").ignoreStepDown();
+        fixture.service.promote("b");
+        ClientSession session = fixture.openSession("primary", channel);
+        int before = queryCount(fixture, "a");
+        for (int i = 0; i < 20; i++) {
+            fixture.send(session, READ);
+            fixture.advanceMillis(100);
+        }
+
+        assertThat(fixture.service.instance("a").isPrimary()).isTrue();
+        assertThat(fixture.service.instance("a").stepDownCount()).isBetween(1, 5);
+        assertThat(queryCount(fixture, "a") - before).isLessThan(60);
+    }
+
     @Test
     void shouldQueryOnlyPrimaryWhenFencingIsEnforced() {
         SessionFixture fenced = new SessionFixture(true);
