Query the primary again when a round of status queries ends without a quorum

A round that ended without a quorum was followed by one that left out the primary until its remaining instances were queried 80 ms later, as if the waiting reads were transactions that query it themselves: after BUSY answers a read waited 80 ms longer than needed. Found by ReadIndexServiceTest, which also takes over the two checks that left ReadIndexQueueTest with the requests (one round serves all reads that wait, another one those that arrived meanwhile).

--- a/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
@@ -124,6 +124,7 @@
     private void restart(Round round) {
         if (isCurrent(round)) {
             endRound(round);
+            needsPrimaryQuery = true;
             completeReads();
         }
     }
