--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
@@ -90,6 +90,27 @@
         assertThat(channel.lastResult().isSuccessful()).isTrue();
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "carobstage/members/",
+                "carobstage/votes//vm",
+                "carobstage/votes/forms/",
+                "carobstage/failover/",
+                "carobstage/promotions/"
+            })
+    void shouldIgnoreMalformedKey(String key) {
+        adapter.store.put(key, " ");
+        adapter.clock.advance(Duration.ofMillis(500));
+        adapter.routeTable = routes(2, "filings");
+        adapter.store.put("routes", "2");
+        adapter.clock.advance(Duration.ofMillis(500));
+        RecordingChannel channel = new RecordingChannel();
+        adapter.connect("filings", channel);
+
+        assertThat(channel.isReady).isTrue();
+    }
+
     @Test
     void shouldEndWithErrorWhenClientAddressIsInUse() {
         FakePlatformAdapter other = new FakePlatformAdapter();
