Explore failovers under pairs of faults; send step-downs over a single connection

It checks that no acknowledged commit is lost, no token has two holders, no replica stays paused, and every process writes in the end.

It found one fault in all schedules ("primary crashes, replica is silent, 2250, false": no process could write): with one connection to an instance, the command to step down was never sent, since the report of the former primary still held that connection. After two failovers both former primaries went on, and the new one had no replica. A second failure of the first trial was one of the fake: it paused a primary, which only a replica does.

--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -464,10 +464,14 @@
     /** Tells a primary that was replaced while it was unreachable that its term has ended. */
     private void stepDown(InstanceId id) {
         long nowNanos = context.clock().nanoTime();
-        if (nowNanos - stepDownNotBeforeNanos < 0) {
-            return;
+        if (nowNanos - stepDownNotBeforeNanos >= 0) {
+            stepDownNotBeforeNanos = nowNanos + STEP_DOWN_INTERVAL.toNanos();
+            // The only connection may still be in use for the report; it is released afterwards.
+            context.clock().schedule(() -> sendStepDown(id), Duration.ZERO);
         }
-        stepDownNotBeforeNanos = nowNanos + STEP_DOWN_INTERVAL.toNanos();
+    }
+
+    private void sendStepDown(InstanceId id) {
         Statement.StepDown command = new Statement.StepDown(leadership().term());
         if (trySendControlCommand(id, command, response -> {})) {
             record(EventCode.STEP_DOWN_REQUESTED, "instance=" + id + " term=" + command.term());
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
@@ -17,10 +17,14 @@
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.VmId;
 import org.carobstage.runtime.ManualClock;
+import org.carobstage.sql.Statement;
+import org.carobstage.sql.StatementResult;
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreResponse;
 import org.carobstage.store.StoreWatcher;
+import org.carobstage.upstream.CommitCircuitBreaker;
 import org.carobstage.upstream.ConnectionRequest;
+import org.carobstage.upstream.PooledConnection;
 import org.carobstage.upstream.ServiceGroup;
 import org.carobstage.upstream.UpstreamContext;
 
@@ -131,6 +135,41 @@
                             reason -> {}));
         }
 
+        /** Writes once if the primary is known and may be written to. */
+        void write(Runnable onAcknowledged) {
+            group.acquire(
+                    new ConnectionRequest(
+                            ConnectionRequest.Purpose.PRIMARY,
+                            Set.of(),
+                            Map.of(),
+                            clock.nanoTime() + Duration.ofMillis(300).toNanos(),
+                            connection -> sendWrite(connection, onAcknowledged),
+                            reason -> {}));
+        }
+
+        private void sendWrite(PooledConnection connection, Runnable onAcknowledged) {
+            if (!group.tryAcquireWritePermission(connection.instance().id())) {
+                connection.release();
+                return;
+            }
+            CommitCircuitBreaker.InFlightCommit commit = group.trackCommit();
+            connection.send(
+                    "w",
+                    Optional.empty(),
+                    new Statement.Write("k", "data"),
+                    result -> {
+                        commit.complete(result.isPresent());
+                        connection.release();
+                        result.filter(StatementResult::isSuccessful)
+                                .flatMap(StatementResult::logPosition)
+                                .ifPresent(
+                                        position -> {
+                                            group.recordAcknowledgedCommit(position);
+                                            onAcknowledged.run();
+                                        });
+                    });
+        }
+
         private void tick() {
             group.tick();
             Set<VmId> members =
--- a/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
@@ -324,6 +324,9 @@
                 pending.callback().accept(Optional.empty());
                 return;
             }
+            if (needsReplica && result.isSuccessful()) {
+                service.onCommitAcknowledged(result.logPosition().orElseThrow());
+            }
             pending.callback().accept(Optional.of(result));
         }
 
@@ -387,7 +390,7 @@
                 preparedStatements.clear();
             } else if (statement instanceof Statement.Prepare prepare) {
                 preparedStatements.add(prepare.name());
-            } else if (statement instanceof Statement.PauseReplication pause) {
+            } else if (statement instanceof Statement.PauseReplication pause && !primary) {
                 pauseTerm = pause.term();
             } else if (statement instanceof Statement.ResumeReplication) {
                 pauseTerm = Term.ZERO;
--- a/carobstage/src/test/java/org/carobstage/fake/FakeService.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeService.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,6 +33,11 @@
     private long highestFencingToken;
     private boolean droppingPromotionResponses;
     private boolean keepingFormerPrimary;
+    private boolean ignoringFencingTokens;
+    private Duration promotionDuration = PROMOTION_DURATION;
+    private LogPosition newestAcknowledged = LogPosition.empty();
+    private final Map<Long, VmId> holders = new HashMap<>();
+    private final List<String> violations = new ArrayList<>();
 
     private FakeService(Clock clock) {
         this.clock = clock;
@@ -81,6 +87,25 @@
         keepingFormerPrimary = keep;
     }
 
+    /** Accepts promotion requests whatever their fencing tokens are. */
+    public void ignoreFencingTokens(boolean ignore) {
+        ignoringFencingTokens = ignore;
+    }
+
+    /** Delays the execution of the promotion requests that arrive from now on. */
+    public void delayPromotions(Duration delay) {
+        promotionDuration = PROMOTION_DURATION.plus(delay);
+    }
+
+    /** Returns the acknowledged commits that a promotion lost, and tokens used by two holders. */
+    public List<String> violations() {
+        return violations;
+    }
+
+    void onCommitAcknowledged(LogPosition position) {
+        newestAcknowledged = newestAcknowledged.max(position);
+    }
+
     /** Completes a promotion at once. */
     public void promote(String id) {
         completePromotion(InstanceId.of(id));
@@ -119,13 +144,17 @@
             long fencingToken,
             Consumer<PromotionClient.Outcome> callback) {
         receivedPromotionRequests.add(target + " " + fencingToken);
-        if (fencingToken < highestFencingToken || instances.get(target).isCrashed()) {
+        if (!holders.computeIfAbsent(fencingToken, t -> holder).equals(holder)) {
+            violations.add("token " + fencingToken + " was used by two holders");
+        }
+        boolean outdated = !ignoringFencingTokens && fencingToken < highestFencingToken;
+        if (outdated || instances.get(target).isCrashed()) {
             clock.schedule(
                     () -> callback.accept(PromotionClient.Outcome.REJECTED), Duration.ofMillis(2));
             return;
         }
-        highestFencingToken = fencingToken;
-        clock.schedule(() -> completePromotion(target), PROMOTION_DURATION);
+        highestFencingToken = Math.max(highestFencingToken, fencingToken);
+        clock.schedule(() -> completePromotion(target), promotionDuration);
         PromotionClient.Outcome outcome =
                 droppingPromotionResponses
                         ? PromotionClient.Outcome.UNKNOWN
@@ -135,9 +164,17 @@
 
     private void completePromotion(InstanceId target) {
         FakeInstance newPrimary = instances.get(target);
-        if (newPrimary.isPrimary()) {
+        if (newPrimary.isPrimary() || newPrimary.isCrashed()) {
             return;
         }
+        if (!newPrimary.receivedPosition().isAtLeast(newestAcknowledged)) {
+            violations.add(
+                    newestAcknowledged
+                            + " was acknowledged, "
+                            + target
+                            + " has only "
+                            + newPrimary.receivedPosition());
+        }
         Term term =
                 instances.values().stream()
                         .map(FakeInstance::term)
--- a/carobstage/src/test/java/org/carobstage/front/FormerPrimaryTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/FormerPrimaryTest.java
@@ -59,6 +59,20 @@
         assertThat(fixture.executionCount(read)).isZero();
     }
 
+    @Test
+    void shouldMakeFormerPrimaryStepDownOverItsOnlyConnection() {
+        fixture.group.setConnectionLimit(1, 5);
+        fixture.service.keepFormerPrimary(true);
+        fixture.service.promote("b");
+        ClientSession session = fixture.openSession("primary", channel);
+        for (int i = 0; i < 10; i++) {
+            fixture.send(session, READ);
+            fixture.advanceMillis(100);
+        }
+
+        assertThat(fixture.service.instance("a").isPrimary()).isFalse();
+    }
+
     @Test
     void shouldRepeatStepDownOnlyAtIntervalsWhenFormerPrimaryIgnoresIt() {
         fixture.service.keepFormerPrimary(true);
