Log what a promotion relies on, and each pause and resumption of a replica

New: 3020 with the status that a replica answers to the pause, 3021 for each resumption, 3022 for each change of a vote, 3023 when an instance reports another role, term or pause. 3015 lists votes, members and instances, 3016 the time that the request took. The monitor of paused replicas moves to a class of its own, unchanged.

--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -66,6 +66,14 @@
     CONNECTIONS_REFUSED(3018, Level.WARNING),
     /** A primary that was replaced was told to step down. */
     STEP_DOWN_REQUESTED(3019, Level.INFO),
+    /** A replica has answered the command to pause replication, or another one at a failover. */
+    REPLICA_PAUSED(3020, Level.INFO),
+    /** A replica was told to resume replication. */
+    REPLICA_RESUMED(3021, Level.INFO),
+    /** The vote of another process to replace a primary was observed, or its withdrawal. */
+    VOTE_OBSERVED(3022, Level.INFO),
+    /** An instance reported another role, term or pause than before. */
+    INSTANCE_STATUS_CHANGED(3023, Level.INFO),
     /** The store responds again. */
     STORE_REGAINED(2020, Level.INFO),
     /** The store does not respond or rejects calls. */
--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.event.EventCode;
 import org.carobstage.failover.FailoverCandidateSelector.Replica;
@@ -18,6 +19,7 @@
 import org.carobstage.sql.Statement;
 import org.carobstage.store.StoreResponse;
 import org.carobstage.store.StoreRevision;
+import org.carobstage.upstream.InstanceConnection.StatusResponse;
 import org.carobstage.upstream.ServiceGroup;
 
 /**
@@ -51,6 +53,7 @@
     private final long fencingToken;
     private final Optional<InstanceId> pendingTarget;
     private final AcknowledgedPositions acknowledgedPositions;
+    private final Supplier<String> evidence;
     private final Consumer<Boolean> onEnded;
     private final long startedNanos;
     private final Map<InstanceId, InstanceStatus> pausedReplicas = new HashMap<>();
@@ -70,6 +73,7 @@
             FailoverLease lease,
             Optional<InstanceId> pendingTarget,
             AcknowledgedPositions acknowledgedPositions,
+            Supplier<String> evidence,
             Consumer<Boolean> onEnded) {
         this.context = context;
         this.group = group;
@@ -79,6 +83,7 @@
         this.fencingToken = lease.fencingToken();
         this.pendingTarget = pendingTarget;
         this.acknowledgedPositions = acknowledgedPositions;
+        this.evidence = evidence;
         this.onEnded = onEnded;
         this.startedNanos = context.clock().nanoTime();
     }
@@ -149,19 +154,37 @@
     }
 
     private void pauseReplication(InstanceId id) {
+        long sentNanos = context.clock().nanoTime();
         boolean sent =
                 group.trySendControlCommand(
                         id,
                         new Statement.PauseReplication(term),
                         response -> {
                             pendingPauses.remove(id);
-                            response.status().ifPresent(s -> pausedReplicas.put(id, s));
+                            onPauseAnswered(id, response, sentNanos);
                         });
         if (sent) {
             pendingPauses.add(id);
         }
     }
 
+    private void onPauseAnswered(InstanceId id, StatusResponse response, long sentNanos) {
+        if (!pausedReplicas.containsKey(id)) {
+            context.record(
+                    EventCode.REPLICA_PAUSED,
+                    group.name(),
+                    "instance="
+                            + id
+                            + " term="
+                            + term
+                            + " took_ms="
+                            + elapsedSince(sentNanos).toMillis()
+                            + " status="
+                            + response.status());
+        }
+        response.status().ifPresent(s -> pausedReplicas.put(id, s));
+    }
+
     private void selectTarget() {
         if (planned) {
             awaitSuccessorCatchUp();
@@ -201,7 +224,9 @@
                         + " replicas="
                         + replicas().size()
                         + " acknowledged="
-                        + newestAcknowledged);
+                        + newestAcknowledged
+                        + " "
+                        + evidence.get());
         if (target.isEmpty()) {
             abandon("no replica is known to hold every acknowledged commit");
         } else {
@@ -321,7 +346,9 @@
                         + " fence="
                         + fencingToken
                         + " outcome="
-                        + outcome);
+                        + outcome
+                        + " took_ms="
+                        + elapsedSince(promotionRequestedNanos).toMillis());
         hasUnansweredRequest |= outcome == PromotionClient.Outcome.UNKNOWN;
         if (outcome == PromotionClient.Outcome.REJECTED) {
             abandon("the promotion request was rejected");
@@ -370,13 +397,28 @@
         context.record(EventCode.FAILOVER_ENDED, group.name(), outcome);
         replicasToPause().stream()
                 .filter(id -> !group.leadership().isLeader(id))
-                .forEach(
-                        id ->
-                                group.trySendControlCommand(
-                                        id, new Statement.ResumeReplication(), response -> {}));
+                .forEach(this::resumeReplication);
         onEnded.accept(promotionRequested);
     }
 
+    private void resumeReplication(InstanceId id) {
+        boolean sent =
+                group.trySendControlCommand(
+                        id,
+                        new Statement.ResumeReplication(),
+                        response -> recordResumed(id, "status=" + response.status()));
+        if (!sent) {
+            recordResumed(id, "not sent, no connection is idle");
+        }
+    }
+
+    private void recordResumed(InstanceId id, String outcome) {
+        context.record(
+                EventCode.REPLICA_RESUMED,
+                group.name(),
+                "instance=" + id + " term=" + term + " " + outcome);
+    }
+
     private Duration elapsedSince(long startNanos) {
         return Duration.ofNanos(context.clock().nanoTime() - startNanos);
     }
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -17,10 +17,7 @@
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
 import org.carobstage.model.ServiceName;
-import org.carobstage.model.Term;
 import org.carobstage.model.VmId;
-import org.carobstage.sql.InstanceStatus;
-import org.carobstage.sql.Statement;
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreEntry;
 import org.carobstage.store.StoreResponse;
@@ -45,16 +42,6 @@
     /** The minimum time between two failovers of a service. */
     private static final Duration FAILOVER_COOLDOWN = Duration.ofMillis(1_000);
 
-    /** A replica that stays paused this long without a lease holder is resumed. */
-    private static final Duration PAUSED_REPLICA_TIMEOUT = Duration.ofMillis(4_000);
-
-    /**
-     * The interval at which one process queries whether the replicas are paused. With {@link
-     * #PAUSED_REPLICA_TIMEOUT}, replicas resume within 8 s even if no process observed the end of
-     * the failover.
-     */
-    private static final Duration REPLICA_QUERY_INTERVAL = Duration.ofMillis(3_000);
-
     /**
      * A process that has disappeared from the store may have acknowledged commits that no vote
      * covers. They matter if a replica that is out of reach may still hold them.
@@ -170,11 +157,12 @@
         long nowNanos = context.clock().nanoTime();
         if (!draining && !replacementAgreed) {
             state.failoverDueSince = Optional.empty();
-            queryReplicas(group, state, members, nowNanos);
-            resumePausedReplicas(group, state, nowNanos);
+            state.pausedReplicas.query(group, rank(group.name(), members) == 0);
+            state.pausedReplicas.resume(
+                    group, state.failoverRunning || leaseHolders.containsKey(group.name()));
             return;
         }
-        state.replicasPausedSince = Optional.empty();
+        state.pausedReplicas.reset();
         if (state.failoverDueSince.isEmpty()) {
             state.failoverDueSince = Optional.of(nowNanos);
         }
@@ -214,6 +202,7 @@
                                         stopped ->
                                                 acknowledgedPosition(
                                                         group, oldPrimary, members, stopped),
+                                        () -> describeEvidence(group, members),
                                         requested -> onFailoverEnded(state, requested))
                                 .start(),
                 () -> onFailoverEnded(state, false));
@@ -345,7 +334,12 @@
         if (vm.equals(context.vm())) {
             applyOwnVote(ServiceName.of(parts[0]), entry.value().isPresent());
         }
-        votes.record(ServiceName.of(parts[0]), vm, entry.value().flatMap(Vote::parse));
+        ServiceName service = ServiceName.of(parts[0]);
+        context.record(
+                EventCode.VOTE_OBSERVED,
+                service,
+                "vm=" + vm + " vote=" + entry.value().orElse("none") + " at=" + entry.revision());
+        votes.record(service, vm, entry.value().flatMap(Vote::parse));
     }
 
     /** A restored store may have lost a vote of this process, or hold one that was withdrawn. */
@@ -389,6 +383,18 @@
                 .filter(p -> leaseObserved && (membersStable || otherReplicasStopped));
     }
 
+    /** Describes what a choice relies on: members, their votes and the registered instances. */
+    private String describeEvidence(ServiceGroup group, Set<VmId> members) {
+        return "votes="
+                + votes.describe(group.name())
+                + " members="
+                + members
+                + " members_stable_ms="
+                + membersStableSince.age(ClockReading.now(context.clock())).toMillis()
+                + " instances="
+                + group.instances().stream().map(InstanceEntry::id).toList();
+    }
+
     private long leaseAttemptDelay(ServiceName service, Set<VmId> members) {
         return LEASE_ATTEMPT_SPACING.toNanos() * Math.max(0, rank(service, members));
     }
@@ -403,62 +409,15 @@
         return ranking.indexOf(context.vm());
     }
 
-    /** Only the first-ranked process queries the replicas, since each query occupies a slot. */
-    private void queryReplicas(ServiceGroup group, State state, Set<VmId> members, long nowNanos) {
-        boolean isDue = nowNanos - state.replicasQueriedNanos >= REPLICA_QUERY_INTERVAL.toNanos();
-        if (isDue && rank(group.name(), members) == 0) {
-            state.replicasQueriedNanos = nowNanos;
-            group.instances().stream()
-                    .map(InstanceEntry::id)
-                    .filter(id -> !group.leadership().isLeader(id))
-                    .forEach(
-                            id ->
-                                    group.trySendControlCommand(
-                                            id, new Statement.QueryStatus(), response -> {}));
-        }
-    }
-
-    private void resumePausedReplicas(ServiceGroup group, State state, long nowNanos) {
-        List<InstanceId> pausedReplicas =
-                group.instances().stream()
-                        .map(InstanceEntry::id)
-                        .filter(id -> !group.leadership().isLeader(id))
-                        .filter(
-                                id ->
-                                        group.status(id)
-                                                .filter(this::isReplicationPaused)
-                                                .isPresent())
-                        .toList();
-        if (pausedReplicas.isEmpty()
-                || state.failoverRunning
-                || leaseHolders.containsKey(group.name())) {
-            state.replicasPausedSince = Optional.empty();
-        } else if (state.replicasPausedSince.isEmpty()) {
-            state.replicasPausedSince = Optional.of(nowNanos);
-        } else if (nowNanos - state.replicasPausedSince.get() >= PAUSED_REPLICA_TIMEOUT.toNanos()) {
-            state.replicasPausedSince = Optional.empty();
-            pausedReplicas.forEach(
-                    id ->
-                            group.trySendControlCommand(
-                                    id, new Statement.ResumeReplication(), response -> {}));
-            context.record(EventCode.INSTANCE_REJOINED, group.name(), "resumed=" + pausedReplicas);
-        }
-    }
-
-    private boolean isReplicationPaused(InstanceStatus status) {
-        return status.pausedTerm().isAfter(Term.ZERO);
-    }
-
     /** A vote, and the lease whose expiry deletes it from the store. */
     private record LeasedVote(Vote vote, LeaseId lease) {}
 
     /** The state of one service. */
     private static final class State {
         private final FailoverLease lease;
+        private final PausedReplicaMonitor pausedReplicas;
         private Optional<LeasedVote> storedVote = Optional.empty();
         private Optional<Long> failoverDueSince = Optional.empty();
-        private Optional<Long> replicasPausedSince = Optional.empty();
-        private long replicasQueriedNanos;
         private long nextFailoverNanos;
         private long nextVoteNanos;
         private boolean voteWritePending;
@@ -467,8 +426,8 @@
 
         private State(FailoverContext context, ServiceName service) {
             this.lease = new FailoverLease(context, service);
+            this.pausedReplicas = new PausedReplicaMonitor(context);
             this.nextFailoverNanos = context.clock().nanoTime();
-            this.replicasQueriedNanos = nextFailoverNanos;
             this.nextVoteNanos = nextFailoverNanos;
         }
 
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverVotes.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverVotes.java
@@ -65,6 +65,14 @@
                 : Optional.empty();
     }
 
+    /** Returns the votes as text. */
+    String describe(ServiceName service) {
+        return of(service).entrySet().stream()
+                .map(e -> e.getKey() + ":" + e.getValue().format())
+                .toList()
+                .toString();
+    }
+
     private Map<VmId, Vote> of(ServiceName service) {
         return votes.getOrDefault(service, Map.of());
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
@@ -80,7 +80,7 @@
 
     /** Records the status that an instance reported. */
     void onStatus(InstanceId id, InstanceStatus status, ClockReading requestedAt) {
-        statuses.put(id, status);
+        recordChange(id, Optional.ofNullable(statuses.put(id, status)), status, requestedAt);
         if (status.isPrimary()) {
             updateLeadership(
                     leadership.withLeader(id, status.term()),
@@ -130,6 +130,34 @@
                 .ifPresent(newest -> primaryPositions.confirm(newest, now));
     }
 
+    private void recordChange(
+            InstanceId id,
+            Optional<InstanceStatus> before,
+            InstanceStatus status,
+            ClockReading requestedAt) {
+        boolean same =
+                before.filter(
+                                b ->
+                                        b.isPrimary() == status.isPrimary()
+                                                && b.term().equals(status.term())
+                                                && b.pausedTerm().equals(status.pausedTerm()))
+                        .isPresent();
+        if (!same) {
+            context.events()
+                    .record(
+                            EventCode.INSTANCE_STATUS_CHANGED,
+                            EventScope.of(GroupId.of(service.value())),
+                            "instance="
+                                    + id
+                                    + " "
+                                    + status
+                                    + " age_ms="
+                                    + requestedAt
+                                            .age(ClockReading.now(context.clock()))
+                                            .toMillis());
+        }
+    }
+
     private void updateLeadership(Leadership next, String reason) {
         boolean changed = !next.leader().equals(leadership.leader());
         leadership = next;
