Write votes under the revision of their key

Cause, one of those found: the store may execute a vote whose write got no response after the vote's withdrawal, and the vote of a killed process stays for up to 3 s while its successor on the same VM already writes. In both cases a vote with an old position is stored while its process sends writes to that primary, so a failover that has to rely on votes promotes a log that ends before those writes.

Each write of a vote now expects the revision of its key, and a withdrawal replaces the value instead of deleting the key: a late write meets another revision. A vote that the process did not cast itself fences its primary until it is withdrawn, from the moment it is listed, which is before any instance is. Ruled out: a vote that is written late under a lease that has ended, which the store rejects.

The vote moves from FailoverCoordinator to a class of its own. Three tests that expected no key under votes/ now expect no stored vote: the key of a withdrawn vote remains.

--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -20,9 +20,6 @@
 import org.carobstage.model.VmId;
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreEntry;
-import org.carobstage.store.StoreResponse;
-import org.carobstage.store.StoreRevision;
-import org.carobstage.store.StoreWrite;
 import org.carobstage.upstream.ServiceGroup;
 
 /**
@@ -36,9 +33,6 @@
     /** The delay per rank, which staggers the attempts to acquire the lease. */
     private static final Duration LEASE_ATTEMPT_SPACING = Duration.ofMillis(250);
 
-    /** The delay before a failed write of a vote is retried. */
-    private static final Duration VOTE_RETRY_DELAY = Duration.ofMillis(500);
-
     /** The minimum time between two failovers of a service. */
     private static final Duration FAILOVER_COOLDOWN = Duration.ofMillis(1_000);
 
@@ -103,6 +97,18 @@
         }
     }
 
+    /**
+     * Adds a service before statements are sent to it. A vote that an earlier run on this VM has
+     * left in the store fences its primary.
+     *
+     * @param group the service
+     */
+    public void add(ServiceGroup group) {
+        State state = state(group.name());
+        state.group = Optional.of(group);
+        group.fence(state.vote.fencedPrimary());
+    }
+
     /**
      * Checks every service, and starts a failover where one is due; called periodically.
      *
@@ -131,17 +137,22 @@
                 .forEach(
                         state -> {
                             state.lease.onStoreRestored();
-                            state.storedVote = Optional.empty();
+                            state.vote.onStoreRestored();
                             state.postponeFailover(
                                     now.monotonicNanos() + RESTORE_GRACE_PERIOD.toNanos());
                         });
     }
 
+    private State state(ServiceName service) {
+        return states.computeIfAbsent(service, n -> new State(context, n));
+    }
+
     private void tick(ServiceGroup group, Set<VmId> members, Optional<LeaseId> lease) {
-        State state = states.computeIfAbsent(group.name(), n -> new State(context, n));
+        State state = state(group.name());
         Optional<InstanceId> primary = findPrimary(group);
         Optional<InstanceId> suspected = primary.filter(group::isSuspected);
-        updateVote(group, state, suspected, lease);
+        state.vote.update(group, suspected, lease, leaseHolders.containsKey(group.name()));
+        group.fence(state.vote.fencedPrimary());
         if (servicesToQuery.remove(group.name())) {
             group.requestAllStatuses();
         }
@@ -236,89 +247,6 @@
         return group.instances().stream().filter(e -> e.id().equals(id)).findFirst();
     }
 
-    /**
-     * Votes to replace a primary that does not respond, and withdraws the vote when the primary
-     * responds again. While the vote may be stored, no writes are sent to that primary, since a
-     * failover relies on the acknowledged positions in the votes.
-     */
-    private void updateVote(
-            ServiceGroup group,
-            State state,
-            Optional<InstanceId> suspected,
-            Optional<LeaseId> lease) {
-        if (state.voteWritePending || context.clock().nanoTime() - state.nextVoteNanos < 0) {
-            return;
-        }
-        if (suspected.isEmpty()) {
-            withdrawVote(group, state);
-        } else if (lease.isPresent()) {
-            Optional<LogPosition> acknowledgedPosition =
-                    Optional.of(group.lastAcknowledgedPosition())
-                            .filter(p -> !group.hasPendingCommits());
-            LeasedVote leasedVote =
-                    new LeasedVote(new Vote(suspected.get(), acknowledgedPosition), lease.get());
-            if (!state.storedVote.equals(Optional.of(leasedVote))) {
-                castVote(group, state, leasedVote);
-            }
-        }
-    }
-
-    private void castVote(ServiceGroup group, State state, LeasedVote leasedVote) {
-        group.fence(Optional.of(leasedVote.vote().primary()));
-        String text = leasedVote.vote().format();
-        context.record(EventCode.REPLACEMENT_VOTE, group.name(), text);
-        state.voteWritePending = true;
-        context.store()
-                .write(
-                        StoreWrite.put(
-                                FailoverKeys.vote(group.name(), context.vm()),
-                                text,
-                                leasedVote.lease()),
-                        response -> {
-                            state.voteWritePending = false;
-                            state.voteMayBeStored |=
-                                    !(response instanceof StoreResponse.Refused<StoreRevision>);
-                            if (response instanceof StoreResponse.Success<StoreRevision>) {
-                                state.storedVote = Optional.of(leasedVote);
-                            } else {
-                                scheduleVoteRetry(state);
-                            }
-                        });
-    }
-
-    /** The store rejects the withdrawal while a failover lease is held. */
-    private void withdrawVote(ServiceGroup group, State state) {
-        if (!state.voteMayBeStored) {
-            group.fence(Optional.empty());
-            return;
-        }
-        if (leaseHolders.containsKey(group.name())) {
-            return;
-        }
-        context.record(EventCode.REPLACEMENT_VOTE, group.name(), "withdrawn");
-        state.voteWritePending = true;
-        context.store()
-                .write(
-                        StoreWrite.deleteUnlessExists(
-                                FailoverKeys.vote(group.name(), context.vm()),
-                                FailoverKeys.lease(group.name())),
-                        response -> {
-                            state.voteWritePending = false;
-                            if (response instanceof StoreResponse.Success<StoreRevision>) {
-                                state.voteMayBeStored = false;
-                                state.storedVote = Optional.empty();
-                                group.fence(Optional.empty());
-                            } else {
-                                scheduleVoteRetry(state);
-                            }
-                        });
-    }
-
-    private void scheduleVoteRetry(State state) {
-        state.storedVote = Optional.empty();
-        state.nextVoteNanos = context.clock().nanoTime() + VOTE_RETRY_DELAY.toNanos();
-    }
-
     /** Schedules a status query, since the holder may have crashed and left replicas paused. */
     private void onLeaseEnded(ServiceName service) {
         leaseHolders.remove(service);
@@ -330,11 +258,13 @@
         if (parts.length != 2) {
             return;
         }
+        ServiceName service = ServiceName.of(parts[0]);
         VmId vm = VmId.of(parts[1]);
         if (vm.equals(context.vm())) {
-            applyOwnVote(ServiceName.of(parts[0]), entry.value().isPresent());
+            State state = state(service);
+            state.vote.onStoreChange(entry);
+            state.group.ifPresent(group -> group.fence(state.vote.fencedPrimary()));
         }
-        ServiceName service = ServiceName.of(parts[0]);
         context.record(
                 EventCode.VOTE_OBSERVED,
                 service,
@@ -342,19 +272,6 @@
         votes.record(service, vm, entry.value().flatMap(Vote::parse));
     }
 
-    /** A restored store may have lost a vote of this process, or hold one that was withdrawn. */
-    private void applyOwnVote(ServiceName service, boolean stored) {
-        State state = states.get(service);
-        if (state == null || state.voteWritePending) {
-            return;
-        }
-        if (!stored) {
-            state.storedVote = Optional.empty();
-        } else if (state.storedVote.isEmpty()) {
-            state.voteMayBeStored = true;
-        }
-    }
-
     /** Keeps a request that a restored store has lost, since the platform may still execute it. */
     private void removePendingPromotion(ServiceName service, long era) {
         PendingPromotion pending = pendingPromotions.get(service);
@@ -409,26 +326,21 @@
         return ranking.indexOf(context.vm());
     }
 
-    /** A vote, and the lease whose expiry deletes it from the store. */
-    private record LeasedVote(Vote vote, LeaseId lease) {}
-
     /** The state of one service. */
     private static final class State {
         private final FailoverLease lease;
         private final PausedReplicaMonitor pausedReplicas;
-        private Optional<LeasedVote> storedVote = Optional.empty();
+        private final ReplacementVote vote;
+        private Optional<ServiceGroup> group = Optional.empty();
         private Optional<Long> failoverDueSince = Optional.empty();
         private long nextFailoverNanos;
-        private long nextVoteNanos;
-        private boolean voteWritePending;
-        private boolean voteMayBeStored;
         private boolean failoverRunning;
 
         private State(FailoverContext context, ServiceName service) {
             this.lease = new FailoverLease(context, service);
+            this.vote = new ReplacementVote(context, service);
             this.pausedReplicas = new PausedReplicaMonitor(context);
             this.nextFailoverNanos = context.clock().nanoTime();
-            this.nextVoteNanos = nextFailoverNanos;
         }
 
         private void postponeFailover(long untilNanos) {
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -243,12 +243,17 @@
         groups.values().stream()
                 .filter(g -> !g.name().equals(entry.service()))
                 .forEach(g -> g.remove(entry.id()));
-        ServiceGroup group =
-                groups.computeIfAbsent(entry.service(), n -> ServiceGroup.of(n, upstream));
+        ServiceGroup group = groups.computeIfAbsent(entry.service(), this::createGroup);
         updateConnectionLimits(group);
         group.put(entry);
     }
 
+    private ServiceGroup createGroup(ServiceName name) {
+        ServiceGroup group = ServiceGroup.of(name, upstream);
+        failoverCoordinator.add(group);
+        return group;
+    }
+
     private void onStoreListed() {
         storeListed = true;
     }
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverAfterRestoreTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverAfterRestoreTest.java
@@ -57,11 +57,11 @@
         fixture.store.copy();
         fixture.processes.get(0).unreachable.add(InstanceId.of("a"));
         fixture.advanceMillis(2_000);
-        assertThat(fixture.store.keys("carobstage/votes/")).hasSize(1);
+        assertThat(fixture.storedVotes()).hasSize(1);
         fixture.store.restore();
         fixture.advanceMillis(1_000);
 
-        assertThat(fixture.store.keys("carobstage/votes/")).hasSize(1);
+        assertThat(fixture.storedVotes()).hasSize(1);
     }
 
     @Test
@@ -71,11 +71,11 @@
         fixture.store.copy();
         fixture.processes.get(0).unreachable.clear();
         fixture.advanceMillis(2_000);
-        assertThat(fixture.store.keys("carobstage/votes/")).isEmpty();
+        assertThat(fixture.storedVotes()).isEmpty();
         fixture.store.restore();
         fixture.advanceMillis(2_000);
 
-        assertThat(fixture.store.keys("carobstage/votes/")).isEmpty();
+        assertThat(fixture.storedVotes()).isEmpty();
     }
 
     @Test
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
@@ -188,14 +188,14 @@
     void shouldWithdrawVoteAfterStoreOutageWhenPrimaryRecoveredMeanwhile() {
         fixture.processes.get(0).unreachable.add(InstanceId.of("a"));
         fixture.advanceMillis(2_000);
-        assertThat(fixture.store.keys("carobstage/votes/")).hasSize(1);
+        assertThat(fixture.storedVotes()).hasSize(1);
         fixture.processes.get(0).storeClient.setReachable(false);
         fixture.processes.get(0).unreachable.clear();
         fixture.advanceMillis(2_000);
         fixture.processes.get(0).storeClient.setReachable(true);
         fixture.advanceMillis(2_000);
 
-        assertThat(fixture.store.keys("carobstage/votes/")).isEmpty();
+        assertThat(fixture.storedVotes()).isEmpty();
     }
 
     @Test
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
@@ -55,6 +55,13 @@
         return service.instance(id);
     }
 
+    /** Returns the processes whose votes are stored and not withdrawn, by key. */
+    List<String> storedVotes() {
+        return store.keys("carobstage/votes/").stream()
+                .filter(key -> store.get(key).flatMap(Vote::parse).isPresent())
+                .toList();
+    }
+
     void advanceMillis(long millis) {
         clock.advance(Duration.ofMillis(millis));
     }
@@ -73,10 +80,20 @@
         final FakeMetadataStore.Client storeClient = store.client();
         private final VmId vm;
         private boolean left;
+        private boolean stopped;
         final ServiceGroup group;
         private final FailoverCoordinator coordinator;
         private Optional<LeaseId> lease = Optional.empty();
 
+        /** Replaces this process by a new one on the same VM, which remains a member. */
+        Process restart() {
+            stopped = true;
+            storeClient.setReachable(false);
+            Process restarted = new Process(vm.value());
+            processes.set(processes.indexOf(this), restarted);
+            return restarted;
+        }
+
         private Process(String name) {
             vm = VmId.of(name);
             EventLog events = EventLog.of(vm, clock, 100);
@@ -100,6 +117,7 @@
                                     service.promotionClient(),
                                     events,
                                     fencingEnforced));
+            coordinator.add(group);
             StoreWatcher.of(
                             storeClient,
                             clock,
@@ -171,6 +189,9 @@
         }
 
         private void tick() {
+            if (stopped) {
+                return;
+            }
             group.tick();
             Set<VmId> members =
                     processes.stream()
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/failover/ReplacementVoteTest.java
@@ -0,0 +1,65 @@
+package org.carobstage.failover;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.carobstage.model.InstanceId;
+import org.junit.jupiter.api.Test;
+
+class ReplacementVoteTest {
+    private static final InstanceId PRIMARY = InstanceId.of("a");
+
+    private final FailoverFixture fixture = new FailoverFixture(true);
+    private final FailoverFixture.Process process = fixture.processes.get(0);
+
+    // A vote that is stored after its withdrawal names an outdated position while writes go on.
+    @Test
+    void shouldNotStoreVoteAfterItsWithdrawalWhenItsWriteIsExecutedLate() {
+        process.storeClient.delayWrites(Optional.of(Duration.ofSeconds(3)));
+        process.unreachable.add(PRIMARY);
+        fixture.advanceMillis(1_200);
+        process.storeClient.delayWrites(Optional.empty());
+        process.unreachable.clear();
+
+        List<String> votesBesideWrites = new ArrayList<>();
+        for (int i = 0; i < 500; i++) {
+            fixture.advanceMillis(10);
+            storedVote()
+                    .filter(vote -> process.group.tryAcquireWritePermission(PRIMARY))
+                    .ifPresent(votesBesideWrites::add);
+        }
+
+        assertThat(votesBesideWrites).isEmpty();
+    }
+
+    // The vote of a process that was killed outlives it by the TTL of its membership.
+    @Test
+    void shouldSendNoWritesWhileVoteOfEarlierRunIsStored() {
+        process.unreachable.add(PRIMARY);
+        fixture.advanceMillis(2_000);
+        assertThat(storedVote()).isPresent();
+        FailoverFixture.Process restarted = process.restart();
+
+        List<String> votesBesideWrites = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            fixture.advanceMillis(10);
+            storedVote()
+                    .filter(vote -> restarted.group.tryAcquireWritePermission(PRIMARY))
+                    .filter(vote -> restarted.group.leadership().isLeader(PRIMARY))
+                    .ifPresent(votesBesideWrites::add);
+        }
+
+        assertThat(votesBesideWrites).isEmpty();
+        assertThat(storedVote()).isEmpty();
+        assertThat(restarted.group.tryAcquireWritePermission(PRIMARY)).isTrue();
+    }
+
+    private Optional<String> storedVote() {
+        return fixture.store
+                .get("carobstage/votes/forms/vm-0")
+                .filter(text -> Vote.parse(text).isPresent());
+    }
+}
--- a/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
@@ -23,6 +23,7 @@
  */
 public final class FakeMetadataStore {
     private static final Duration RESPONSE_DELAY = Duration.ofMillis(4);
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(500);
     private static final Duration RESTORED_TTL = Duration.ofSeconds(3);
 
     private final Clock clock;
@@ -172,12 +173,24 @@
         private final Map<LeaseId, Duration> ttls = new HashMap<>();
         private final StoreEra storeEra = StoreEra.unknown();
         private boolean reachable = true;
+        private boolean watchHeld;
+        private Optional<Duration> writeDelay = Optional.empty();
         private int callCount;
 
         public void setReachable(boolean isReachable) {
             reachable = isReachable;
         }
 
+        /** Lets writes go unanswered and executes them late, if their conditions still hold. */
+        public void delayWrites(Optional<Duration> delay) {
+            writeDelay = delay;
+        }
+
+        /** Delivers no changes to the watch while it is held. */
+        public void holdWatch(boolean held) {
+            watchHeld = held;
+        }
+
         public int callCount() {
             return callCount;
         }
@@ -210,6 +223,10 @@
                 callback.accept(new StoreResponse.HistoryGone<>());
                 return;
             }
+            if (watchHeld) {
+                clock.schedule(() -> watch(after, wait, callback), RESPONSE_DELAY);
+                return;
+            }
             Watch watch = new Watch(after.number(), response -> callback.accept(respond(response)));
             if (history.stream().anyMatch(entry -> entry.revision().number() > after.number())) {
                 clock.schedule(() -> complete(watch), RESPONSE_DELAY);
@@ -227,25 +244,29 @@
 
         @Override
         public void write(StoreWrite change, Consumer<StoreResponse<StoreRevision>> callback) {
-            respondLater(
-                    callback,
-                    () -> {
-                        boolean conditionsHold =
-                                change.conditions().stream()
-                                        .allMatch(
-                                                condition ->
-                                                        revisionOf(condition.key())
-                                                                .equals(condition.revision()));
-                        if (!conditionsHold) {
-                            return new StoreResponse.Mismatch<>();
-                        }
-                        change.puts()
-                                .forEach(
-                                        update ->
-                                                put(update.key(), update.value(), update.lease()));
-                        change.deletes().forEach(FakeMetadataStore.this::delete);
-                        return new StoreResponse.Success<>(currentRevision());
-                    });
+            if (writeDelay.isEmpty()) {
+                respondLater(callback, () -> execute(change));
+                return;
+            }
+            callCount++;
+            clock.schedule(() -> execute(change), writeDelay.get());
+            clock.schedule(
+                    () -> callback.accept(new StoreResponse.NoAnswer<>("timeout")), CALL_TIMEOUT);
+        }
+
+        private StoreResponse<StoreRevision> execute(StoreWrite change) {
+            boolean conditionsHold =
+                    change.conditions().stream()
+                            .allMatch(
+                                    condition ->
+                                            revisionOf(condition.key())
+                                                    .equals(condition.revision()));
+            if (!conditionsHold) {
+                return new StoreResponse.Mismatch<>();
+            }
+            change.puts().forEach(update -> put(update.key(), update.value(), update.lease()));
+            change.deletes().forEach(FakeMetadataStore.this::delete);
+            return new StoreResponse.Success<>(currentRevision());
         }
 
         @Override
