Make the in-memory instances as strict as the protocol, and messages losable

A commit that no replica receives stays pending and is acknowledged once one does, also if its connection is closed. Each store write, lease call, control command and promotion request can be lost, executed late or left unanswered.

--- a/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
@@ -13,9 +13,11 @@
 import org.carobstage.fake.FakeInstance;
 import org.carobstage.fake.FakeMetadataStore;
 import org.carobstage.fake.FakeService;
+import org.carobstage.fake.MessageFilter;
 import org.carobstage.model.FailureDomain;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.VmId;
+import org.carobstage.runtime.Clock;
 import org.carobstage.runtime.ManualClock;
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.StatementResult;
@@ -28,15 +30,23 @@
 import org.carobstage.upstream.ServiceGroup;
 import org.carobstage.upstream.UpstreamContext;
 
-/** Three processes that coordinate failovers of an in-memory service, driven by a manual clock. */
+/** Processes that coordinate failovers of an in-memory service, driven by a manual clock. */
 final class FailoverFixture {
     private static final int PROCESSES = 3;
 
+    private static final Duration WRITE_TIMEOUT = Duration.ofMillis(1_500);
+
+    /** A process that ends without notice remains a member for this long. */
+    private static final Duration MEMBERSHIP_TTL = Duration.ofSeconds(3);
+
     final ManualClock clock = ManualClock.of(Instant.EPOCH);
     final FakeService service = FakeService.of(clock);
     final FakeMetadataStore store = FakeMetadataStore.of(clock);
     final List<Process> processes = new ArrayList<>();
 
+    /** What happens to each message; messages begin with the VM of their sender. */
+    MessageFilter filter = MessageFilter.NONE;
+
     private final boolean fencingEnforced;
 
     FailoverFixture() {
@@ -44,13 +54,30 @@
     }
 
     FailoverFixture(boolean fencingEnforced) {
+        this(fencingEnforced, PROCESSES);
+    }
+
+    FailoverFixture(boolean fencingEnforced, int processCount) {
         this.fencingEnforced = fencingEnforced;
-        for (int i = 0; i < PROCESSES; i++) {
+        for (int i = 0; i < processCount; i++) {
             processes.add(new Process("vm-" + i));
         }
         advanceMillis(1_000);
     }
 
+    /** Ends a process and starts it again under its VM's id, before its membership has ended. */
+    Process restart(int index) {
+        Process ended = processes.get(index);
+        ended.end();
+        processes.set(index, new Process(ended.vm.value()));
+        return processes.get(index);
+    }
+
+    /** Drops an instance from what all processes know of the service, while it runs on. */
+    void dropEntry(String id) {
+        processes.forEach(p -> p.group.remove(InstanceId.of(id)));
+    }
+
     FakeInstance instance(String id) {
         return service.instance(id);
     }
@@ -73,19 +100,23 @@
         final FakeMetadataStore.Client storeClient = store.client();
         private final VmId vm;
         private boolean left;
+        private boolean ended;
         final ServiceGroup group;
         private final FailoverCoordinator coordinator;
         private Optional<LeaseId> lease = Optional.empty();
 
         private Process(String name) {
             vm = VmId.of(name);
+            storeClient.setMessageFilter(this::fateOf);
             EventLog events = EventLog.of(vm, clock, 100);
             group =
                     ServiceGroup.of(
                             FakeService.NAME,
                             new UpstreamContext(
                                     clock,
-                                    service.connector(id -> !unreachable.contains(id)),
+                                    service.connector(
+                                            id -> !ended && !unreachable.contains(id),
+                                            this::fateOf),
                                     FailureDomain.of("domain-b"),
                                     events,
                                     fencingEnforced));
@@ -97,7 +128,7 @@
                                     vm,
                                     clock,
                                     storeClient,
-                                    service.promotionClient(),
+                                    service.promotionClient(this::fateOf),
                                     events,
                                     fencingEnforced));
             StoreWatcher.of(
@@ -116,6 +147,24 @@
             clock.schedule(this::tick, Duration.ofMillis(50));
         }
 
+        private MessageFilter.Fate fateOf(String message) {
+            return ended ? MessageFilter.Fate.LOST : filter.fateOf(vm + " " + message);
+        }
+
+        private void end() {
+            ended = true;
+            Optional<LeaseId> endedLease = lease;
+            clock.schedule(() -> endedLease.ifPresent(store::expire), MEMBERSHIP_TTL);
+            storeClient.setReachable(false);
+        }
+
+        /** Ends the membership, although the process runs. */
+        void loseMembership() {
+            left = true;
+            lease.ifPresent(store::expire);
+            lease = Optional.empty();
+        }
+
         void leave() {
             left = true;
             unreachable.addAll(Set.of(InstanceId.of("b"), InstanceId.of("c")));
@@ -135,7 +184,7 @@
                             reason -> {}));
         }
 
-        /** Writes once if the primary is known and may be written to. */
+        /** Writes once if the primary is known and may be written to; gives up after a timeout. */
         void write(Runnable onAcknowledged) {
             group.acquire(
                     new ConnectionRequest(
@@ -153,11 +202,19 @@
                 return;
             }
             CommitCircuitBreaker.InFlightCommit commit = group.trackCommit();
+            Clock.Timer timeout =
+                    clock.schedule(
+                            () -> {
+                                commit.abandon(clock.nanoTime());
+                                connection.discard();
+                            },
+                            WRITE_TIMEOUT);
             connection.send(
                     "w",
                     Optional.empty(),
                     new Statement.Write("k", "data"),
                     result -> {
+                        timeout.cancel();
                         commit.complete(result.isPresent());
                         connection.release();
                         result.filter(StatementResult::isSuccessful)
@@ -171,6 +228,9 @@
         }
 
         private void tick() {
+            if (ended) {
+                return;
+            }
             group.tick();
             Set<VmId> members =
                     processes.stream()
--- a/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
@@ -8,6 +8,9 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.carobstage.runtime.Clock;
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.MetadataStore;
@@ -23,6 +26,7 @@
  */
 public final class FakeMetadataStore {
     private static final Duration RESPONSE_DELAY = Duration.ofMillis(4);
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(600);
     private static final Duration RESTORED_TTL = Duration.ofSeconds(3);
 
     private final Clock clock;
@@ -61,6 +65,11 @@
         }
     }
 
+    /** Ends a lease and deletes its keys, as if it had not been renewed. */
+    public void expire(LeaseId lease) {
+        revoke(lease);
+    }
+
     public Optional<String> get(String key) {
         return Optional.ofNullable(values.get(key)).map(Value::text);
     }
@@ -171,6 +180,7 @@
     public final class Client implements MetadataStore {
         private final Map<LeaseId, Duration> ttls = new HashMap<>();
         private final StoreEra storeEra = StoreEra.unknown();
+        private MessageFilter filter = MessageFilter.NONE;
         private boolean reachable = true;
         private int callCount;
 
@@ -178,6 +188,11 @@
             reachable = isReachable;
         }
 
+        /** Sets what happens to the writes and the lease calls of this process. */
+        public void setMessageFilter(MessageFilter newFilter) {
+            filter = newFilter;
+        }
+
         public int callCount() {
             return callCount;
         }
@@ -190,6 +205,7 @@
         @Override
         public void list(Optional<String> afterKey, Consumer<StoreResponse<Page>> callback) {
             respondLater(
+                    MessageFilter.Fate.DELIVERED,
                     callback,
                     () ->
                             new StoreResponse.Success<>(
@@ -228,6 +244,7 @@
         @Override
         public void write(StoreWrite change, Consumer<StoreResponse<StoreRevision>> callback) {
             respondLater(
+                    filter.fateOf(nameOf(change)),
                     callback,
                     () -> {
                         boolean conditionsHold =
@@ -251,6 +268,7 @@
         @Override
         public void grantLease(Duration ttl, Consumer<StoreResponse<LeaseId>> callback) {
             respondLater(
+                    filter.fateOf("GRANT"),
                     callback,
                     () -> {
                         LeaseId lease = new LeaseId(nextLeaseId++);
@@ -263,6 +281,7 @@
         @Override
         public void renewLease(LeaseId lease, Consumer<StoreResponse<LeaseId>> callback) {
             respondLater(
+                    filter.fateOf("RENEW"),
                     callback,
                     () -> {
                         if (!leases.containsKey(lease)) {
@@ -276,6 +295,7 @@
         @Override
         public void revokeLease(LeaseId lease, Consumer<StoreResponse<LeaseId>> callback) {
             respondLater(
+                    filter.fateOf("REVOKE"),
                     callback,
                     () ->
                             FakeMetadataStore.this.revoke(lease)
@@ -283,6 +303,13 @@
                                     : new StoreResponse.Mismatch<>());
         }
 
+        private String nameOf(StoreWrite change) {
+            return Stream.concat(
+                            change.puts().stream().map(put -> "WRITE " + put.key()),
+                            change.deletes().stream().map(key -> "DELETE " + key))
+                    .collect(Collectors.joining(" "));
+        }
+
         private StoreRevision revisionOf(String key) {
             return Optional.ofNullable(values.get(key))
                     .map(value -> new StoreRevision(era, value.revision()))
@@ -298,16 +325,24 @@
         }
 
         private <T> void respondLater(
+                MessageFilter.Fate fate,
                 Consumer<StoreResponse<T>> callback,
-                java.util.function.Supplier<StoreResponse<T>> call) {
+                Supplier<StoreResponse<T>> call) {
             callCount++;
-            clock.schedule(
-                    () ->
-                            callback.accept(
-                                    reachable
-                                            ? respond(call.get())
-                                            : new StoreResponse.NoAnswer<>("store unreachable")),
-                    RESPONSE_DELAY);
+            if (fate.answered()) {
+                clock.schedule(
+                        () -> callback.accept(reachable ? respond(call.get()) : unreachable()),
+                        RESPONSE_DELAY);
+                return;
+            }
+            if (fate.executed()) {
+                clock.schedule(call::get, RESPONSE_DELAY.plus(fate.delay()));
+            }
+            clock.schedule(() -> callback.accept(unreachable()), CALL_TIMEOUT);
+        }
+
+        private <T> StoreResponse<T> unreachable() {
+            return new StoreResponse.NoAnswer<>("store unreachable");
         }
     }
 }
--- a/carobstage/src/test/java/org/carobstage/fake/FakeService.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeService.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.failover.PromotionClient;
 import org.carobstage.model.Address;
@@ -25,6 +26,7 @@
     public static final ServiceName NAME = ServiceName.of("forms");
 
     private static final Duration PROMOTION_DURATION = Duration.ofMillis(1_000);
+    private static final Duration PROMOTION_TIMEOUT = Duration.ofMillis(1_000);
     private static final Duration CONNECT_DURATION = Duration.ofMillis(12);
 
     final Clock clock;
@@ -34,7 +36,7 @@
     private boolean droppingPromotionResponses;
     private boolean keepingFormerPrimary;
     private boolean ignoringFencingTokens;
-    private Duration promotionDuration = PROMOTION_DURATION;
+    private Duration promotionDelay = Duration.ZERO;
     private LogPosition newestAcknowledged = LogPosition.empty();
     private final Map<Long, VmId> holders = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
@@ -92,9 +94,9 @@
         ignoringFencingTokens = ignore;
     }
 
-    /** Delays the execution of the promotion requests that arrive from now on. */
+    /** Delays the promotion requests that are sent from now on; their fences are checked then. */
     public void delayPromotions(Duration delay) {
-        promotionDuration = PROMOTION_DURATION.plus(delay);
+        promotionDelay = delay;
     }
 
     /** Returns the acknowledged commits that a promotion lost, and tokens used by two holders. */
@@ -113,10 +115,10 @@
 
     /** Returns the connector of a VM that reaches every responsive instance. */
     public InstanceConnector connector() {
-        return connector(id -> true);
+        return connector(id -> true, MessageFilter.NONE);
     }
 
-    public InstanceConnector connector(java.util.function.Predicate<InstanceId> reachable) {
+    public InstanceConnector connector(Predicate<InstanceId> reachable, MessageFilter filter) {
         return (target, timeout, listener) -> {
             FakeInstance instance = instances.get(target.id());
             if (instance == null || instance.isUnresponsive() || !reachable.test(target.id())) {
@@ -128,38 +130,59 @@
                         () -> listener.onOpenFailed(InstanceConnector.OpenFailure.RESET),
                         Duration.ofMillis(1));
             } else {
-                clock.schedule(() -> instance.connect(listener, reachable), CONNECT_DURATION);
+                clock.schedule(
+                        () -> instance.connect(listener, reachable, filter), CONNECT_DURATION);
             }
         };
     }
 
-    public PromotionClient promotionClient() {
-        return this::promote;
+    /** Returns the client of a process, which sends nothing once the filter loses its requests. */
+    public PromotionClient promotionClient(MessageFilter filter) {
+        return (service, target, holder, fencingToken, callback) ->
+                send(
+                        target,
+                        holder,
+                        fencingToken,
+                        fateOfPromotion(filter.fateOf("PROMOTE " + target)),
+                        callback);
+    }
+
+    private MessageFilter.Fate fateOfPromotion(MessageFilter.Fate fate) {
+        return new MessageFilter.Fate(
+                fate.executed(),
+                fate.delay().plus(promotionDelay),
+                fate.answered() && !droppingPromotionResponses);
     }
 
-    private void promote(
-            ServiceName service,
+    private void send(
             InstanceId target,
             VmId holder,
             long fencingToken,
+            MessageFilter.Fate fate,
             Consumer<PromotionClient.Outcome> callback) {
         receivedPromotionRequests.add(target + " " + fencingToken);
         if (!holders.computeIfAbsent(fencingToken, t -> holder).equals(holder)) {
             violations.add("token " + fencingToken + " was used by two holders");
         }
+        if (fate.answered()) {
+            PromotionClient.Outcome outcome = promote(target, fencingToken);
+            clock.schedule(() -> callback.accept(outcome), Duration.ofMillis(5));
+            return;
+        }
+        if (fate.executed()) {
+            clock.schedule(() -> promote(target, fencingToken), fate.delay());
+        }
+        clock.schedule(() -> callback.accept(PromotionClient.Outcome.UNKNOWN), PROMOTION_TIMEOUT);
+    }
+
+    private PromotionClient.Outcome promote(InstanceId target, long fencingToken) {
         boolean outdated = !ignoringFencingTokens && fencingToken < highestFencingToken;
         if (outdated || instances.get(target).isCrashed()) {
-            clock.schedule(
-                    () -> callback.accept(PromotionClient.Outcome.REJECTED), Duration.ofMillis(2));
-            return;
+            return PromotionClient.Outcome.REJECTED;
         }
         highestFencingToken = Math.max(highestFencingToken, fencingToken);
-        clock.schedule(() -> completePromotion(target), promotionDuration);
-        PromotionClient.Outcome outcome =
-                droppingPromotionResponses
-                        ? PromotionClient.Outcome.UNKNOWN
-                        : PromotionClient.Outcome.ACCEPTED;
-        clock.schedule(() -> callback.accept(outcome), Duration.ofMillis(5));
+        clock.schedule(() -> completePromotion(target), PROMOTION_DURATION);
+        return PromotionClient.Outcome.ACCEPTED;
     }
 
     private void completePromotion(InstanceId target) {
@@ -184,6 +207,7 @@
                 .filter(instance -> !keepingFormerPrimary || !instance.isPrimary())
                 .forEach(instance -> instance.follow(newPrimary, term));
         newPrimary.becomePrimary(term);
+        replicate(newPrimary);
     }
 
     /** Makes a replica of a primary whose term is over. */
@@ -194,22 +218,48 @@
         }
     }
 
-    /**
-     * Assigns a log position to a commit and replicates it to the replicas that receive
-     * replication.
-     */
+    /** Assigns a log position to a commit. */
     LogPosition commit(FakeInstance primary) {
         LogPosition position =
                 LogPosition.of(primary.term().number(), primary.receivedPosition().offset() + 1);
         primary.receive(position);
-        instances.values().stream()
-                .filter(instance -> instance.isReceivingFrom(primary))
-                .forEach(instance -> instance.receive(position));
         return position;
     }
 
-    boolean hasReceivingReplica(FakeInstance primary) {
-        return instances.values().stream().anyMatch(instance -> instance.isReceivingFrom(primary));
+    /** Sends the log of a primary to its replicas. */
+    void replicate(FakeInstance primary) {
+        instances.values().forEach(replica -> replicate(primary, replica));
+    }
+
+    /** Sends a replica that receives again what it has missed. */
+    void catchUp(FakeInstance replica) {
+        instances.values().stream()
+                .filter(FakeInstance::isServingAsPrimary)
+                .forEach(primary -> replicate(primary, replica));
+    }
+
+    /** Returns the newest position that a replica of a primary has received. */
+    LogPosition newestReceived(FakeInstance primary) {
+        return instances.values().stream()
+                .filter(i -> !i.isPrimary() && !i.term().isAfter(primary.term()))
+                .map(FakeInstance::receivedPosition)
+                .reduce(LogPosition.empty(), LogPosition::max);
+    }
+
+    private void replicate(FakeInstance primary, FakeInstance replica) {
+        LogPosition position = primary.receivedPosition();
+        if (replica.replicationDelay().isZero()) {
+            deliver(primary, replica, position);
+        } else {
+            clock.schedule(() -> deliver(primary, replica, position), replica.replicationDelay());
+        }
+    }
+
+    private void deliver(FakeInstance primary, FakeInstance replica, LogPosition position) {
+        if (replica.isReceiving(position)) {
+            replica.receive(position);
+            primary.onReceived(position);
+        }
     }
 
     static InstanceEntry toInstanceEntry(FakeInstance instance, boolean draining) {
--- a/carobstage/src/test/java/org/carobstage/front/FakePlatformAdapter.java
+++ b/carobstage/src/test/java/org/carobstage/front/FakePlatformAdapter.java
@@ -11,6 +11,7 @@
 import org.carobstage.failover.PromotionClient;
 import org.carobstage.fake.FakeMetadataStore;
 import org.carobstage.fake.FakeService;
+import org.carobstage.fake.MessageFilter;
 import org.carobstage.model.Address;
 import org.carobstage.model.InstanceId;
 import org.carobstage.route.RouteTable;
@@ -66,7 +67,7 @@
 
     @Override
     public PromotionClient promotionClient() {
-        return service.promotionClient();
+        return service.promotionClient(MessageFilter.NONE);
     }
 
     @Override
