Stop the writes of every process before replicas are compared

Cause: half of the processes suffice to replace a primary, the others go on writing to it, and only the pause of the registered replicas kept their commits from being acknowledged. A replica whose entry had expired, or that restarted after its pause, acknowledged them.

A process that observes the failover of a primary that enough others have voted to replace now stops its writes as well and votes once its commits have ended. The holder waits for all votes before it pauses replicas, up to 400 ms, since a process that is cut off from the store cannot vote. A target must have reached every position that any vote reports. Votes count only once the watch has delivered this lease, not an earlier one of the same holder. A replica that answered the pause is not paused again in the same failover: the second command occupied the connection that the resumption needed.

--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.event.EventCode;
 import org.carobstage.failover.FailoverCandidateSelector.Replica;
@@ -30,6 +29,11 @@
 final class Failover {
     private static final Duration POLL_INTERVAL = Duration.ofMillis(40);
 
+    /** Processes that observe the failover stop their writes and vote within a few ticks. */
+    private static final Duration WRITER_FENCE_TIMEOUT = Duration.ofMillis(400);
+
+    private static final Duration WRITER_FENCE_POLL_INTERVAL = Duration.ofMillis(10);
+
     /** Allows each instance to process its full request queue a few times. */
     private static final Duration PAUSE_TIMEOUT = Duration.ofMillis(700);
 
@@ -52,14 +56,14 @@
     private final FailoverLease lease;
     private final long fencingToken;
     private final Optional<InstanceId> pendingTarget;
-    private final AcknowledgedPositions acknowledgedPositions;
-    private final Supplier<String> evidence;
+    private final FailoverEvidence evidence;
     private final Consumer<Boolean> onEnded;
     private final long startedNanos;
     private final Map<InstanceId, InstanceStatus> pausedReplicas = new HashMap<>();
     private final Set<InstanceId> pendingPauses = new HashSet<>();
     private Term term = Term.ZERO;
     private Optional<InstanceId> target = Optional.empty();
+    private long pauseStartedNanos;
     private long promotionRequestedNanos;
     private boolean promotionRequested;
     private boolean hasUnansweredRequest;
@@ -72,8 +76,7 @@
             boolean planned,
             FailoverLease lease,
             Optional<InstanceId> pendingTarget,
-            AcknowledgedPositions acknowledgedPositions,
-            Supplier<String> evidence,
+            FailoverEvidence evidence,
             Consumer<Boolean> onEnded) {
         this.context = context;
         this.group = group;
@@ -82,7 +85,6 @@
         this.lease = lease;
         this.fencingToken = lease.fencingToken();
         this.pendingTarget = pendingTarget;
-        this.acknowledgedPositions = acknowledgedPositions;
         this.evidence = evidence;
         this.onEnded = onEnded;
         this.startedNanos = context.clock().nanoTime();
@@ -114,6 +116,29 @@
                         + term
                         + " fence="
                         + fencingToken);
+        if (planned) {
+            startPausing();
+        } else {
+            awaitFencedWriters();
+        }
+    }
+
+    /**
+     * Waits until no process sends writes to the old primary, which may still respond to some.
+     * Their last commits reach the replicas before these are paused. Without all votes, the
+     * failover relies on the pause of every replica.
+     */
+    private void awaitFencedWriters() {
+        if (evidence.areAllWritersFenced()
+                || elapsedSince(startedNanos).compareTo(WRITER_FENCE_TIMEOUT) > 0) {
+            startPausing();
+        } else {
+            context.clock().schedule(this::awaitFencedWriters, WRITER_FENCE_POLL_INTERVAL);
+        }
+    }
+
+    private void startPausing() {
+        pauseStartedNanos = context.clock().nanoTime();
         pauseReplicas();
     }
 
@@ -143,10 +168,10 @@
         }
         List<InstanceId> replicaIds = replicasToPause();
         replicaIds.stream()
-                .filter(id -> !pendingPauses.contains(id))
+                .filter(id -> !pendingPauses.contains(id) && !pausedReplicas.containsKey(id))
                 .forEach(this::pauseReplication);
         boolean complete = replicaIds.stream().allMatch(pausedReplicas::containsKey);
-        if (complete || elapsedSince(startedNanos).compareTo(PAUSE_TIMEOUT) > 0) {
+        if (complete || elapsedSince(pauseStartedNanos).compareTo(PAUSE_TIMEOUT) > 0) {
             selectTarget();
         } else {
             context.clock().schedule(this::pauseReplicas, POLL_INTERVAL);
@@ -209,9 +234,10 @@
                                                 e.draining()))
                         .toList();
         Optional<LogPosition> newestAcknowledged =
-                acknowledgedPositions.newest(areOtherReplicasStopped(candidates));
+                evidence.acknowledgedPosition(areOtherReplicasStopped(candidates));
         target =
                 FailoverCandidateSelector.select(candidates, replicas().size(), newestAcknowledged)
+                        .filter(best -> best.received().isAtLeast(evidence.newestReported()))
                         .map(best -> preferPendingTarget(best, candidates))
                         .map(Replica::id);
         context.record(
@@ -226,7 +252,7 @@
                         + " acknowledged="
                         + newestAcknowledged
                         + " "
-                        + evidence.get());
+                        + evidence.describe());
         if (target.isEmpty()) {
             abandon("no replica is known to hold every acknowledged commit");
         } else {
@@ -422,17 +448,4 @@
     private Duration elapsedSince(long startNanos) {
         return Duration.ofNanos(context.clock().nanoTime() - startNanos);
     }
-
-    /** The positions that the processes acknowledged, as their votes report them. */
-    @FunctionalInterface
-    interface AcknowledgedPositions {
-        /**
-         * Returns the newest commit that any process may have acknowledged.
-         *
-         * @param otherReplicasStopped whether the replicas that were not paused hold no commit that
-         *     the paused ones lack
-         * @return the position, or empty if it is not known
-         */
-        Optional<LogPosition> newest(boolean otherReplicasStopped);
-    }
 }
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -48,7 +48,7 @@
     private final FailoverContext context;
     private final Map<ServiceName, State> states = new TreeMap<>();
     private final FailoverVotes votes = FailoverVotes.empty();
-    private final Map<ServiceName, VmId> leaseHolders = new HashMap<>();
+    private final Map<ServiceName, StoreEntry> leaseHolders = new HashMap<>();
     private final Map<ServiceName, PendingPromotion> pendingPromotions = new HashMap<>();
     private final Set<ServiceName> servicesToQuery = new HashSet<>();
     private Set<VmId> lastMembers = Set.of();
@@ -83,8 +83,7 @@
                     ServiceName.of(entry.key().substring(FailoverKeys.LEASE_PREFIX.length()));
             entry.value()
                     .ifPresentOrElse(
-                            vm -> leaseHolders.put(service, VmId.of(vm)),
-                            () -> onLeaseEnded(service));
+                            vm -> leaseHolders.put(service, entry), () -> onLeaseEnded(service));
         } else if (entry.key().startsWith(FailoverKeys.PROMOTION_PREFIX)) {
             ServiceName service =
                     ServiceName.of(entry.key().substring(FailoverKeys.PROMOTION_PREFIX.length()));
@@ -151,8 +150,15 @@
         State state = state(group.name());
         Optional<InstanceId> primary = findPrimary(group);
         Optional<InstanceId> suspected = primary.filter(group::isSuspected);
-        state.vote.update(group, suspected, lease, leaseHolders.containsKey(group.name()));
-        group.fence(state.vote.fencedPrimary());
+        boolean failoverObserved = leaseHolders.containsKey(group.name());
+        boolean replaced =
+                primary.filter(p -> failoverObserved && hasEnoughVotes(group, p, members))
+                        .isPresent();
+        if (suspected.isEmpty() && replaced) {
+            state.vote.join(group, primary.get(), lease);
+        } else {
+            state.vote.update(group, suspected, lease, failoverObserved);
+        }
         if (servicesToQuery.remove(group.name())) {
             group.requestAllStatuses();
         }
@@ -161,10 +167,7 @@
                         .map(InstanceEntry::draining)
                         .orElse(false);
         boolean replacementAgreed =
-                suspected.isPresent()
-                        && hasEnoughVotes(
-                                votes.count(group.name(), suspected.get(), members),
-                                members.size());
+                suspected.filter(p -> hasEnoughVotes(group, p, members)).isPresent();
         long nowNanos = context.clock().nanoTime();
         if (!draining && !replacementAgreed) {
             state.failoverDueSince = Optional.empty();
@@ -190,8 +193,9 @@
      * Returns whether at least half of the processes voted. Exactly half suffices only with two
      * votes or more, since a single voter may itself be isolated.
      */
-    private static boolean hasEnoughVotes(long votes, int members) {
-        return votes * 2 > members || votes * 2 == members && votes >= MIN_TIE_VOTES;
+    private boolean hasEnoughVotes(ServiceGroup group, InstanceId primary, Set<VmId> members) {
+        long count = votes.count(group.name(), primary, members);
+        return count * 2 > members.size() || count * 2 == members.size() && count >= MIN_TIE_VOTES;
     }
 
     private void start(
@@ -210,10 +214,7 @@
                                         planned,
                                         state.lease,
                                         pendingTarget(group.name()),
-                                        stopped ->
-                                                acknowledgedPosition(
-                                                        group, oldPrimary, members, stopped),
-                                        () -> describeEvidence(group, members),
+                                        new Evidence(group, state, oldPrimary, members),
                                         requested -> onFailoverEnded(state, requested))
                                 .start(),
                 () -> onFailoverEnded(state, false));
@@ -261,9 +262,7 @@
         ServiceName service = ServiceName.of(parts[0]);
         VmId vm = VmId.of(parts[1]);
         if (vm.equals(context.vm())) {
-            State state = state(service);
-            state.vote.onStoreChange(entry);
-            state.group.ifPresent(group -> group.fence(state.vote.fencedPrimary()));
+            state(service).vote.onStoreChange(entry);
         }
         context.record(
                 EventCode.VOTE_OBSERVED,
@@ -280,38 +279,6 @@
         }
     }
 
-    /**
-     * Returns the newest commit that any process may have acknowledged, or empty if a process has
-     * not reported its position. Votes that were withdrawn before this process acquired the lease
-     * are gone from the local copy once the watch has delivered the lease.
-     */
-    private Optional<LogPosition> acknowledgedPosition(
-            ServiceGroup group,
-            InstanceId primary,
-            Set<VmId> members,
-            boolean otherReplicasStopped) {
-        boolean leaseObserved = context.vm().equals(leaseHolders.get(group.name()));
-        boolean membersStable =
-                membersStableSince
-                                .age(ClockReading.now(context.clock()))
-                                .compareTo(DEPARTED_MEMBER_TIMEOUT)
-                        >= 0;
-        return votes.acknowledgedPosition(group.name(), primary, members)
-                .filter(p -> leaseObserved && (membersStable || otherReplicasStopped));
-    }
-
-    /** Describes what a choice relies on: members, their votes and the registered instances. */
-    private String describeEvidence(ServiceGroup group, Set<VmId> members) {
-        return "votes="
-                + votes.describe(group.name())
-                + " members="
-                + members
-                + " members_stable_ms="
-                + membersStableSince.age(ClockReading.now(context.clock())).toMillis()
-                + " instances="
-                + group.instances().stream().map(InstanceEntry::id).toList();
-    }
-
     private long leaseAttemptDelay(ServiceName service, Set<VmId> members) {
         return LEASE_ATTEMPT_SPACING.toNanos() * Math.max(0, rank(service, members));
     }
@@ -326,6 +293,65 @@
         return ranking.indexOf(context.vm());
     }
 
+    /** The votes to replace a primary, as this process observes them. */
+    private final class Evidence implements FailoverEvidence {
+        private final ServiceGroup group;
+        private final State state;
+        private final InstanceId primary;
+        private final Set<VmId> members;
+
+        private Evidence(ServiceGroup group, State state, InstanceId primary, Set<VmId> members) {
+            this.group = group;
+            this.state = state;
+            this.primary = primary;
+            this.members = Set.copyOf(members);
+        }
+
+        @Override
+        public boolean areAllWritersFenced() {
+            return isLeaseObserved() && votes.haveAllVoted(group.name(), primary, members);
+        }
+
+        @Override
+        public Optional<LogPosition> acknowledgedPosition(boolean otherReplicasStopped) {
+            boolean membersStable = membersStableFor().compareTo(DEPARTED_MEMBER_TIMEOUT) >= 0;
+            return votes.acknowledgedPosition(group.name(), primary, members)
+                    .filter(p -> isLeaseObserved() && (membersStable || otherReplicasStopped));
+        }
+
+        @Override
+        public LogPosition newestReported() {
+            return votes.newestReported(group.name());
+        }
+
+        @Override
+        public String describe() {
+            return "votes="
+                    + votes.describe(group.name())
+                    + " members="
+                    + members
+                    + " members_stable_ms="
+                    + membersStableFor().toMillis()
+                    + " lease_observed="
+                    + isLeaseObserved()
+                    + " instances="
+                    + group.instances().stream().map(InstanceEntry::id).toList();
+        }
+
+        /**
+         * Returns whether the watch has delivered the lease. The store accepts no withdrawal of a
+         * vote while the lease is held, so that votes that were withdrawn before are then gone from
+         * the local copy.
+         */
+        private boolean isLeaseObserved() {
+            return state.lease.isHeldAs(leaseHolders.get(group.name()));
+        }
+
+        private Duration membersStableFor() {
+            return membersStableSince.age(ClockReading.now(context.clock()));
+        }
+    }
+
     /** The state of one service. */
     private static final class State {
         private final FailoverLease lease;
@@ -338,7 +364,9 @@
 
         private State(FailoverContext context, ServiceName service) {
             this.lease = new FailoverLease(context, service);
-            this.vote = new ReplacementVote(context, service);
+            this.vote =
+                    new ReplacementVote(
+                            context, service, fenced -> group.ifPresent(g -> g.fence(fenced)));
             this.pausedReplicas = new PausedReplicaMonitor(context);
             this.nextFailoverNanos = context.clock().nanoTime();
         }
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
@@ -8,6 +8,7 @@
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.ServiceName;
 import org.carobstage.store.LeaseId;
+import org.carobstage.store.StoreEntry;
 import org.carobstage.store.StoreResponse;
 import org.carobstage.store.StoreRevision;
 import org.carobstage.store.StoreWrite;
@@ -47,6 +48,15 @@
                 && renewedAt.age(ClockReading.now(context.clock())).compareTo(USABLE_TIME) < 0;
     }
 
+    /**
+     * Returns whether an observed entry is that of the lease held now, not of an earlier one.
+     *
+     * @param entry the entry, or null if none was observed
+     */
+    boolean isHeldAs(StoreEntry entry) {
+        return isHeld() && entry != null && entry.revision().equals(acquiredAt);
+    }
+
     /** Returns the fencing token of the lease that is or was held last. */
     long fencingToken() {
         return acquiredAt.toFencingToken();
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverVotes.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverVotes.java
@@ -52,19 +52,31 @@
     Optional<LogPosition> acknowledgedPosition(
             ServiceName service, InstanceId primary, Set<VmId> members) {
         Map<VmId, Vote> serviceVotes = of(service);
-        boolean allVoted =
-                members.stream()
-                        .map(serviceVotes::get)
-                        .allMatch(v -> v != null && v.primary().equals(primary));
         boolean allPositionsKnown =
                 serviceVotes.values().stream().allMatch(v -> v.acknowledgedPosition().isPresent());
-        return allVoted && allPositionsKnown
+        return haveAllVoted(service, primary, members) && allPositionsKnown
                 ? serviceVotes.values().stream()
                         .map(v -> v.acknowledgedPosition().get())
                         .reduce(LogPosition::max)
                 : Optional.empty();
     }
 
+    /** Returns whether every member voted to replace a primary. */
+    boolean haveAllVoted(ServiceName service, InstanceId primary, Set<VmId> members) {
+        Map<VmId, Vote> serviceVotes = of(service);
+        return members.stream()
+                .map(serviceVotes::get)
+                .allMatch(v -> v != null && v.primary().equals(primary));
+    }
+
+    /** Returns the newest commit that any vote reports, the lowest position if none does. */
+    LogPosition newestReported(ServiceName service) {
+        return of(service).values().stream()
+                .map(Vote::acknowledgedPosition)
+                .flatMap(Optional::stream)
+                .reduce(LogPosition.empty(), LogPosition::max);
+    }
+
     /** Returns the votes as text. */
     String describe(ServiceName service) {
         return of(service).entrySet().stream()
--- a/carobstage/src/main/java/org/carobstage/failover/ReplacementVote.java
+++ b/carobstage/src/main/java/org/carobstage/failover/ReplacementVote.java
@@ -26,21 +26,35 @@
     /** The delay before a failed write is retried. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
+    /** Commits at a primary that responds end within this time. */
+    private static final Duration DRAIN_TIMEOUT = Duration.ofMillis(200);
+
     private static final String WITHDRAWN = "withdrawn";
 
     private final FailoverContext context;
+    private final Consumer<Optional<InstanceId>> fence;
     private final String key;
     private final String failoverLeaseKey;
     private Optional<LeasedVote> stored = Optional.empty();
     private Optional<InstanceId> primary = Optional.empty();
     private StoreRevision keyRevision = StoreRevision.NONE;
     private StoreRevision lastChange = StoreRevision.NONE;
+    private Optional<Long> joinedNanos = Optional.empty();
     private boolean writePending;
     private boolean mayBeStored;
     private long nextWriteNanos;
 
-    ReplacementVote(FailoverContext context, ServiceName service) {
+    /**
+     * Creates the vote, which is not cast.
+     *
+     * @param context the dependencies that failovers share
+     * @param service the service
+     * @param fence receives the primary that must be sent no writes, or empty
+     */
+    ReplacementVote(
+            FailoverContext context, ServiceName service, Consumer<Optional<InstanceId>> fence) {
         this.context = context;
+        this.fence = fence;
         this.key = FailoverKeys.vote(service, context.vm());
         this.failoverLeaseKey = FailoverKeys.lease(service);
         this.nextWriteNanos = context.clock().nanoTime();
@@ -48,7 +62,30 @@
 
     /** Returns the primary that is sent no writes because the vote may be stored. */
     Optional<InstanceId> fencedPrimary() {
-        return mayBeStored ? primary : Optional.empty();
+        return mayBeStored || joinedNanos.isPresent() ? primary : Optional.empty();
+    }
+
+    /**
+     * Joins the replacement of a primary that responds to this process, but not to enough others:
+     * stops sending it writes, and votes once the commits in flight have ended.
+     *
+     * @param group the service
+     * @param replaced the primary
+     * @param lease the lease of this process's membership; without it, nothing is written
+     */
+    void join(ServiceGroup group, InstanceId replaced, Optional<LeaseId> lease) {
+        long nowNanos = context.clock().nanoTime();
+        if (joinedNanos.isEmpty()) {
+            joinedNanos = Optional.of(nowNanos);
+            primary = Optional.of(replaced);
+        }
+        boolean drained =
+                !group.hasPendingCommits()
+                        || nowNanos - joinedNanos.get() >= DRAIN_TIMEOUT.toNanos();
+        if (drained) {
+            vote(group, replaced, lease);
+        }
+        fence.accept(fencedPrimary());
     }
 
     /**
@@ -66,23 +103,20 @@
             Optional<InstanceId> suspected,
             Optional<LeaseId> lease,
             boolean failoverRunning) {
-        if (writePending || lease.isEmpty() || context.clock().nanoTime() - nextWriteNanos < 0) {
-            return;
-        }
+        joinedNanos = Optional.empty();
         if (suspected.isPresent()) {
-            Optional<LogPosition> position =
-                    Optional.of(group.lastAcknowledgedPosition())
-                            .filter(p -> !group.hasPendingCommits());
-            cast(group, new LeasedVote(new Vote(suspected.get(), position), lease.get()));
-        } else if (mayBeStored && !failoverRunning) {
+            vote(group, suspected.get(), lease);
+        } else if (mayBeStored && !failoverRunning && canWrite(lease)) {
             withdraw(group, lease.get());
         }
+        fence.accept(fencedPrimary());
     }
 
     /** Applies a change of the vote's key, which an earlier run on this VM may have written. */
     void onStoreChange(StoreEntry entry) {
+        boolean outdated = entry.revision().compareTo(lastChange) < 0;
         observe(entry.revision(), entry.value().isPresent());
-        if (writePending) {
+        if (writePending || outdated) {
             return;
         }
         Optional<Vote> vote = entry.value().flatMap(Vote::parse);
@@ -93,6 +127,7 @@
             mayBeStored = true;
             primary = Optional.of(vote.get().primary());
         }
+        fence.accept(fencedPrimary());
     }
 
     /** Discards the stored vote, which a restored store may have lost. */
@@ -100,6 +135,21 @@
         stored = Optional.empty();
     }
 
+    private boolean canWrite(Optional<LeaseId> lease) {
+        return !writePending
+                && lease.isPresent()
+                && context.clock().nanoTime() - nextWriteNanos >= 0;
+    }
+
+    private void vote(ServiceGroup group, InstanceId replaced, Optional<LeaseId> lease) {
+        if (canWrite(lease)) {
+            Optional<LogPosition> position =
+                    Optional.of(group.lastAcknowledgedPosition())
+                            .filter(p -> !group.hasPendingCommits());
+            cast(group, new LeasedVote(new Vote(replaced, position), lease.get()));
+        }
+    }
+
     private void cast(ServiceGroup group, LeasedVote leasedVote) {
         if (stored.equals(Optional.of(leasedVote))) {
             return;
@@ -145,6 +195,7 @@
                         response -> {
                             writePending = false;
                             callback.accept(response);
+                            fence.accept(fencedPrimary());
                             if (response instanceof StoreResponse.Success<StoreRevision> success) {
                                 observe(success.value(), true);
                             } else {
