Record the position of a commit whose client has gone

Cause: StatementExecution and ClientTransaction recorded the position only when they delivered the result. If the client had disconnected, the commit was no longer pending and its position was dropped, so that the vote of this process claimed an older one. If another replica alone had received the commit and was out of reach, the vote permitted the promotion of a log without it.

Why it works: the end of the exchange is reported once, in the callback of the connection, which runs whether or not a client waits. The position is now recorded there, by the class that owns it (AcknowledgedCommits). TrackedCommit keeps it apart from the circuit breaker, which judges one primary.

Ruled out: a statement that timed out drops its result too, but its connection is closed at once, so that no result can arrive; its outcome is unknown.

--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -17,11 +17,11 @@
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.StatementResult;
 import org.carobstage.sql.TransactionState;
-import org.carobstage.upstream.CommitCircuitBreaker;
 import org.carobstage.upstream.ConnectionRequest;
 import org.carobstage.upstream.ConnectionRequest.Purpose;
 import org.carobstage.upstream.PooledConnection;
 import org.carobstage.upstream.ServiceGroup;
+import org.carobstage.upstream.TrackedCommit;
 
 /**
  * A client's transaction. It acquires a connection for its first statement and holds it until it
@@ -45,7 +45,7 @@
     private Optional<Clock.Timer> idleTimer = Optional.empty();
     private Optional<Clock.Timer> retryTimer = Optional.empty();
     private Optional<Consumer<StatementResult>> resultCallback = Optional.empty();
-    private Optional<CommitCircuitBreaker.InFlightCommit> inFlightCommit = Optional.empty();
+    private Optional<TrackedCommit> inFlightCommit = Optional.empty();
     private final PrimaryConfirmation confirmation;
     private Statement currentStatement;
     private Optional<PreparedStatement> currentPrepared = Optional.empty();
@@ -322,7 +322,7 @@
 
     private void onResult(PooledConnection pooled, Optional<StatementResult> result) {
         awaitingResult = false;
-        inFlightCommit.ifPresent(tracker -> tracker.complete(result.isPresent()));
+        inFlightCommit.ifPresent(tracked -> tracked.complete(result));
         boolean commit = currentStatement instanceof Statement.Commit;
         if (resultCallback.isEmpty()) {
             pooled.release();
@@ -357,7 +357,6 @@
         if (commit) {
             if (hasWritten) {
                 statementResult.logPosition().ifPresent(session::recordWrite);
-                statementResult.logPosition().ifPresent(group::recordAcknowledgedCommit);
             }
             ended = true;
             connection = Optional.empty();
@@ -407,7 +406,7 @@
         boolean outcomeUnknown =
                 awaitingResult && currentStatement instanceof Statement.Commit && hasWritten;
         boolean neverBegun = connection.isEmpty();
-        inFlightCommit.ifPresent(tracker -> tracker.abandon(context.clock().nanoTime()));
+        inFlightCommit.ifPresent(TrackedCommit::abandon);
         if (retryTimer.isEmpty()) {
             connection.ifPresent(PooledConnection::discard);
         }
--- a/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
@@ -20,11 +20,11 @@
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.StatementResult;
 import org.carobstage.sql.TransactionState;
-import org.carobstage.upstream.CommitCircuitBreaker;
 import org.carobstage.upstream.ConnectionRequest;
 import org.carobstage.upstream.ConnectionRequest.Purpose;
 import org.carobstage.upstream.PooledConnection;
 import org.carobstage.upstream.ServiceGroup;
+import org.carobstage.upstream.TrackedCommit;
 
 /**
  * The execution of one statement outside a transaction. Reads are sent to any instance that has
@@ -58,7 +58,7 @@
     private final Set<InstanceId> contactedInstances = new HashSet<>();
     private final List<ConnectionRequest> connectionRequests = new ArrayList<>();
     private final List<Clock.Timer> timers = new ArrayList<>();
-    private Optional<CommitCircuitBreaker.InFlightCommit> inFlightCommit = Optional.empty();
+    private Optional<TrackedCommit> inFlightCommit = Optional.empty();
     private Optional<PooledConnection> writeConnection = Optional.empty();
     private int attempts;
     private int pendingResults;
@@ -214,7 +214,7 @@
                 session.withSharedName(statement, prepared),
                 result -> {
                     pendingResults--;
-                    inFlightCommit.ifPresent(tracker -> tracker.complete(result.isPresent()));
+                    inFlightCommit.ifPresent(commit -> commit.complete(result));
                     connection.release();
                     onResult(instance, result);
                 });
@@ -232,7 +232,6 @@
         if (statementResult.isSuccessful()) {
             if (isWrite) {
                 statementResult.logPosition().ifPresent(session::recordWrite);
-                statementResult.logPosition().ifPresent(group::recordAcknowledgedCommit);
             }
             deliver(statementResult);
             return;
@@ -324,7 +323,7 @@
         if (pendingResults == 0) {
             reject(detail);
         } else if (isWrite) {
-            inFlightCommit.ifPresent(tracker -> tracker.abandon(context.clock().nanoTime()));
+            inFlightCommit.ifPresent(TrackedCommit::abandon);
             fail(FailureCode.OUTCOME_UNKNOWN, detail);
             writeConnection.ifPresent(PooledConnection::discard);
         } else {
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -42,7 +42,7 @@
     private final InstancePools pools = InstancePools.empty();
     private final LeaderTracker leader;
     private final ConnectionDispatcher connections;
-    private LogPosition lastAcknowledgedPosition = LogPosition.empty();
+    private final AcknowledgedCommits acknowledgedCommits = AcknowledgedCommits.empty();
     private long lastRequestNanos;
     private long stepDownNotBeforeNanos;
     private Optional<InstanceId> fencedInstance = Optional.empty();
@@ -171,7 +171,7 @@
      * @return the position, the lowest one before the first commit
      */
     public LogPosition lastAcknowledgedPosition() {
-        return lastAcknowledgedPosition;
+        return acknowledgedCommits.newest();
     }
 
     /**
@@ -180,7 +180,7 @@
      * @param position its position
      */
     public void recordAcknowledgedCommit(LogPosition position) {
-        lastAcknowledgedPosition = lastAcknowledgedPosition.max(position);
+        acknowledgedCommits.record(position);
     }
 
     /**
@@ -332,8 +332,11 @@
      *
      * @return the commit, to be completed or abandoned
      */
-    public CommitCircuitBreaker.InFlightCommit trackCommit() {
-        return leader.commitCircuitBreaker().trackCommit(context.clock().nanoTime());
+    public TrackedCommit trackCommit() {
+        return TrackedCommit.of(
+                context.clock(),
+                leader.commitCircuitBreaker().trackCommit(context.clock().nanoTime()),
+                acknowledgedCommits);
     }
 
     /**
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
@@ -22,10 +22,10 @@
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreResponse;
 import org.carobstage.store.StoreWatcher;
-import org.carobstage.upstream.CommitCircuitBreaker;
 import org.carobstage.upstream.ConnectionRequest;
 import org.carobstage.upstream.PooledConnection;
 import org.carobstage.upstream.ServiceGroup;
+import org.carobstage.upstream.TrackedCommit;
 import org.carobstage.upstream.UpstreamContext;
 
 /** Three processes that coordinate failovers of an in-memory service, driven by a manual clock. */
@@ -152,21 +152,16 @@
                 connection.release();
                 return;
             }
-            CommitCircuitBreaker.InFlightCommit commit = group.trackCommit();
+            TrackedCommit commit = group.trackCommit();
             connection.send(
                     "w",
                     Optional.empty(),
                     new Statement.Write("k", "data"),
                     result -> {
-                        commit.complete(result.isPresent());
+                        commit.complete(result);
                         connection.release();
                         result.filter(StatementResult::isSuccessful)
-                                .flatMap(StatementResult::logPosition)
-                                .ifPresent(
-                                        position -> {
-                                            group.recordAcknowledgedCommit(position);
-                                            onAcknowledged.run();
-                                        });
+                                .ifPresent(acknowledged -> onAcknowledged.run());
                     });
         }
 
