Keep pending commits when the known primary changes

Whether this fault caused any of them is not shown; it permits them.

Cause: the pending commits were those of the circuit breaker, and a new breaker replaced it whenever the known primary changed, also to none and back to the same instance: an expired entry or one READONLY is enough. A vote cast then claimed the newest recorded position although the result of a commit was still awaited.

Evidence: before the change, UnknownCommitTest has b promoted, which lacks the commit that c holds: Expecting empty but was: ["b"] and ServiceGroupTest.shouldStillAwaitCommitWhenLeaderChanged: Expecting value to be true but was false

Why it works: the breaker judges one primary and may start anew with the next. AcknowledgedCommits belongs to the service and holds a commit until its exchange has ended, at whichever primary.

--- a/carobstage/src/main/java/org/carobstage/upstream/CommitCircuitBreaker.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/CommitCircuitBreaker.java
@@ -51,11 +51,6 @@
         return !open;
     }
 
-    /** Returns whether the response to any commit is still awaited. */
-    boolean hasPendingCommits() {
-        return !pending.isEmpty();
-    }
-
     /**
      * Records that a commit is sent.
      *
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -345,7 +345,7 @@
      * @return false if no commit is pending
      */
     public boolean hasPendingCommits() {
-        return leader.commitCircuitBreaker().hasPendingCommits();
+        return acknowledgedCommits.isIncomplete();
     }
 
     /**
--- a/carobstage/src/main/java/org/carobstage/upstream/TrackedCommit.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/TrackedCommit.java
@@ -26,7 +26,9 @@
             Clock clock,
             CommitCircuitBreaker.InFlightCommit exchange,
             AcknowledgedCommits acknowledgedCommits) {
-        return new TrackedCommit(clock, exchange, acknowledgedCommits);
+        TrackedCommit commit = new TrackedCommit(clock, exchange, acknowledgedCommits);
+        acknowledgedCommits.add(commit);
+        return commit;
     }
 
     /**
@@ -36,11 +38,12 @@
      */
     public void complete(Optional<StatementResult> result) {
         exchange.complete(result.isPresent());
-        acknowledgedCommits.complete(result);
+        acknowledgedCommits.complete(this, result);
     }
 
     /** Records that the sender stopped waiting for the result. */
     public void abandon() {
         exchange.abandon(clock.nanoTime());
+        acknowledgedCommits.complete(this, Optional.empty());
     }
 }
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/failover/UnknownCommitTest.java
@@ -0,0 +1,44 @@
+package org.carobstage.failover;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
+import org.carobstage.upstream.ServiceGroup;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Failovers in which the votes decide, since one replica is out of reach, after commits that only
+ * this replica has received and whose outcome their process does not know.
+ */
+class UnknownCommitTest {
+    private final FailoverFixture fixture = new FailoverFixture();
+    private final ServiceGroup group = fixture.processes.get(0).group;
+
+    @BeforeEach
+    void stabilizeMembers() {
+        fixture.advanceSecondsInUse(16);
+        fixture.instance("b").setReplicationBlocked(true);
+    }
+
+    // Guards against a promoted log without a commit that was pending when the leader changed.
+    @Test
+    void shouldNotPromoteOnVotesWhenLeaderChangedWhileCommitWasPending() {
+        group.trackCommit();
+        fixture.instance("c").receive(LogPosition.of(1, 1));
+        group.remove(InstanceId.of("a"));
+        group.put(fixture.service.instanceEntry("a"));
+        fixture.advanceMillis(400);
+        assertThat(group.leadership().isLeader(InstanceId.of("a"))).isTrue();
+        failPrimaryAndReplicaWithCommit();
+
+        assertThat(fixture.service.receivedPromotionRequests()).isEmpty();
+    }
+
+    private void failPrimaryAndReplicaWithCommit() {
+        fixture.instance("a").stopResponding();
+        fixture.instance("c").stopResponding();
+        fixture.advanceMillis(6_000);
+    }
+}
--- a/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
@@ -157,6 +157,18 @@
         assertThat(granted.stream().map(c -> c.instance().id())).doesNotContain(InstanceId.of("c"));
     }
 
+    // Guards against a vote with an older position while a commit is pending at a former leader.
+    @Test
+    void shouldStillAwaitCommitWhenLeaderChanged() {
+        group.trackCommit();
+        group.remove(InstanceId.of("a"));
+        group.put(service.instanceEntry("a"));
+        run(Duration.ofMillis(400));
+
+        assertThat(group.leadership().isLeader(InstanceId.of("a"))).isTrue();
+        assertThat(group.hasPendingCommits()).isTrue();
+    }
+
     private void request(boolean needsPrimary) {
         group.acquire(request(needsPrimary, Duration.ofMillis(800)));
     }
