Close silent connections to an instance that was removed

What callers saw: nothing yet on its own. A commit whose client has gone has no timer any more, and the pool of a removed instance is not ticked, so that its connection stayed open and its result pending until TCP gave up. Since pending commits now outlast a change of the known primary, each vote of this process would have stayed without a position.

Evidence: ServiceGroupTest.shouldCloseConnectionWhenRemovedInstanceIsSilent before the change, 6 s after the removal: Expecting actual: [] to contain exactly (and in same order): [Optional.empty]

Why it works: the pool looks for silent connections itself after it was removed, until it has none.

--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
@@ -141,9 +141,11 @@
         }
     }
 
+    /** Closes idle connections at once, the others when they are released or silent. */
     void close() {
         closed = true;
         retireAll();
+        closeRemaining();
     }
 
     InstanceSelector.Candidate toCandidate() {
@@ -428,6 +430,14 @@
         silent.forEach(PooledConnection::discard);
     }
 
+    /** The timer of the group no longer reaches a pool that was removed. */
+    private void closeRemaining() {
+        closeSilentConnections(context.clock().nanoTime());
+        if (!connections.isEmpty()) {
+            context.clock().schedule(this::closeRemaining, CLOSE_AFTER_SILENCE);
+        }
+    }
+
     private void closeIdleConnections(long nowNanos) {
         connections.stream()
                 .filter(c -> !c.isBusy() && nowNanos - c.idleSinceNanos() > IDLE_TIMEOUT.toNanos())
--- a/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
@@ -8,12 +8,15 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.carobstage.event.EventLog;
 import org.carobstage.fake.FakeService;
 import org.carobstage.model.FailureDomain;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.VmId;
 import org.carobstage.runtime.ManualClock;
+import org.carobstage.sql.Statement;
+import org.carobstage.sql.StatementResult;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -169,6 +172,20 @@
         assertThat(group.hasPendingCommits()).isTrue();
     }
 
+    // Guards against a commit that stays pending for ever, which keeps positions out of all votes.
+    @Test
+    void shouldCloseConnectionWhenRemovedInstanceIsSilent() {
+        request(true);
+        service.instance("a").stopResponding();
+        List<Optional<StatementResult>> results = new ArrayList<>();
+        granted.get(0).send("w", Optional.empty(), new Statement.Write("k", "data"), results::add);
+        group.remove(InstanceId.of("a"));
+        run(Duration.ofSeconds(6));
+
+        assertThat(results).containsExactly(Optional.empty());
+        assertThat(service.instance("a").openConnectionCount()).isZero();
+    }
+
     private void request(boolean needsPrimary) {
         group.acquire(request(needsPrimary, Duration.ofMillis(800)));
     }
