Vote without a position while the outcome of a commit is unknown

Cause: a commit that timed out or whose connection was lost was no longer pending, as if it had not been made. A replica may have received it, which acknowledges it. The vote then claimed an older position, and with that replica out of reach the votes permitted the promotion of a log without the commit.

Evidence: before the change, UnknownCommitTest drops the result of a write that only c receives, then stops a and c; b is promoted without it: Expecting empty but was: ["b"] CommitPositionTest, for a write and for a COMMIT that timed out: Expecting value to be true but was false

Why it works: a commit that ends without a result, with a failure that does not promise that nothing was done, or with a success that holds no position, makes the position unknown. It is known again once the primary has answered a status query that was sent later: the end of its log covers the commit and becomes the position of the vote. Until then hasPendingCommits() stays true, so that the vote has no position. The commits move to LeaderTracker, which sees the reports.

Ruled out: taking the position of any answer of the primary. The status names the end of the log.

--- a/carobstage/src/main/java/org/carobstage/upstream/AcknowledgedCommits.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/AcknowledgedCommits.java
@@ -5,31 +5,49 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.carobstage.freshness.ClockReading;
 import org.carobstage.model.LogPosition;
+import org.carobstage.runtime.Clock;
+import org.carobstage.sql.Failure;
+import org.carobstage.sql.FailureCode;
 import org.carobstage.sql.StatementResult;
 
 /**
- * The commits of this process that a failover must keep: the newest acknowledged one and those in
- * flight, at whichever primary.
+ * The commits of this process that a failover must keep: the newest acknowledged one, those in
+ * flight, at whichever primary, and those without a result. A commit is acknowledged once a replica
+ * has received it, so a lost result does not tell whether it was. It is in the primary's log then,
+ * and the end of the log that the primary reports afterwards covers it.
  */
 final class AcknowledgedCommits {
+    private final Clock clock;
     private final Set<TrackedCommit> inFlight = new HashSet<>();
     private LogPosition newest = LogPosition.empty();
+    private Optional<ClockReading> unknownSince = Optional.empty();
 
-    private AcknowledgedCommits() {}
+    private AcknowledgedCommits(Clock clock) {
+        this.clock = requireNonNull(clock, "clock is null");
+    }
 
-    static AcknowledgedCommits empty() {
-        return new AcknowledgedCommits();
+    static AcknowledgedCommits of(Clock clock) {
+        return new AcknowledgedCommits(clock);
     }
 
-    /** Returns the newest acknowledged position, the lowest one before the first commit. */
+    /**
+     * Returns the newest position that may have been acknowledged, the lowest one before the first
+     * commit.
+     */
     LogPosition newest() {
         return newest;
     }
 
-    /** Returns whether the position of a commit that was acknowledged may not be known yet. */
+    /** Returns whether a commit that is not covered by the newest position may be acknowledged. */
     boolean isIncomplete() {
-        return !inFlight.isEmpty();
+        return !inFlight.isEmpty() || isOutcomeUnknown();
+    }
+
+    /** Returns whether a commit has ended without a result, and the primary not reported since. */
+    boolean isOutcomeUnknown() {
+        return unknownSince.isPresent();
     }
 
     /** Records the position of an acknowledged commit. */
@@ -42,11 +60,39 @@
         inFlight.add(requireNonNull(commit, "commit is null"));
     }
 
-    /** Records the result of a commit, whether or not its sender still awaits it. */
+    /**
+     * Records the end of a commit, whether or not its sender still awaits the result; repeated
+     * calls have no effect.
+     */
     void complete(TrackedCommit commit, Optional<StatementResult> result) {
-        inFlight.remove(commit);
-        result.filter(StatementResult::isSuccessful)
-                .flatMap(StatementResult::logPosition)
-                .ifPresent(this::record);
+        boolean rejected =
+                result.flatMap(StatementResult::failure)
+                        .map(Failure::code)
+                        .filter(AcknowledgedCommits::isRejection)
+                        .isPresent();
+        if (inFlight.remove(commit) && !rejected) {
+            result.filter(StatementResult::isSuccessful)
+                    .flatMap(StatementResult::logPosition)
+                    .ifPresentOrElse(
+                            this::record,
+                            () -> unknownSince = Optional.of(ClockReading.now(clock)));
+        }
+    }
+
+    /**
+     * Records the end of the primary's log. A report of the same ns may precede the lost commit.
+     *
+     * @param logEnd the last position that the primary has appended
+     * @param requestedAt when the report was requested
+     */
+    void onPrimaryReported(LogPosition logEnd, ClockReading requestedAt) {
+        if (unknownSince.filter(since -> !since.isSince(requestedAt)).isPresent()) {
+            record(logEnd);
+            unknownSince = Optional.empty();
+        }
+    }
+
+    private static boolean isRejection(FailureCode code) {
+        return code.isNotExecuted() || code.isSafeToRetry();
     }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
@@ -18,8 +18,8 @@
 import org.carobstage.sql.InstanceStatus;
 
 /**
- * Tracks which instance leads a service, the log position of the primary and whether it
- * acknowledges commits.
+ * Tracks which instance leads a service, the log position of the primary, whether it acknowledges
+ * commits and which commits it may have acknowledged.
  */
 final class LeaderTracker {
     private final ServiceName service;
@@ -29,6 +29,7 @@
     private final PositionQuorum quorum;
     private final Map<InstanceId, InstanceStatus> statuses = new TreeMap<>();
     private final PrimaryRecoveryEstimate recoveryEstimate;
+    private final AcknowledgedCommits acknowledgedCommits;
     private Leadership leadership = Leadership.empty();
     private CommitCircuitBreaker commitCircuitBreaker = CommitCircuitBreaker.closed();
 
@@ -37,6 +38,7 @@
         this.context = requireNonNull(context, "context is null");
         this.onChange = requireNonNull(onChange, "onChange is null");
         this.quorum = PositionQuorum.of(context.fencingEnforced());
+        this.acknowledgedCommits = AcknowledgedCommits.of(context.clock());
         this.recoveryEstimate = PrimaryRecoveryEstimate.atStart(context.clock().nanoTime());
     }
 
@@ -56,6 +58,17 @@
         return commitCircuitBreaker;
     }
 
+    AcknowledgedCommits acknowledgedCommits() {
+        return acknowledgedCommits;
+    }
+
+    TrackedCommit trackCommit() {
+        return TrackedCommit.of(
+                context.clock(),
+                commitCircuitBreaker.trackCommit(context.clock().nanoTime()),
+                acknowledgedCommits);
+    }
+
     PrimaryRecoveryEstimate recoveryEstimate() {
         return recoveryEstimate;
     }
@@ -91,6 +104,9 @@
                     "the instance reported that it is a replica");
         }
         reportPosition(id, status.receivedPosition(), requestedAt);
+        if (status.isPrimary() && leadership.isLeader(id)) {
+            acknowledgedCommits.onPrimaryReported(status.receivedPosition(), requestedAt);
+        }
     }
 
     /** Returns whether an instance reported that it is primary in a term that has ended. */
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -42,7 +42,6 @@
     private final InstancePools pools = InstancePools.empty();
     private final LeaderTracker leader;
     private final ConnectionDispatcher connections;
-    private final AcknowledgedCommits acknowledgedCommits = AcknowledgedCommits.empty();
     private long lastRequestNanos;
     private long stepDownNotBeforeNanos;
     private Optional<InstanceId> fencedInstance = Optional.empty();
@@ -166,12 +165,12 @@
     }
 
     /**
-     * Returns the newest position of a commit that this process has acknowledged.
+     * Returns the newest position that this process may have acknowledged.
      *
      * @return the position, the lowest one before the first commit
      */
     public LogPosition lastAcknowledgedPosition() {
-        return acknowledgedCommits.newest();
+        return leader.acknowledgedCommits().newest();
     }
 
     /**
@@ -180,7 +179,7 @@
      * @param position its position
      */
     public void recordAcknowledgedCommit(LogPosition position) {
-        acknowledgedCommits.record(position);
+        leader.acknowledgedCommits().record(position);
     }
 
     /**
@@ -333,19 +332,16 @@
      * @return the commit, to be completed or abandoned
      */
     public TrackedCommit trackCommit() {
-        return TrackedCommit.of(
-                context.clock(),
-                leader.commitCircuitBreaker().trackCommit(context.clock().nanoTime()),
-                acknowledgedCommits);
+        return leader.trackCommit();
     }
 
     /**
-     * Returns whether the result of a write that was sent may still arrive.
+     * Returns whether a commit may have been acknowledged after the newest known position.
      *
-     * @return false if no commit is pending
+     * @return true while a commit is pending or its outcome is unknown
      */
     public boolean hasPendingCommits() {
-        return acknowledgedCommits.isIncomplete();
+        return leader.acknowledgedCommits().isIncomplete();
     }
 
     /**
@@ -445,10 +441,15 @@
     }
 
     private boolean isStatusDue(InstanceConnectionPool pool, long nowNanos) {
+        long requestedNanos = pool.statusRequestedNanos();
         if (hasNoLeader()) {
-            return nowNanos - pool.statusRequestedNanos() >= SEARCH_INTERVAL.toNanos();
+            return nowNanos - requestedNanos >= SEARCH_INTERVAL.toNanos();
         }
-        return nowNanos - Math.max(pool.lastResponseNanos(), pool.statusRequestedNanos())
+        if (leader.acknowledgedCommits().isOutcomeUnknown()
+                && leadership().isLeader(pool.entry().id())) {
+            return nowNanos - requestedNanos >= POSITION_INTERVAL.toNanos();
+        }
+        return nowNanos - Math.max(pool.lastResponseNanos(), requestedNanos)
                 >= STATUS_INTERVAL.toNanos();
     }
 
--- a/carobstage/src/test/java/org/carobstage/failover/UnknownCommitTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/UnknownCommitTest.java
@@ -22,6 +22,18 @@
         fixture.instance("b").setReplicationBlocked(true);
     }
 
+    // Guards against a promoted log without a commit whose result was lost.
+    @Test
+    void shouldNotPromoteOnVotesWhenConnectionOfCommitWasLost() {
+        fixture.instance("a").dropResponses(1);
+        fixture.processes.get(0).write(() -> {});
+        fixture.advanceMillis(10);
+        assertThat(fixture.instance("c").receivedPosition()).isEqualTo(LogPosition.of(1, 1));
+        failPrimaryAndReplicaWithCommit();
+
+        assertThat(fixture.service.receivedPromotionRequests()).isEmpty();
+    }
+
     // Guards against a promoted log without a commit that was pending when the leader changed.
     @Test
     void shouldNotPromoteOnVotesWhenLeaderChangedWhileCommitWasPending() {
@@ -36,6 +48,18 @@
         assertThat(fixture.service.receivedPromotionRequests()).isEmpty();
     }
 
+    // Guards against votes that never hold a position again after a lost connection.
+    @Test
+    void shouldPromoteOnVotesWhenPrimaryReportedAfterConnectionOfCommitWasLost() {
+        fixture.instance("b").setReplicationBlocked(false);
+        fixture.instance("a").dropResponses(1);
+        fixture.processes.get(0).write(() -> {});
+        fixture.advanceMillis(1_000);
+        failPrimaryAndReplicaWithCommit();
+
+        assertThat(fixture.service.primary().map(i -> i.id())).contains(InstanceId.of("b"));
+    }
+
     private void failPrimaryAndReplicaWithCommit() {
         fixture.instance("a").stopResponding();
         fixture.instance("c").stopResponding();
--- a/carobstage/src/test/java/org/carobstage/front/CommitPositionTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/CommitPositionTest.java
@@ -43,4 +43,27 @@
                 .isEqualTo(fixture.service.instance("c").receivedPosition());
         assertThat(fixture.group.lastAcknowledgedPosition().offset()).isEqualTo(1);
     }
+
+    // Guards against a vote with an older position after a write was given up.
+    @Test
+    void shouldNotKnowPositionWhenWriteTimedOut() {
+        fixture.send(session, WRITE);
+        fixture.service.instance("a").stopResponding();
+        fixture.advanceMillis(1_600);
+
+        assertThat(fixture.group.hasPendingCommits()).isTrue();
+    }
+
+    // Guards against a vote with an older position after a COMMIT was given up.
+    @Test
+    void shouldNotKnowPositionWhenCommitTimedOut() {
+        fixture.send(session, new Statement.Begin(false));
+        fixture.send(session, WRITE);
+        fixture.advanceMillis(60);
+        fixture.send(session, new Statement.Commit());
+        fixture.service.instance("a").stopResponding();
+        fixture.advanceMillis(1_600);
+
+        assertThat(fixture.group.hasPendingCommits()).isTrue();
+    }
 }
--- a/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
@@ -13,6 +13,7 @@
 import org.carobstage.fake.FakeService;
 import org.carobstage.model.FailureDomain;
 import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
 import org.carobstage.model.VmId;
 import org.carobstage.runtime.ManualClock;
 import org.carobstage.sql.Statement;
@@ -172,6 +173,32 @@
         assertThat(group.hasPendingCommits()).isTrue();
     }
 
+    // Guards against a position that stays unknown while nobody uses the service.
+    @Test
+    void shouldQueryPrimaryWhenOutcomeOfCommitIsUnknown() {
+        run(Duration.ofSeconds(6));
+        group.trackCommit().abandon();
+        assertThat(group.hasPendingCommits()).isTrue();
+        service.instance("a").receive(LogPosition.of(1, 3));
+        run(Duration.ofMillis(100));
+
+        assertThat(group.hasPendingCommits()).isFalse();
+        assertThat(group.lastAcknowledgedPosition()).isEqualTo(LogPosition.of(1, 3));
+    }
+
+    // Guards against the log end of a replica, which may lack a commit that another one received.
+    @Test
+    void shouldNotKnowPositionWhenOnlyReplicasReport() {
+        service.instance("a").crash();
+        group.trackCommit().abandon();
+        run(Duration.ofMillis(1));
+        group.requestAllStatuses();
+        run(Duration.ofMillis(100));
+
+        assertThat(group.status(InstanceId.of("b"))).isPresent();
+        assertThat(group.hasPendingCommits()).isTrue();
+    }
+
     // Guards against a commit that stays pending for ever, which keeps positions out of all votes.
     @Test
     void shouldCloseConnectionWhenRemovedInstanceIsSilent() {
