--- a/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
@@ -24,10 +24,10 @@
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreResponse;
 import org.carobstage.store.StoreWatcher;
-import org.carobstage.upstream.CommitCircuitBreaker;
 import org.carobstage.upstream.ConnectionRequest;
 import org.carobstage.upstream.PooledConnection;
 import org.carobstage.upstream.ServiceGroup;
+import org.carobstage.upstream.TrackedCommit;
 import org.carobstage.upstream.UpstreamContext;
 
 /** Processes that coordinate failovers of an in-memory service, driven by a manual clock. */
@@ -209,11 +209,11 @@
                 connection.release();
                 return;
             }
-            CommitCircuitBreaker.InFlightCommit commit = group.trackCommit();
+            TrackedCommit commit = group.trackCommit();
             Clock.Timer timeout =
                     clock.schedule(
                             () -> {
-                                commit.abandon(clock.nanoTime());
+                                commit.abandon();
                                 connection.discard();
                             },
                             WRITE_TIMEOUT);
@@ -223,15 +223,10 @@
                     new Statement.Write("k", "data"),
                     result -> {
                         timeout.cancel();
-                        commit.complete(result.isPresent());
+                        commit.complete(result);
                         connection.release();
                         result.filter(StatementResult::isSuccessful)
-                                .flatMap(StatementResult::logPosition)
-                                .ifPresent(
-                                        position -> {
-                                            group.recordAcknowledgedCommit(position);
-                                            onAcknowledged.run();
-                                        });
+                                .ifPresent(acknowledged -> onAcknowledged.run());
                     });
         }
 
--- a/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
@@ -8,12 +8,16 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.carobstage.event.EventLog;
 import org.carobstage.fake.FakeService;
 import org.carobstage.model.FailureDomain;
 import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
 import org.carobstage.model.VmId;
 import org.carobstage.runtime.ManualClock;
+import org.carobstage.sql.Statement;
+import org.carobstage.sql.StatementResult;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -157,6 +161,58 @@
         assertThat(granted.stream().map(c -> c.instance().id())).doesNotContain(InstanceId.of("c"));
     }
 
+    // Guards against a vote with an older position while a commit is pending at a former leader.
+    @Test
+    void shouldStillAwaitCommitWhenLeaderChanged() {
+        group.trackCommit();
+        group.remove(InstanceId.of("a"));
+        group.put(service.instanceEntry("a"));
+        run(Duration.ofMillis(400));
+
+        assertThat(group.leadership().isLeader(InstanceId.of("a"))).isTrue();
+        assertThat(group.hasPendingCommits()).isTrue();
+    }
+
+    // Guards against a position that stays unknown while nobody uses the service.
+    @Test
+    void shouldQueryPrimaryWhenOutcomeOfCommitIsUnknown() {
+        run(Duration.ofSeconds(6));
+        group.trackCommit().abandon();
+        assertThat(group.hasPendingCommits()).isTrue();
+        service.instance("a").receive(LogPosition.of(1, 3));
+        run(Duration.ofMillis(100));
+
+        assertThat(group.hasPendingCommits()).isFalse();
+        assertThat(group.lastAcknowledgedPosition()).isEqualTo(LogPosition.of(1, 3));
+    }
+
+    // Guards against the log end of a replica, which may lack a commit that another one received.
+    @Test
+    void shouldNotKnowPositionWhenOnlyReplicasReport() {
+        service.instance("a").crash();
+        group.trackCommit().abandon();
+        run(Duration.ofMillis(1));
+        group.requestAllStatuses();
+        run(Duration.ofMillis(100));
+
+        assertThat(group.status(InstanceId.of("b"))).isPresent();
+        assertThat(group.hasPendingCommits()).isTrue();
+    }
+
+    // Guards against a commit that stays pending for ever, which keeps positions out of all votes.
+    @Test
+    void shouldCloseConnectionWhenRemovedInstanceIsSilent() {
+        request(true);
+        service.instance("a").stopResponding();
+        List<Optional<StatementResult>> results = new ArrayList<>();
+        granted.get(0).send("w", Optional.empty(), new Statement.Write("k", "data"), results::add);
+        group.remove(InstanceId.of("a"));
+        run(Duration.ofSeconds(6));
+
+        assertThat(results).containsExactly(Optional.empty());
+        assertThat(service.instance("a").openConnectionCount()).isZero();
+    }
+
     private void request(boolean needsPrimary) {
         group.acquire(request(needsPrimary, Duration.ofMillis(800)));
     }
