--- a/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +34,7 @@
 /** Processes that coordinate failovers of an in-memory service, driven by a manual clock. */
 final class FailoverFixture {
     private static final int PROCESSES = 3;
+    private static final int WRITE_INTERVAL_MILLIS = 50;
 
     private static final Duration WRITE_TIMEOUT = Duration.ofMillis(1_500);
 
@@ -94,6 +96,19 @@
         }
     }
 
+    /** Advances while every process writes. */
+    void advanceWriting(long millis) {
+        for (long elapsed = 0; elapsed < millis; elapsed += WRITE_INTERVAL_MILLIS) {
+            processes.forEach(p -> p.write(() -> {}));
+            advanceMillis(Math.min(WRITE_INTERVAL_MILLIS, millis - elapsed));
+        }
+    }
+
+    /** Lets some processes reach no primary {@code a} any more. */
+    void cutOffPrimary(int... indexes) {
+        Arrays.stream(indexes).forEach(i -> processes.get(i).unreachable.add(InstanceId.of("a")));
+    }
+
     /** An entry VM process with its own connections to the store and to the instances. */
     final class Process {
         final Set<InstanceId> unreachable = new HashSet<>();
