--- a/carobstage/src/test/java/org/carobstage/failover/LostCommitByVoteTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/LostCommitByVoteTest.java
@@ -2,11 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.carobstage.fake.MessageFilter.Fate;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards against promotions that trust votes which do not cover an acknowledged commit. */
 class LostCommitByVoteTest {
+    private static final String VOTE_OF_LAST_PROCESS = "vm-2 WRITE carobstage/votes/forms/vm-2";
+
     private final FailoverFixture fixture = new FailoverFixture();
 
     // A process votes with the position of its new life, "nothing acknowledged".
@@ -26,6 +32,43 @@
         assertThat(fixture.service.violations()).isEmpty();
     }
 
+    // A write of a vote that got no answer is carried out after the vote was withdrawn.
+    @Test
+    @Tag("known-red")
+    void shouldNotTrustVoteWhenItsWriteIsExecutedAfterItsWithdrawal() {
+        List<Integer> violating =
+                IntStream.iterate(4_000, d -> d <= 7_000, d -> d + 500)
+                        .filter(d -> !violationsWithLateVote(d).isEmpty())
+                        .boxed()
+                        .toList();
+
+        assertThat(violating).isEmpty();
+    }
+
+    private static List<String> violationsWithLateVote(int delayMillis) {
+        FailoverFixture fixture = new FailoverFixture();
+        fixture.advanceMillis(15_000);
+        fixture.advanceWriting(1_000);
+        fixture.filter =
+                message ->
+                        message.equals(VOTE_OF_LAST_PROCESS)
+                                ? Fate.late(Duration.ofMillis(delayMillis))
+                                : Fate.DELIVERED;
+        fixture.cutOffPrimary(2);
+        fixture.advanceWriting(2_000);
+        fixture.processes.get(2).unreachable.clear();
+        fixture.advanceWriting(2_000);
+        fixture.instance("b").setReplicationBlocked(true);
+        for (int i = 0; i < 20; i++) {
+            fixture.processes.get(2).write(() -> {});
+            fixture.advanceMillis(50);
+        }
+        fixture.instance("c").stopResponding();
+        fixture.cutOffPrimary(0, 1);
+        fixture.advanceMillis(8_000);
+        return fixture.service.violations();
+    }
+
     private void writeAt(int process, int millis) {
         for (int elapsed = 0; elapsed < millis; elapsed += 50) {
             fixture.processes.get(process).write(() -> {});
