--- a/carobstage/src/test/java/org/carobstage/failover/LostCommitByVoteTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/LostCommitByVoteTest.java
@@ -69,10 +69,32 @@
         return fixture.service.violations();
     }
 
+    // A commit that timed out is no longer awaited, but may be acknowledged later.
+    @Test
+    @Tag("known-red")
+    void shouldNotTrustVotesWhenCommitThatTimedOutIsAcknowledged() {
+        fixture.advanceMillis(15_000);
+        fixture.advanceWriting(1_000);
+        blockReplication();
+        fixture.advanceWriting(400);
+        fixture.advanceMillis(2_000);
+        fixture.instance("c").setReplicationBlocked(false);
+        fixture.advanceMillis(100);
+        fixture.instance("c").stopResponding();
+        fixture.instance("a").crash();
+        fixture.advanceMillis(8_000);
+
+        assertThat(fixture.service.violations()).isEmpty();
+    }
+
     private void writeAt(int process, int millis) {
         for (int elapsed = 0; elapsed < millis; elapsed += 50) {
             fixture.processes.get(process).write(() -> {});
             fixture.advanceMillis(50);
         }
     }
+
+    private void blockReplication() {
+        List.of("b", "c").forEach(id -> fixture.instance(id).setReplicationBlocked(true));
+    }
 }
