--- a/carobstage/src/test/java/org/carobstage/failover/LostCommitByVoteTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/LostCommitByVoteTest.java
@@ -87,6 +87,23 @@
         assertThat(fixture.service.violations()).isEmpty();
     }
 
+    // A commit whose connection was lost is no longer awaited, but was acknowledged.
+    @Test
+    @Tag("known-red")
+    void shouldNotTrustVotesWhenAcknowledgementWasLostWithItsConnection() {
+        fixture.advanceMillis(15_000);
+        fixture.advanceWriting(1_000);
+        fixture.instance("b").setReplicationBlocked(true);
+        fixture.instance("a").dropResponses(1);
+        fixture.processes.get(2).write(() -> {});
+        fixture.advanceMillis(500);
+        fixture.instance("c").stopResponding();
+        fixture.instance("a").crash();
+        fixture.advanceMillis(8_000);
+
+        assertThat(fixture.service.violations()).isEmpty();
+    }
+
     private void writeAt(int process, int millis) {
         for (int elapsed = 0; elapsed < millis; elapsed += 50) {
             fixture.processes.get(process).write(() -> {});
