--- a/carobstage/src/test/java/org/carobstage/failover/LostCommitByPauseTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/LostCommitByPauseTest.java
@@ -2,6 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.carobstage.fake.MessageFilter.Fate;
 import org.carobstage.model.Term;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
@@ -22,4 +27,37 @@
 
         assertThat(fixture.service.violations()).isEmpty();
     }
+
+    // A RESUME that was not answered is carried out in the next failover.
+    @Test
+    @Tag("known-red")
+    void shouldNotPromoteWhenEarlierResumeIsExecutedLate() {
+        List<Integer> violating =
+                IntStream.iterate(800, d -> d <= 2_000, d -> d + 100)
+                        .filter(d -> !violationsWithLateResume(d).isEmpty())
+                        .boxed()
+                        .toList();
+
+        assertThat(violating).isEmpty();
+    }
+
+    private static List<String> violationsWithLateResume(int delayMillis) {
+        FailoverFixture fixture = new FailoverFixture(false, 4);
+        List<String> resumptions = new ArrayList<>();
+        fixture.filter =
+                message -> {
+                    boolean late = message.endsWith("RESUME b");
+                    if (late) {
+                        resumptions.add(message);
+                    }
+                    return late ? Fate.late(Duration.ofMillis(delayMillis)) : Fate.DELIVERED;
+                };
+        fixture.instance("b").pauseReplication(Term.of(2));
+        while (resumptions.isEmpty()) {
+            fixture.advanceWriting(50);
+        }
+        fixture.cutOffPrimary(0, 1, 2);
+        fixture.advanceWriting(10_000);
+        return fixture.service.violations();
+    }
 }
