--- a/carobstage/src/test/java/org/carobstage/failover/LostCommitByPauseTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/LostCommitByPauseTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
+import org.carobstage.fake.FakeInstance;
 import org.carobstage.fake.MessageFilter.Fate;
 import org.carobstage.model.Term;
 import org.junit.jupiter.api.Tag;
@@ -60,4 +61,26 @@
         fixture.advanceWriting(10_000);
         return fixture.service.violations();
     }
+
+    // A replica that restarts is no longer paused, and the old primary acknowledges commits again.
+    @Test
+    @Tag("known-red")
+    void shouldNotPromoteWhenOtherReplicaRestartsAfterTheComparison() {
+        fixture.advanceWriting(1_000);
+        fixture.cutOffPrimary(0, 1, 2);
+        while (fixture.service.receivedPromotionRequests().isEmpty()) {
+            fixture.advanceWriting(10);
+        }
+        FakeInstance other = fixture.instance(isRequested("c") ? "b" : "c");
+        other.crash();
+        fixture.advanceMillis(200);
+        other.recover();
+        fixture.advanceWriting(6_000);
+
+        assertThat(fixture.service.violations()).isEmpty();
+    }
+
+    private boolean isRequested(String id) {
+        return fixture.service.receivedPromotionRequests().get(0).startsWith(id + " ");
+    }
 }
