--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/failover/LostCommitByPromotionTest.java
@@ -0,0 +1,41 @@
+package org.carobstage.failover;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.carobstage.fake.MessageFilter.Fate;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Guards against promotions of a replica that lacked a commit when they took effect. */
+class LostCommitByPromotionTest {
+    private final FailoverFixture fixture = new FailoverFixture();
+
+    // A request is carried out after the failover ended and the old primary serves.
+    @Test
+    @Tag("known-red")
+    void shouldNotLoseCommitsWhenPromotionIsExecutedAfterTheFailover() {
+        fixture.instance("b").setReplicationDelay(Duration.ofMillis(3));
+        fixture.instance("c").setReplicationDelay(Duration.ofMillis(60));
+        fixture.advanceWriting(1_000);
+        fixture.filter =
+                message ->
+                        message.contains(" PROMOTE ")
+                                ? Fate.late(Duration.ofSeconds(10))
+                                : Fate.DELIVERED;
+        fixture.instance("a").stopResponding();
+        while (fixture.service.receivedPromotionRequests().isEmpty()) {
+            fixture.advanceMillis(10);
+        }
+        fixture.restart(leaseHolder());
+        fixture.instance("a").recover();
+        fixture.advanceWriting(20_000);
+
+        assertThat(fixture.service.violations()).isEmpty();
+    }
+
+    private int leaseHolder() {
+        String holder = fixture.store.get("carobstage/failover/forms").orElseThrow();
+        return Integer.parseInt(holder.substring("vm-".length()));
+    }
+}
