--- a/carobstage/src/test/java/org/carobstage/failover/LostCommitByPromotionTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/LostCommitByPromotionTest.java
@@ -38,4 +38,19 @@
         String holder = fixture.store.get("carobstage/failover/forms").orElseThrow();
         return Integer.parseInt(holder.substring("vm-".length()));
     }
+
+    // An entry that is gone hides a replica that still acknowledges commits.
+    @Test
+    @Tag("known-red")
+    void shouldNotPromoteWhenEntryOfRunningReplicaIsGone() {
+        fixture.advanceMillis(15_000);
+        fixture.advanceWriting(1_000);
+        fixture.instance("b").setReplicationBlocked(true);
+        fixture.dropEntry("c");
+        fixture.advanceWriting(1_000);
+        fixture.instance("a").crash();
+        fixture.advanceMillis(8_000);
+
+        assertThat(fixture.service.violations()).isEmpty();
+    }
 }
