--- a/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/ServiceGroupTest.java
@@ -15,6 +15,7 @@
 import org.carobstage.model.VmId;
 import org.carobstage.runtime.ManualClock;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class ServiceGroupTest {
@@ -40,6 +41,19 @@
         run(Duration.ofSeconds(1));
     }
 
+    // A vote must not claim a position while the response to a commit may still arrive.
+    @Test
+    @Tag("known-red")
+    void shouldAwaitPendingCommitWhenPrimaryWasUnknownForAMoment() {
+        group.trackCommit();
+        group.remove(InstanceId.of("a"));
+        group.put(service.instanceEntry("a"));
+        run(Duration.ofSeconds(1));
+
+        assertThat(group.leadership().isLeader(InstanceId.of("a"))).isTrue();
+        assertThat(group.hasPendingCommits()).isTrue();
+    }
+
     @Test
     void shouldLearnPrimaryFromStatus() {
         assertThat(group.leadership().isLeader(InstanceId.of("a"))).isTrue();
