--- a/carobstage/src/test/java/org/carobstage/front/ClientSessionTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ClientSessionTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import org.carobstage.model.LogPosition;
 import org.carobstage.model.Term;
@@ -10,6 +11,7 @@
 import org.carobstage.sql.FailureCode;
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.TransactionState;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class ClientSessionTest {
@@ -423,6 +425,48 @@
         assertThat(fixture.executionCount(id)).isZero();
     }
 
+    // The vote of this process must cover a write although its client never learns of it.
+    @Test
+    @Tag("known-red")
+    void shouldRecordAcknowledgedWriteWhenItsClientHasGone() {
+        ClientSession session = fixture.openSession("primary", channel);
+        String id = fixture.send(session, WRITE);
+        fixture.advanceMillis(2);
+        session.onDisconnect();
+        fixture.advanceMillis(100);
+
+        assertThat(fixture.executionCount(id)).isOne();
+        assertThat(isNewestCommitCovered()).isTrue();
+    }
+
+    // The vote of this process must cover a commit although its client has gone before the answer.
+    @Test
+    @Tag("known-red")
+    void shouldRecordAcknowledgedCommitWhenItsClientHasGone() {
+        List.of("b", "c").forEach(this::delayReplication);
+        ClientSession session = fixture.openSession("primary", channel);
+        fixture.send(session, BEGIN);
+        fixture.send(session, WRITE);
+        fixture.advanceMillis(50);
+        String id = fixture.send(session, new Statement.Commit());
+        fixture.advanceMillis(20);
+        session.onDisconnect();
+        fixture.advanceMillis(100);
+
+        assertThat(fixture.executionCount(id)).isOne();
+        assertThat(isNewestCommitCovered()).isTrue();
+    }
+
+    private void delayReplication(String id) {
+        fixture.service.instance(id).setReplicationDelay(Duration.ofMillis(50));
+    }
+
+    private boolean isNewestCommitCovered() {
+        LogPosition newest = fixture.service.instance("a").receivedPosition();
+        return fixture.group.hasPendingCommits()
+                || fixture.group.lastAcknowledgedPosition().isAtLeast(newest);
+    }
+
     private String send(String database, Statement statement) {
         return fixture.send(fixture.openSession(database, channel), statement);
     }
