Execute queued statements of the fake after their own duration

A statement sent from the callback of a commit ran 1 ms later instead of after its duration, so that the fake primary served more writes than it has slots for and StandingQueueTest saw no rejection.

--- a/carobstage/src/test/java/org/carobstage/fake/FakeConnection.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeConnection.java
@@ -35,6 +35,7 @@
     private TransactionState transactionState = TransactionState.IDLE;
     private final MessageFilter filter;
     private Optional<LogPosition> commitPosition = Optional.empty();
+    private int executionsDuringCommit;
     private boolean readWrite;
     boolean stalled;
     private boolean closed;
@@ -132,8 +133,11 @@
     }
 
     private void executeNext() {
+        if (commitPosition.isPresent()) {
+            executionsDuringCommit++;
+            return;
+        }
         if (pendingStatements.isEmpty()
-                || commitPosition.isPresent()
                 || instance.unresponsive
                 || instance.crashed
                 || stalled
@@ -159,8 +163,12 @@
         if (!acknowledged) {
             reset();
         } else if (pendingStatements.peek() == pending) {
+            int missed = executionsDuringCommit;
+            executionsDuringCommit = 0;
             respond(pending, result);
-            scheduleAll();
+            for (int i = 0; i < missed; i++) {
+                service.clock.schedule(this::executeNext, Duration.ofMillis(1));
+            }
         }
     }
 
