Do not require the log end of a lost primary of its successor

What callers saw: none yet; found in the review. A vote whose commits had an unknown outcome names the end of the primary's log, which includes commits that no replica has. The position of a vote is an upper bound; it is needed only where votes alone decide, and is compared there as before.

--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -194,7 +194,6 @@
                 evidence.acknowledgedPosition(areOtherReplicasStopped(candidates));
         target =
                 FailoverCandidateSelector.select(candidates, replicas().size(), newestAcknowledged)
-                        .filter(best -> best.received().isAtLeast(evidence.newestReported()))
                         .map(best -> preferPendingTarget(best, candidates))
                         .map(Replica::id);
         context.record(
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -355,11 +355,6 @@
                     .filter(p -> isLeaseObserved() && (membersStable || otherReplicasStopped));
         }
 
-        @Override
-        public LogPosition newestReported() {
-            return votes.newestReported(group.name());
-        }
-
         @Override
         public String describe() {
             return "votes="
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverEvidence.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverEvidence.java
@@ -21,13 +21,6 @@
      */
     Optional<LogPosition> acknowledgedPosition(boolean otherReplicasStopped);
 
-    /**
-     * Returns the newest commit that any vote reports, also if other votes are missing.
-     *
-     * @return the position, the lowest one if no vote reports one
-     */
-    LogPosition newestReported();
-
     /**
      * Describes the votes, the members and the registered instances for the log.
      *
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverVotes.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverVotes.java
@@ -69,14 +69,6 @@
                 .allMatch(v -> v != null && v.primary().equals(primary));
     }
 
-    /** Returns the newest commit that any vote reports, the lowest position if none does. */
-    LogPosition newestReported(ServiceName service) {
-        return of(service).values().stream()
-                .map(Vote::acknowledgedPosition)
-                .flatMap(Optional::stream)
-                .reduce(LogPosition.empty(), LogPosition::max);
-    }
-
     /** Returns the votes as text. */
     String describe(ServiceName service) {
         return of(service).entrySet().stream()
