Count replicas without an entry among those that a failover compares

Cause: it took the registered instances for all replicas. The entry of a replica that is cut off from the store expires while it still receives and acknowledges commits, and a process that starts later has never seen it. The choice then named one replica of one and promoted it without knowing the acknowledged position.

A replica set per service holds the instances that may have acknowledged commits. The first-ranked process keeps their ids in the store, without a lease and under the revision of the key. An absent member counts as a replica that is out of reach: only votes with known positions permit a promotion. It is no longer counted if it was draining, if another instance is registered at its address, if the first-ranked process removed it, or after 30 s. The time starts again while the store is out of reach. It is taken from the monotonic clock alone: the larger of two ages, as ClockReading gives it, would end each absence at a step of the time of day (ReplicaSetTest).

A paused replica whose entry vanishes before the choice is not compared any more and does not count as stopped. A record of a restored store removes no member, and a lost one is written again.

Ruled out: a longer grace period of the registry, since a process that starts later would still not know the replica, and reads would go to instances that have left.

--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -74,6 +74,8 @@
     VOTE_OBSERVED(3022, Level.INFO),
     /** An instance reported another role, term or pause than before. */
     INSTANCE_STATUS_CHANGED(3023, Level.INFO),
+    /** An instance without an entry may hold commits, or is no longer taken to hold any. */
+    REPLICA_SET_CHANGED(3024, Level.INFO),
     /** The store responds again. */
     STORE_REGAINED(2020, Level.INFO),
     /** The store does not respond or rejects calls. */
--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.event.EventCode;
 import org.carobstage.failover.FailoverCandidateSelector.Replica;
@@ -236,7 +237,10 @@
         Optional<LogPosition> newestAcknowledged =
                 evidence.acknowledgedPosition(areOtherReplicasStopped(candidates));
         target =
-                FailoverCandidateSelector.select(candidates, replicas().size(), newestAcknowledged)
+                FailoverCandidateSelector.select(
+                                candidates,
+                                replicas().size() + evidence.absentReplicas().size(),
+                                newestAcknowledged)
                         .filter(best -> best.received().isAtLeast(evidence.newestReported()))
                         .map(best -> preferPendingTarget(best, candidates))
                         .map(Replica::id);
@@ -261,17 +265,20 @@
     }
 
     /**
-     * Returns whether every replica that was not paused stopped before a position that a paused one
-     * has reached, so that it holds no commit that the paused ones lack.
+     * Returns whether every replica that was not paused, or has no entry, stopped before a position
+     * that a paused one has reached, so that it holds no commit that the paused ones lack.
      */
     private boolean areOtherReplicasStopped(List<Replica> candidates) {
         LogPosition longest =
                 candidates.stream()
                         .map(Replica::received)
                         .reduce(LogPosition.empty(), LogPosition::max);
-        return replicas().stream()
-                .filter(e -> !pausedReplicas.containsKey(e.id()))
-                .allMatch(e -> group.stoppedBefore(e.id()).filter(longest::isAtLeast).isPresent());
+        return Stream.concat(
+                        replicas().stream()
+                                .map(InstanceEntry::id)
+                                .filter(id -> !pausedReplicas.containsKey(id)),
+                        evidence.absentReplicas().stream())
+                .allMatch(id -> group.stoppedBefore(id).filter(longest::isAtLeast).isPresent());
     }
 
     /** Prefers the target of a request that may still be executed, if its log is as long. */
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCandidateSelector.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCandidateSelector.java
@@ -26,7 +26,7 @@
      * Selects the replica to promote.
      *
      * @param pausedReplicas the replicas whose replication is paused
-     * @param replicaCount the number of replicas of the service
+     * @param replicaCount the number of replicas of the service, including the absent ones
      * @param acknowledgedPosition the newest acknowledged position, or empty if a process has not
      *     reported one
      * @return the replica that is known to hold every acknowledged commit, if there is one
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -53,6 +53,7 @@
     private final Set<ServiceName> servicesToQuery = new HashSet<>();
     private Set<VmId> lastMembers = Set.of();
     private ClockReading membersStableSince;
+    private boolean storeReachable = true;
 
     private FailoverCoordinator(FailoverContext context) {
         this.context = context;
@@ -73,9 +74,9 @@
     }
 
     /**
-     * Applies a change of a vote or lease in the store.
+     * Applies a change of a vote, lease, recorded promotion or replica set in the store.
      *
-     * @param entry the changed entry; entries that are neither votes nor leases are ignored
+     * @param entry the changed entry; other entries are ignored
      */
     public void onStoreChange(StoreEntry entry) {
         if (entry.key().startsWith(FailoverKeys.LEASE_PREFIX)) {
@@ -93,9 +94,23 @@
                             () -> removePendingPromotion(service, entry.revision().era()));
         } else if (entry.key().startsWith(FailoverKeys.VOTE_PREFIX)) {
             applyVote(entry);
+        } else if (entry.key().startsWith(FailoverKeys.REPLICAS_PREFIX)) {
+            ServiceName service =
+                    ServiceName.of(entry.key().substring(FailoverKeys.REPLICAS_PREFIX.length()));
+            state(service).replicas.onStoreChange(entry);
         }
     }
 
+    /**
+     * Sets whether the store responds. Instances that are not registered remain in the replica set
+     * of their service while it does not.
+     *
+     * @param reachable whether it responds; true initially
+     */
+    public void setStoreReachable(boolean reachable) {
+        storeReachable = reachable;
+    }
+
     /**
      * Adds a service before statements are sent to it. A vote that an earlier run on this VM has
      * left in the store fences its primary.
@@ -137,6 +152,7 @@
                         state -> {
                             state.lease.onStoreRestored();
                             state.vote.onStoreRestored();
+                            state.replicas.onStoreRestored();
                             state.postponeFailover(
                                     now.monotonicNanos() + RESTORE_GRACE_PERIOD.toNanos());
                         });
@@ -148,6 +164,8 @@
 
     private void tick(ServiceGroup group, Set<VmId> members, Optional<LeaseId> lease) {
         State state = state(group.name());
+        state.replicas.observe(group.instances(), storeReachable);
+        state.replicas.update(lease.isPresent() && rank(group.name(), members) == 0);
         Optional<InstanceId> primary = findPrimary(group);
         Optional<InstanceId> suspected = primary.filter(group::isSuspected);
         boolean failoverObserved = leaseHolders.containsKey(group.name());
@@ -324,6 +342,12 @@
             return votes.newestReported(group.name());
         }
 
+        @Override
+        public List<InstanceId> absentReplicas() {
+            state.replicas.observe(group.instances(), storeReachable);
+            return state.replicas.absent().stream().filter(id -> !id.equals(primary)).toList();
+        }
+
         @Override
         public String describe() {
             return "votes="
@@ -335,7 +359,9 @@
                     + " lease_observed="
                     + isLeaseObserved()
                     + " instances="
-                    + group.instances().stream().map(InstanceEntry::id).toList();
+                    + group.instances().stream().map(InstanceEntry::id).toList()
+                    + " absent="
+                    + absentReplicas();
         }
 
         /**
@@ -357,6 +383,7 @@
         private final FailoverLease lease;
         private final PausedReplicaMonitor pausedReplicas;
         private final ReplacementVote vote;
+        private final ReplicaSet replicas;
         private Optional<ServiceGroup> group = Optional.empty();
         private Optional<Long> failoverDueSince = Optional.empty();
         private long nextFailoverNanos;
@@ -368,6 +395,7 @@
                     new ReplacementVote(
                             context, service, fenced -> group.ifPresent(g -> g.fence(fenced)));
             this.pausedReplicas = new PausedReplicaMonitor(context);
+            this.replicas = new ReplicaSet(context, service);
             this.nextFailoverNanos = context.clock().nanoTime();
         }
 
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverEvidence.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverEvidence.java
@@ -1,9 +1,11 @@
 package org.carobstage.failover;
 
+import java.util.List;
 import java.util.Optional;
+import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
 
-/** What the votes tell about the commits that a failover must keep. */
+/** What the votes and the store tell about the commits that a failover must keep. */
 interface FailoverEvidence {
     /**
      * Returns whether every process has voted, so that none sends writes to the old primary.
@@ -29,7 +31,14 @@
     LogPosition newestReported();
 
     /**
-     * Describes the votes, the members and the registered instances for the log.
+     * Returns the replicas that are not registered, but may hold acknowledged commits.
+     *
+     * @return their ids, without the old primary
+     */
+    List<InstanceId> absentReplicas();
+
+    /**
+     * Describes the votes, the members, the registered instances and the absent ones for the log.
      *
      * @return the description
      */
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -282,6 +282,7 @@
         updateConnectionLimits();
         List<ServiceGroup> all = List.copyOf(groups.values());
         all.forEach(ServiceGroup::tick);
+        failoverCoordinator.setStoreReachable(storeWatcher.isReachable());
         failoverCoordinator.tick(all, membership.members(), membership.lease());
         ready = ready || storeListed && routeTable.isLoaded() && hasConnections();
         clock.schedule(this::tick, TICK_INTERVAL);
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.event.EventLog;
 import org.carobstage.fake.FakeInstance;
 import org.carobstage.fake.FakeMetadataStore;
@@ -50,6 +51,7 @@
     MessageFilter filter = MessageFilter.NONE;
 
     private final boolean fencingEnforced;
+    private final Set<InstanceId> droppedEntries = new HashSet<>();
 
     FailoverFixture() {
         this(false);
@@ -77,9 +79,16 @@
 
     /** Drops an instance from what all processes know of the service, while it runs on. */
     void dropEntry(String id) {
+        droppedEntries.add(InstanceId.of(id));
         processes.forEach(p -> p.group.remove(InstanceId.of(id)));
     }
 
+    /** Lets all processes know an entry, possibly again. */
+    void putEntry(InstanceEntry entry) {
+        droppedEntries.remove(entry.id());
+        processes.forEach(p -> p.group.put(entry));
+    }
+
     FakeInstance instance(String id) {
         return service.instance(id);
     }
@@ -125,6 +134,7 @@
         private boolean ended;
         final ServiceGroup group;
         private final FailoverCoordinator coordinator;
+        private final StoreWatcher storeWatcher;
         private Optional<LeaseId> lease = Optional.empty();
 
         private Process(String name) {
@@ -143,7 +153,9 @@
                                     events,
                                     fencingEnforced));
             group.setConnectionLimit(4, 5);
-            service.instances().forEach(i -> group.put(i.instanceEntry()));
+            service.instances().stream()
+                    .filter(i -> !droppedEntries.contains(i.id()))
+                    .forEach(i -> group.put(i.instanceEntry()));
             coordinator =
                     FailoverCoordinator.of(
                             new FailoverContext(
@@ -154,13 +166,14 @@
                                     events,
                                     fencingEnforced));
             coordinator.add(group);
-            StoreWatcher.of(
+            storeWatcher =
+                    StoreWatcher.of(
                             storeClient,
                             clock,
                             events,
                             StoreWatcher.Listener.of(
-                                    coordinator::onStoreChange, () -> {}, () -> {}))
-                    .start();
+                                    coordinator::onStoreChange, () -> {}, () -> {}));
+            storeWatcher.start();
             storeClient.grantLease(
                     Duration.ofHours(1),
                     response ->
@@ -255,6 +268,7 @@
                             .filter(p -> !p.left)
                             .map(p -> p.vm)
                             .collect(Collectors.toSet());
+            coordinator.setStoreReachable(storeWatcher.isReachable());
             coordinator.tick(List.of(group), members, lease);
             clock.schedule(this::tick, Duration.ofMillis(50));
         }
