--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.event.EventCode;
 import org.carobstage.failover.FailoverCandidateSelector.Replica;
@@ -193,7 +194,10 @@
         Optional<LogPosition> newestAcknowledged =
                 evidence.acknowledgedPosition(areOtherReplicasStopped(candidates));
         target =
-                FailoverCandidateSelector.select(candidates, replicas().size(), newestAcknowledged)
+                FailoverCandidateSelector.select(
+                                candidates,
+                                replicas().size() + evidence.absentReplicas().size(),
+                                newestAcknowledged)
                         .map(best -> preferPendingTarget(best, candidates))
                         .map(Replica::id);
         context.record(
@@ -217,17 +221,20 @@
     }
 
     /**
-     * Returns whether every replica that was not paused stopped before a position that a paused one
-     * has reached, so that it holds no commit that the paused ones lack.
+     * Returns whether every replica that was not paused, or has no entry, stopped before a position
+     * that a paused one has reached, so that it holds no commit that the paused ones lack.
      */
     private boolean areOtherReplicasStopped(List<Replica> candidates) {
         LogPosition longest =
                 candidates.stream()
                         .map(Replica::received)
                         .reduce(LogPosition.empty(), LogPosition::max);
-        return replicas().stream()
-                .filter(e -> !pauses.isPaused(e.id()))
-                .allMatch(e -> group.stoppedBefore(e.id()).filter(longest::isAtLeast).isPresent());
+        return Stream.concat(
+                        replicas().stream()
+                                .map(InstanceEntry::id)
+                                .filter(id -> !pauses.isPaused(id)),
+                        evidence.absentReplicas().stream())
+                .allMatch(id -> group.stoppedBefore(id).filter(longest::isAtLeast).isPresent());
     }
 
     /** Prefers the target of a request that may still be executed, if its log is as long. */
