Replace a primary whose entry has expired

What callers saw: none yet; found in the review (60 s without a request). Cause: once the entry of a lost primary had expired, no process knew whom to replace: the leader was forgotten, votes were withdrawn and no failover started, also if the other replicas were there. The longer a failover has to wait for a replica, the likelier that becomes.

Evidence: two tests of LostPrimaryTest fail before with no request. A process now keeps the last known primary until another instance leads; without an entry it counts as silent. Open: processes that all start after the entry has expired know no primary to replace.

--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -175,8 +175,10 @@
         State state = state(group.name());
         state.replicas.observe(group.instances(), storeReachable);
         state.replicas.update(lease.isPresent() && rank(group.name(), members) == 0);
-        Optional<InstanceId> primary = findPrimary(group);
-        Optional<InstanceId> suspected = primary.filter(group::isSuspected);
+        Optional<InstanceId> primary = findPrimary(group).or(() -> state.lastPrimary);
+        state.lastPrimary = primary;
+        Optional<InstanceId> suspected =
+                primary.filter(id -> group.isSuspected(id) || findInstance(group, id).isEmpty());
         boolean leaseObserved = leaseHolders.containsKey(group.name());
         boolean unfinished = !leaseObserved && isUnfinished(group.name(), primary);
         boolean replaced =
@@ -416,6 +418,10 @@
         private final ReplacementVote vote;
         private final ReplicaSet replicas;
         private Optional<ServiceGroup> group = Optional.empty();
+
+        /** Also known once its entry has expired, since it still has to be replaced. */
+        private Optional<InstanceId> lastPrimary = Optional.empty();
+
         private Optional<Long> failoverDueSince = Optional.empty();
         private long nextFailoverNanos;
         private boolean failoverRunning;
