Renew the pauses of replicas until the promotion takes effect

Between the request and its effect, 600 ms or more, a replica that restarts or registers is not paused and acknowledges commits: those of a planned failover, whose primary stays in service, and those in flight at a primary that responds again.

The holder pauses all replicas but the target again every 100 ms until the target leads. Ruled out for planned failovers: to stop all writes, which would hold them for the whole promotion. What a replica acknowledges within those 100 ms and the target lacks can still be lost.

--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -27,6 +27,8 @@
     /** Processes that observe the failover stop their writes and vote within a few ticks. */
     private static final Duration WRITER_FENCE_TIMEOUT = Duration.ofMillis(400);
 
+    private static final Duration PAUSE_RENEWAL_INTERVAL = Duration.ofMillis(100);
+
     private static final Duration WRITER_FENCE_POLL_INTERVAL = Duration.ofMillis(10);
 
     /** Allows each instance to process its full request queue a few times. */
@@ -159,7 +161,6 @@
         pauses.request(replicaIds);
         if (pauses.areAllPaused(replicaIds)
                 || elapsedSince(pauseStartedNanos).compareTo(PAUSE_TIMEOUT) > 0) {
-            pauses.end();
             selectTarget();
         } else {
             context.clock().schedule(this::pauseReplicas, POLL_INTERVAL);
@@ -331,6 +332,9 @@
         if (ended) {
             return;
         }
+        if (!promotionRequested) {
+            renewPauses();
+        }
         if (!lease.isHeld()) {
             end("the lease ended before the promotion, unanswered=" + hasUnansweredRequest);
             return;
@@ -347,6 +351,21 @@
                         this::onPromotionOutcome);
     }
 
+    /** Pauses replicas that have restarted or registered since the choice. */
+    private void renewPauses() {
+        if (!ended && !isPromoted()) {
+            pauses.renew(
+                    replicasToPause().stream()
+                            .filter(id -> !target.equals(Optional.of(id)))
+                            .toList());
+            context.clock().schedule(this::renewPauses, PAUSE_RENEWAL_INTERVAL);
+        }
+    }
+
+    private boolean isPromoted() {
+        return target.filter(group.leadership()::isLeader).isPresent();
+    }
+
     private void onPromotionOutcome(PromotionClient.Outcome outcome) {
         context.record(
                 EventCode.FAILOVER_ORDER,
@@ -378,7 +397,7 @@
             return;
         }
         InstanceId promoted = target.orElseThrow();
-        if (group.leadership().isLeader(promoted)) {
+        if (isPromoted()) {
             group.trySendControlCommand(
                     oldPrimary, new Statement.StepDown(group.leadership().term()), response -> {});
             end("promoted " + promoted + " in " + elapsedSince(startedNanos).toMillis() + " ms");
@@ -401,9 +420,9 @@
             return;
         }
         ended = true;
-        boolean effective = target.filter(group.leadership()::isLeader).isPresent();
+        pauses.end();
         if (promotionRequested
-                && (!hasUnansweredRequest || effective && context.fencingEnforced())) {
+                && (!hasUnansweredRequest || isPromoted() && context.fencingEnforced())) {
             lease.clearPromotion();
         }
         context.record(EventCode.FAILOVER_ENDED, group.name(), outcome);
--- a/carobstage/src/main/java/org/carobstage/failover/ReplicaPauses.java
+++ b/carobstage/src/main/java/org/carobstage/failover/ReplicaPauses.java
@@ -71,6 +71,11 @@
         ids.stream().filter(id -> !pending.contains(id) && !isPaused(id)).forEach(this::request);
     }
 
+    /** Requests a pause of all replicas again, since one that has restarted is not paused. */
+    void renew(Collection<InstanceId> ids) {
+        ids.stream().filter(id -> !pending.contains(id)).forEach(this::request);
+    }
+
     /** Sends no further pauses; the replicas stay paused. */
     void end() {
         ended = true;
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
@@ -90,6 +90,13 @@
         processes.forEach(p -> p.group.put(entry));
     }
 
+    /** Announces that the primary is about to stop. */
+    void drainPrimary() {
+        FakeInstance primary = service.primary().orElseThrow();
+        primary.drain();
+        processes.forEach(p -> p.group.put(primary.instanceEntry()));
+    }
+
     FakeInstance instance(String id) {
         return service.instance(id);
     }
--- a/carobstage/src/test/java/org/carobstage/failover/LostCommitByPauseTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/LostCommitByPauseTest.java
@@ -5,7 +5,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.carobstage.fake.FakeInstance;
 import org.carobstage.fake.MessageFilter.Fate;
 import org.carobstage.model.Term;
@@ -67,16 +69,81 @@
         while (fixture.service.receivedPromotionRequests().isEmpty()) {
             fixture.advanceWriting(10);
         }
-        FakeInstance other = fixture.instance(isRequested("c") ? "b" : "c");
-        other.crash();
+        restartOther(fixture, 200);
+        fixture.advanceWriting(6_000);
+
+        assertThat(fixture.service.violations()).isEmpty();
+    }
+
+    // Commits in flight at a primary that was silent are acknowledged by the restarted replica.
+    @Test
+    void shouldNotLoseCommitsInFlightWhenPrimaryRespondsAgainBeforePromotion() {
+        fixture.advanceWriting(1_000);
+        fixture.instance("a").stopResponding();
+        while (fixture.service.receivedPromotionRequests().isEmpty()) {
+            fixture.advanceWriting(10);
+        }
+        restartOther(fixture, 200);
         fixture.advanceMillis(200);
-        other.recover();
+        fixture.instance("a").recover();
         fixture.advanceWriting(6_000);
 
         assertThat(fixture.service.violations()).isEmpty();
     }
 
-    private boolean isRequested(String id) {
+    // A planned failover leaves the primary in service until it takes effect.
+    @Test
+    void shouldNotLoseCommitsWhenReplicaRestartsDuringPlannedFailover() {
+        List<String> violations =
+                IntStream.range(0, 10)
+                        .boxed()
+                        .flatMap(
+                                n -> violationsOfPlannedFailover(f -> restartOther(f, 200 + 5 * n)))
+                        .toList();
+
+        assertThat(violations).isEmpty();
+    }
+
+    // A replica that registers after the comparison is not paused and acknowledges commits.
+    @Test
+    void shouldNotLoseCommitsWhenReplicaRegistersDuringPlannedFailover() {
+        List<String> violations =
+                IntStream.range(0, 5)
+                        .boxed()
+                        .flatMap(n -> violationsOfPlannedFailover(f -> register(f, 10 * n)))
+                        .toList();
+
+        assertThat(violations).isEmpty();
+    }
+
+    private static Stream<String> violationsOfPlannedFailover(Consumer<FailoverFixture> fault) {
+        FailoverFixture fixture = new FailoverFixture();
+        fixture.advanceWriting(1_000);
+        fixture.drainPrimary();
+        while (fixture.service.receivedPromotionRequests().isEmpty()) {
+            fixture.advanceMillis(5);
+        }
+        String target = isRequested(fixture, "c") ? "c" : "b";
+        fixture.instance(target).setReplicationDelay(Duration.ofMillis(30));
+        fault.accept(fixture);
+        fixture.advanceWriting(6_000);
+        return fixture.service.violations().stream();
+    }
+
+    private static void restartOther(FailoverFixture fixture, int millis) {
+        FakeInstance other = fixture.instance(isRequested(fixture, "c") ? "b" : "c");
+        other.crash();
+        fixture.advanceMillis(millis);
+        other.recover();
+    }
+
+    private static void register(FailoverFixture fixture, int delayMillis) {
+        FakeInstance joining = fixture.service.addInstance("d", "domain-b");
+        fixture.processes.forEach(p -> p.group.put(joining.instanceEntry()));
+        fixture.advanceMillis(delayMillis);
+    }
+
+    private static boolean isRequested(FailoverFixture fixture, String id) {
         return fixture.service.receivedPromotionRequests().get(0).startsWith(id + " ");
     }
 }
