Keep the fence and the record of an unanswered promotion

Cause, found in the review: a promotion request without a response still counted as ended when a later one was rejected, when its holder resumed the replicas while its lease lasted, or when another holder had its own request answered; and one token was used for two instances, which the platform cannot tell apart.

The record of an unanswered request says so, and fences the old primary also while a lease is held; replicas stay paused and the record stays until the request has expired or another one with a later token has taken effect. Another instance is promoted only with a new token. A removal of an expired record is repeated until it is certain; a lease that is used again is renewed again.

--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -310,11 +310,11 @@
             return;
         }
         InstanceId promoted = target.orElseThrow();
-        if (!context.fencingEnforced()
-                && pendingTarget.filter(p -> !p.equals(promoted)).isPresent()) {
+        boolean otherPending = pendingTarget.filter(p -> !p.equals(promoted)).isPresent();
+        if (otherPending && !(context.fencingEnforced() && lease.hasNewToken())) {
             abandon("a request to promote " + pendingTarget.get() + " may still be executed");
         } else {
-            lease.recordPromotion(promoted, this::onPromotionRecorded);
+            lease.recordPromotion(promoted, hasUnansweredRequest, this::onPromotionRecorded);
         }
     }
 
@@ -378,7 +378,10 @@
                         + outcome
                         + " took_ms="
                         + elapsedSince(promotionRequestedNanos).toMillis());
-        hasUnansweredRequest |= outcome == PromotionClient.Outcome.UNKNOWN;
+        if (outcome == PromotionClient.Outcome.UNKNOWN && !hasUnansweredRequest) {
+            hasUnansweredRequest = true;
+            lease.recordPromotion(target.orElseThrow(), true, response -> {});
+        }
         if (outcome == PromotionClient.Outcome.REJECTED) {
             abandon("the promotion request was rejected");
         } else if (outcome == PromotionClient.Outcome.REFUSED) {
@@ -421,13 +424,20 @@
         }
         ended = true;
         pauses.end();
-        if (promotionRequested
-                && (!hasUnansweredRequest || isPromoted() && context.fencingEnforced())) {
+        boolean mayBeExecuted =
+                isPromoted()
+                        ? hasUnansweredRequest && !context.fencingEnforced()
+                        : hasUnansweredRequest || pendingTarget.isPresent();
+        if (promotionRequested && !mayBeExecuted) {
             lease.clearPromotion();
         }
         context.record(EventCode.FAILOVER_ENDED, group.name(), outcome);
-        pauses.resume(
-                replicasToPause().stream().filter(id -> !group.leadership().isLeader(id)).toList());
+        if (isPromoted() || !hasUnansweredRequest) {
+            pauses.resume(
+                    replicasToPause().stream()
+                            .filter(id -> !group.leadership().isLeader(id))
+                            .toList());
+        }
         onEnded.accept(promotionRequested);
     }
 
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -20,6 +20,8 @@
 import org.carobstage.model.VmId;
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreEntry;
+import org.carobstage.store.StoreResponse;
+import org.carobstage.store.StoreRevision;
 import org.carobstage.store.StoreWrite;
 import org.carobstage.upstream.ServiceGroup;
 
@@ -180,7 +182,7 @@
         Optional<InstanceId> suspected =
                 primary.filter(id -> group.isSuspected(id) || findInstance(group, id).isEmpty());
         boolean leaseObserved = leaseHolders.containsKey(group.name());
-        boolean unfinished = !leaseObserved && isUnfinished(group.name(), primary);
+        boolean unfinished = isUnfinished(group.name(), primary, leaseObserved);
         boolean replaced =
                 unfinished
                         || leaseObserved
@@ -223,12 +225,17 @@
     }
 
     /**
-     * Returns whether the platform may still execute a promotion whose holder has lost the lease.
-     * The next holder finishes that failover, also if the old primary responds again.
+     * Returns whether the platform may still execute a promotion that had no response or whose
+     * holder has lost the lease. The next holder finishes that failover, also if the old primary
+     * responds again.
      */
-    private boolean isUnfinished(ServiceName service, Optional<InstanceId> primary) {
+    private boolean isUnfinished(
+            ServiceName service, Optional<InstanceId> primary, boolean leaseObserved) {
         return primary.isPresent()
-                && pendingTarget(service).filter(t -> !t.equals(primary.get())).isPresent();
+                && pendingPromotion(service)
+                        .filter(p -> !leaseObserved || p.unanswered())
+                        .filter(p -> !p.target().equals(primary.get()))
+                        .isPresent();
     }
 
     /** Removes a record that a process that starts later would take for a pending request. */
@@ -241,10 +248,22 @@
                             pendingPromotions.remove(service);
                             String key = FailoverKeys.promotion(service);
                             StoreWrite write = StoreWrite.delete(key).onlyIf(key, p.revision());
-                            context.store().write(write, response -> {});
+                            context.store()
+                                    .write(
+                                            write,
+                                            response -> restoreUnlessRemoved(service, p, response));
                         });
     }
 
+    /** Keeps an expired record if its removal is not certain, so that it is tried again. */
+    private void restoreUnlessRemoved(
+            ServiceName service, PendingPromotion expired, StoreResponse<StoreRevision> response) {
+        if (response instanceof StoreResponse.Refused<StoreRevision>
+                || response instanceof StoreResponse.NoAnswer<StoreRevision>) {
+            pendingPromotions.putIfAbsent(service, expired);
+        }
+    }
+
     /**
      * Returns whether at least half of the processes voted. Exactly half suffices only with two
      * votes or more, since a single voter may itself be isolated.
@@ -269,17 +288,17 @@
                                         oldPrimary,
                                         planned,
                                         state.lease,
-                                        pendingTarget(group.name()),
+                                        pendingPromotion(group.name())
+                                                .map(PendingPromotion::target),
                                         new Evidence(group, state, oldPrimary, members),
                                         requested -> onFailoverEnded(state, requested))
                                 .start(),
                 () -> onFailoverEnded(state, false));
     }
 
-    private Optional<InstanceId> pendingTarget(ServiceName service) {
+    private Optional<PendingPromotion> pendingPromotion(ServiceName service) {
         return Optional.ofNullable(pendingPromotions.get(service))
-                .filter(p -> p.isPending(ClockReading.now(context.clock())))
-                .map(PendingPromotion::target);
+                .filter(p -> p.isPending(ClockReading.now(context.clock())));
     }
 
     private void onFailoverEnded(State state, boolean promotionRequested) {
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
@@ -57,6 +57,11 @@
         return isHeld() && entry != null && entry.revision().equals(acquiredAt);
     }
 
+    /** Returns whether no promotion was requested with the token in an earlier failover. */
+    boolean hasNewToken() {
+        return !usedForPromotion;
+    }
+
     /** Returns the fencing token of the lease that is or was held last. */
     long fencingToken() {
         return acquiredAt.toFencingToken();
@@ -67,6 +72,7 @@
         inUse = true;
         if (isHeld()) {
             renew();
+            scheduleRenewal();
             onAcquired.run();
             return;
         }
@@ -136,10 +142,18 @@
     /**
      * Records a promotion request before it is sent. The store accepts the record only while this
      * process holds the lease.
+     *
+     * @param target the instance to promote
+     * @param unanswered whether an earlier request to promote it had no response
+     * @param callback receives the response of the store
      */
-    void recordPromotion(InstanceId target, Consumer<StoreResponse<StoreRevision>> callback) {
+    void recordPromotion(
+            InstanceId target,
+            boolean unanswered,
+            Consumer<StoreResponse<StoreRevision>> callback) {
+        String record = PendingPromotion.format(target, unanswered);
         StoreWrite write =
-                StoreWrite.put(FailoverKeys.promotion(service), target.value(), LeaseId.NONE)
+                StoreWrite.put(FailoverKeys.promotion(service), record, LeaseId.NONE)
                         .onlyIf(FailoverKeys.lease(service), acquiredAt);
         context.store().write(write, callback);
     }
--- a/carobstage/src/main/java/org/carobstage/failover/PendingPromotion.java
+++ b/carobstage/src/main/java/org/carobstage/failover/PendingPromotion.java
@@ -16,13 +16,17 @@
  * replace it again, and commits would be lost.
  *
  * @param target the instance to promote
+ * @param unanswered whether the request had no response, so that its holder cannot tell its end
  * @param recordedAt when this process learned of the request
  * @param revision the revision of the record
  */
-record PendingPromotion(InstanceId target, ClockReading recordedAt, StoreRevision revision) {
+record PendingPromotion(
+        InstanceId target, boolean unanswered, ClockReading recordedAt, StoreRevision revision) {
     /** The platform executes an unanswered request within 12 s or not at all. */
     static final Duration TIMEOUT = Duration.ofMillis(15_000);
 
+    private static final String UNANSWERED = " unanswered";
+
     PendingPromotion {
         requireNonNull(target, "target is null");
         requireNonNull(recordedAt, "recordedAt is null");
@@ -33,7 +37,18 @@
     static Optional<PendingPromotion> parse(StoreEntry entry, ClockReading now) {
         return entry.value()
                 .filter(text -> !text.isBlank())
-                .map(text -> new PendingPromotion(InstanceId.of(text), now, entry.revision()));
+                .map(
+                        text ->
+                                new PendingPromotion(
+                                        InstanceId.of(text.split(" ")[0]),
+                                        text.endsWith(UNANSWERED),
+                                        now,
+                                        entry.revision()));
+    }
+
+    /** Returns the value of the store entry. */
+    static String format(InstanceId target, boolean unanswered) {
+        return target + (unanswered ? UNANSWERED : "");
     }
 
     boolean isPending(ClockReading now) {
