Make the model of the store refuse writes under an ended lease

The platform answers such a write with 404. In the model, a late write of the lease key under a revoked lease left a key without an owner, so that votes could not be withdrawn and replicas stayed paused. Processes register again when a restored store has lost their lease. A withdrawal of a vote has a name of its own, as it had when it was a deletion, so that a test can harm votes and withdrawals apart. Commits are acknowledged in the order of the log, since the order of Map.copyOf differs per run.

--- a/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
@@ -41,6 +41,8 @@
     /** A process that ends without notice remains a member for this long. */
     private static final Duration MEMBERSHIP_TTL = Duration.ofSeconds(3);
 
+    private static final Duration REGISTRATION_RETRY_DELAY = Duration.ofMillis(500);
+
     final ManualClock clock = ManualClock.of(Instant.EPOCH);
     final FakeService service = FakeService.of(clock);
     final FakeMetadataStore store = FakeMetadataStore.of(clock);
@@ -161,13 +163,22 @@
                             StoreWatcher.Listener.of(
                                     coordinator::onStoreChange, () -> {}, () -> {}))
                     .start();
+            register();
+            storeClient.era().addListener(era -> register());
+            clock.schedule(this::tick, Duration.ofMillis(50));
+        }
+
+        /** Obtains the lease of the membership, also when a restored store has lost it. */
+        private void register() {
             storeClient.grantLease(
                     Duration.ofHours(1),
-                    response ->
-                            lease =
-                                    Optional.of(
-                                            ((StoreResponse.Success<LeaseId>) response).value()));
-            clock.schedule(this::tick, Duration.ofMillis(50));
+                    response -> {
+                        if (response instanceof StoreResponse.Success<LeaseId> granted) {
+                            lease = Optional.of(granted.value());
+                        } else if (!ended) {
+                            clock.schedule(this::register, REGISTRATION_RETRY_DELAY);
+                        }
+                    });
         }
 
         private MessageFilter.Fate fateOf(String message) {
--- a/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
@@ -263,7 +263,14 @@
                                                 condition ->
                                                         revisionOf(condition.key())
                                                                 .equals(condition.revision()));
-                        if (!conditionsHold) {
+                        boolean leasesExist =
+                                change.puts().stream()
+                                        .map(StoreWrite.Put::lease)
+                                        .allMatch(
+                                                lease ->
+                                                        lease.equals(LeaseId.NONE)
+                                                                || leases.containsKey(lease));
+                        if (!conditionsHold || !leasesExist) {
                             return new StoreResponse.Mismatch<>();
                         }
                         change.puts()
@@ -315,11 +322,16 @@
 
         private String nameOf(StoreWrite change) {
             return Stream.concat(
-                            change.puts().stream().map(put -> "WRITE " + put.key()),
+                            change.puts().stream().map(this::nameOf),
                             change.deletes().stream().map(key -> "DELETE " + key))
                     .collect(Collectors.joining(" "));
         }
 
+        /** A withdrawal of a vote is a write that has a name of its own. */
+        private String nameOf(StoreWrite.Put put) {
+            return (put.value().equals("withdrawn") ? "WITHDRAW " : "WRITE ") + put.key();
+        }
+
         private StoreRevision revisionOf(String key) {
             return Optional.ofNullable(values.get(key))
                     .map(value -> new StoreRevision(era, value.revision()))
--- a/carobstage/src/test/java/org/carobstage/fake/PendingCommits.java
+++ b/carobstage/src/test/java/org/carobstage/fake/PendingCommits.java
@@ -1,6 +1,6 @@
 package org.carobstage.fake;
 
-import java.util.Map;
+import java.util.List;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.carobstage.model.LogPosition;
@@ -14,14 +14,14 @@
         commits.put(position, onEnded);
     }
 
-    /** Acknowledges the commits up to a position that a replica has received. */
+    /** Acknowledges the commits up to a position that a replica has received, in their order. */
     void acknowledge(LogPosition received) {
-        end(Map.copyOf(commits.headMap(received, true)).keySet(), true);
+        end(List.copyOf(commits.headMap(received, true).keySet()), true);
     }
 
     /** Ends all commits without an acknowledgement. */
     void drop() {
-        end(Map.copyOf(commits).keySet(), false);
+        end(List.copyOf(commits.keySet()), false);
     }
 
     private void end(Iterable<LogPosition> positions, boolean acknowledged) {
