Abandon a planned failover while a replica has no entry

Cause: a planned failover leaves the primary in service, and a running replica whose entry has expired cannot be paused and acknowledges commits that the successor lacks. Evidence: FailoverMessageExplorationTest.shouldKeepEveryGuaranteeWhen- ReplicaHasNoEntry fails before ("drains, b has no entry, none, 0, delivered": 1:168 acknowledged, promoted at 1:164) and passes now.

--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -257,6 +257,10 @@
             abandon("not every other replica paused replication in time");
             return;
         }
+        if (!evidence.absentReplicas().isEmpty()) {
+            abandon("replicas that cannot be paused: " + evidence.absentReplicas());
+            return;
+        }
         LogPosition newest =
                 others.stream()
                         .map(pauses::receivedPosition)
