Replace a former primary only if its entry has expired

A process that knew no leader took the last known primary for the one to replace, also if it is registered as a replica after its replacement; if that one was draining, it started a planned failover.

--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -177,8 +177,8 @@
         State state = state(group.name());
         state.replicas.observe(group.instances(), storeReachable);
         state.replicas.update(lease.isPresent() && rank(group.name(), members) == 0);
-        Optional<InstanceId> primary = findPrimary(group).or(() -> state.lastPrimary);
-        state.lastPrimary = primary;
+        Optional<InstanceId> primary = findPrimary(group).or(() -> expiredPrimary(group, state));
+        state.lastPrimary = primary.or(() -> state.lastPrimary);
         Optional<InstanceId> suspected =
                 primary.filter(id -> group.isSuspected(id) || findInstance(group, id).isEmpty());
         boolean leaseObserved = leaseHolders.containsKey(group.name());
@@ -224,6 +224,11 @@
         }
     }
 
+    /** Returns the last known primary if its entry has expired before it was replaced. */
+    private static Optional<InstanceId> expiredPrimary(ServiceGroup group, State state) {
+        return state.lastPrimary.filter(id -> findInstance(group, id).isEmpty());
+    }
+
     /**
      * Returns whether the platform may still execute a promotion that had no response or whose
      * holder has lost the lease. The next holder finishes that failover, also if the old primary
@@ -438,7 +443,6 @@
         private final ReplicaSet replicas;
         private Optional<ServiceGroup> group = Optional.empty();
 
-        /** Also known once its entry has expired, since it still has to be replaced. */
         private Optional<InstanceId> lastPrimary = Optional.empty();
 
         private Optional<Long> failoverDueSince = Optional.empty();
