--- a/carobstage/src/main/java/org/carobstage/failover/ReplicaPauses.java
+++ b/carobstage/src/main/java/org/carobstage/failover/ReplicaPauses.java
@@ -104,16 +104,19 @@
 
     private void onAnswer(InstanceId id, Term requested, long sentNanos, StatusResponse response) {
         pending.remove(id);
-        long tookNanos = context.clock().nanoTime() - sentNanos;
-        record(
-                EventCode.REPLICA_PAUSED,
-                id,
-                "term="
-                        + requested
-                        + " took_ms="
-                        + Duration.ofNanos(tookNanos).toMillis()
-                        + " status="
-                        + response.status());
+        boolean confirmed = response.status().filter(ReplicaPauses::isPaused).isPresent();
+        if (!confirmed || !isPaused(id)) {
+            Duration took = Duration.ofNanos(context.clock().nanoTime() - sentNanos);
+            record(
+                    EventCode.REPLICA_PAUSED,
+                    id,
+                    "term="
+                            + requested
+                            + " took_ms="
+                            + took.toMillis()
+                            + " status="
+                            + response.status());
+        }
         response.status().filter(s -> !s.isPrimary()).ifPresent(s -> onReplicaStatus(id, s));
     }
 
