Confirm no position by a single replica while others have lost their entries

As the only known instance it confirmed its own position.

Evidence: PositionQuorumTest.shouldNotConfirmPositionOfSingleReplicaWhenOthers- WereRemovedRecently fails without the change. At least two instances have to confirm a position for 30 s after one was removed, as long as a replica without an entry counts in a failover; where fencing is enforced, the primary's own report suffices as before. Open: a process that starts after the entries have expired knows only the one replica.

--- a/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -26,10 +27,14 @@
     /** One instance cannot show that no other has been promoted. */
     private static final int MIN_SIZE = 2;
 
+    /** An instance that was removed this long ago acknowledges no commits any more. */
+    private static final Duration REMOVED_TIMEOUT = Duration.ofSeconds(30);
+
     private final Map<InstanceId, Member> members = new TreeMap<>();
 
     private final boolean primarySuffices;
     private Optional<ObservedPosition> primaryPosition = Optional.empty();
+    private Optional<ClockReading> lastRemovedAt = Optional.empty();
 
     private PositionQuorum(boolean primarySuffices) {
         this.primarySuffices = primarySuffices;
@@ -58,21 +63,25 @@
     }
 
     /**
-     * Removes an instance.
+     * Removes an instance, whose entry may have expired although it runs.
      *
      * @param id the instance
+     * @param now the current clock reading
      */
-    public void remove(InstanceId id) {
-        members.remove(id);
+    public void remove(InstanceId id, ClockReading now) {
+        if (members.remove(id) != null) {
+            lastRemovedAt = Optional.of(requireNonNull(now, "now is null"));
+        }
     }
 
     /**
      * Returns how many instances have to report.
      *
-     * @return all but one, at least two unless there is only one
+     * @return all but one, at least two unless there is only one and none was removed recently
      */
     public int size() {
-        return members.size() <= 1 ? members.size() : Math.max(MIN_SIZE, members.size() - 1);
+        boolean single = members.size() <= 1 && lastRemovedAt.isEmpty();
+        return single ? members.size() : Math.max(MIN_SIZE, members.size() - 1);
     }
 
     /**
@@ -98,6 +107,8 @@
         if (member == null || member.isNewerThan(requestedAt)) {
             return;
         }
+        lastRemovedAt =
+                lastRemovedAt.filter(at -> at.age(requestedAt).compareTo(REMOVED_TIMEOUT) < 0);
         member.received = Optional.of(received);
         member.requestedAt = Optional.of(requestedAt);
         if (primary) {
--- a/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
@@ -130,7 +130,7 @@
 
     void remove(InstanceId id) {
         statuses.remove(id);
-        quorum.remove(id);
+        quorum.remove(id, ClockReading.now(context.clock()));
         updateLeadership(leadership.withoutLeader(id), "the instance was removed");
     }
 
--- a/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
+++ b/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
@@ -64,13 +64,28 @@
     @Test
     void shouldNeedBothInstancesWhenThirdOneIsGone() {
         catchUpAll();
-        quorum.remove(C);
+        quorum.remove(C, at(15));
         quorum.report(A, LogPosition.of(1, 99), at(20), true);
 
         assertThat(quorum.size()).isEqualTo(2);
         assertThat(quorum.newest()).map(ObservedPosition::requestedAt).contains(at(10));
     }
 
+    // A replica that receives nothing would confirm its own position while the entries of the
+    // others have expired although they run.
+    @Test
+    void shouldNotConfirmPositionOfSingleReplicaWhenOthersWereRemovedRecently() {
+        catchUpAll();
+        quorum.remove(A, at(15));
+        quorum.remove(C, at(15));
+        quorum.report(B, LogPosition.of(1, 85), at(2_000), false);
+        assertThat(quorum.newest()).isEmpty();
+
+        quorum.report(B, LogPosition.of(1, 85), at(31_000), false);
+
+        assertThat(quorum.newest()).map(ObservedPosition::requestedAt).contains(at(31_000));
+    }
+
     @Test
     void shouldIgnoreReportThatIsOlderThanTheLatest() {
         catchUpAll();
