--- a/carobstage/src/main/java/org/carobstage/upstream/AcknowledgedCommits.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/AcknowledgedCommits.java
@@ -15,8 +15,9 @@
 /**
  * The commits of this process that a failover must keep: the newest acknowledged one, those in
  * flight, at whichever primary, and those without a result. A commit is acknowledged once a replica
- * has received it, so a lost result does not tell whether it was. It is in the primary's log then,
- * and the end of the log that the primary reports afterwards covers it.
+ * has received it, so without its result it is unknown whether a commit was acknowledged. If it
+ * was, the primary's log contains it, and the end of the log that the primary reports later covers
+ * it.
  */
 final class AcknowledgedCommits {
     private final Clock clock;
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverMessageExplorationTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverMessageExplorationTest.java
@@ -56,7 +56,7 @@
         assertThat(explore(REPLICAS_PAUSED.and(f -> f.contains(WAKES_UP)))).isEmpty();
     }
 
-    // The second PAUSE of b has the term of the first one, so that b goes on receiving.
+    // An instance ignores a PAUSE whose term it has already seen and keeps receiving commits.
     @Test
     void shouldNotTrustPauseWithoutEffectWhenPrimaryWakesUp() {
         assertThat(play("no fencing, silent 2000 ms, replicas run, PAUSE c, 1, lost", false))
