Add the types that accounts, rate limits and shared connections use

A configuration without accounts, and requests without an account, behave as before: routes and route tables have constructors without the new components.

--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -23,6 +23,7 @@
 import org.carobstage.front.PlatformAdapter.DecodedEntry;
 import org.carobstage.model.Address;
 import org.carobstage.model.ServiceName;
+import org.carobstage.quota.OperationLimiter;
 import org.carobstage.route.RouteTable;
 import org.carobstage.runtime.Clock;
 import org.carobstage.store.StoreEntry;
@@ -73,6 +74,7 @@
                         clock,
                         () -> routeTable,
                         name -> Optional.ofNullable(groups.get(name)),
+                        OperationLimiter.unlimited(),
                         RequestEventLog.of(events, clock),
                         metrics);
         this.upstream =
--- a/carobstage/src/main/java/org/carobstage/front/SessionContext.java
+++ b/carobstage/src/main/java/org/carobstage/front/SessionContext.java
@@ -6,6 +6,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.carobstage.model.ServiceName;
+import org.carobstage.quota.OperationLimiter;
 import org.carobstage.route.RouteTable;
 import org.carobstage.runtime.Clock;
 import org.carobstage.upstream.ServiceGroup;
@@ -16,6 +17,7 @@
  * @param clock the clock of the event loop
  * @param routeTable returns the current route table
  * @param groupLookup finds the instances of a service
+ * @param operationLimiter decides whether an operation of a client account may run
  * @param requestLog the log of request events
  * @param metrics the statement metrics
  */
@@ -23,12 +25,14 @@
         Clock clock,
         Supplier<RouteTable> routeTable,
         Function<ServiceName, Optional<ServiceGroup>> groupLookup,
+        OperationLimiter operationLimiter,
         RequestEventLog requestLog,
         ProxyMetrics metrics) {
     SessionContext {
         requireNonNull(clock, "clock is null");
         requireNonNull(routeTable, "routeTable is null");
         requireNonNull(groupLookup, "groupLookup is null");
+        requireNonNull(operationLimiter, "operationLimiter is null");
         requireNonNull(requestLog, "requestLog is null");
         requireNonNull(metrics, "metrics is null");
     }
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Links between the proxy processes. */
+package org.carobstage.peer;
--- a/carobstage/src/main/java/org/carobstage/route/Route.java
+++ b/carobstage/src/main/java/org/carobstage/route/Route.java
@@ -15,6 +15,7 @@
  * @param timeout the timeout of a single statement
  * @param targetLatency the target latency of an operation
  * @param priority the priority; 0 is the highest
+ * @param publicAccess whether clients need no API key where client accounts are in use
  */
 public record Route(
         String database,
@@ -23,7 +24,8 @@
         Duration maxStaleness,
         Duration timeout,
         Duration targetLatency,
-        int priority) {
+        int priority,
+        boolean publicAccess) {
     /** Rejects null components. */
     public Route {
         requireNonNull(database, "database is null");
@@ -33,4 +35,26 @@
         requireNonNull(timeout, "timeout is null");
         requireNonNull(targetLatency, "targetLatency is null");
     }
+
+    /**
+     * Creates a route that requires an API key where client accounts are in use.
+     *
+     * @param database the name that clients use
+     * @param service the service whose instances hold the database
+     * @param consistency the consistency level of reads
+     * @param maxStaleness the staleness bound of reads; zero on primary routes
+     * @param timeout the timeout of a single statement
+     * @param targetLatency the target latency of an operation
+     * @param priority the priority; 0 is the highest
+     */
+    public Route(
+            String database,
+            ServiceName service,
+            Consistency consistency,
+            Duration maxStaleness,
+            Duration timeout,
+            Duration targetLatency,
+            int priority) {
+        this(database, service, consistency, maxStaleness, timeout, targetLatency, priority, false);
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/route/RouteTable.java
+++ b/carobstage/src/main/java/org/carobstage/route/RouteTable.java
@@ -5,21 +5,24 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import org.carobstage.account.AccountTable;
 import org.carobstage.model.ServiceName;
 
 /**
- * A version of the routes and of the connection limits of services.
+ * A version of the routes, of the connection limits of services and of the client accounts.
  *
  * @param version the version, which increases with each change
  * @param routes the routes by database
  * @param connectionLimits the maximum connections to an instance from all callers, by service
  * @param idleTransactionTimeout the idle timeout of transactions
+ * @param accounts the client accounts, or empty if clients need no API keys
  */
 public record RouteTable(
         long version,
         Map<String, Route> routes,
         Map<ServiceName, Integer> connectionLimits,
-        Duration idleTransactionTimeout) {
+        Duration idleTransactionTimeout,
+        Optional<AccountTable> accounts) {
     private static final RouteTable EMPTY =
             new RouteTable(-1, Map.of(), Map.of(), Duration.ofSeconds(3));
 
@@ -28,6 +31,23 @@
         routes = Map.copyOf(routes);
         connectionLimits = Map.copyOf(connectionLimits);
         requireNonNull(idleTransactionTimeout, "idleTransactionTimeout is null");
+        requireNonNull(accounts, "accounts is null");
+    }
+
+    /**
+     * Creates a version without client accounts.
+     *
+     * @param version the version, which increases with each change
+     * @param routes the routes by database
+     * @param connectionLimits the maximum connections to an instance from all callers, by service
+     * @param idleTransactionTimeout the idle timeout of transactions
+     */
+    public RouteTable(
+            long version,
+            Map<String, Route> routes,
+            Map<ServiceName, Integer> connectionLimits,
+            Duration idleTransactionTimeout) {
+        this(version, routes, connectionLimits, idleTransactionTimeout, Optional.empty());
     }
 
     /**
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
@@ -10,6 +10,7 @@
 /**
  * A statement's request for a connection.
  *
+ * @param origin whom the request serves
  * @param purpose what the connection is for
  * @param excludedInstances instances that have rejected the statement; the owner of the request may
  *     add to the set
@@ -19,6 +20,7 @@
  * @param onRejected receives the reason if no connection is available before the deadline
  */
 public record ConnectionRequest(
+        RequestOrigin origin,
         Purpose purpose,
         Set<InstanceId> excludedInstances,
         Map<String, String> sessionVariables,
@@ -27,6 +29,7 @@
         Consumer<String> onRejected) {
     /** Rejects null components. */
     public ConnectionRequest {
+        requireNonNull(origin, "origin is null");
         requireNonNull(purpose, "purpose is null");
         requireNonNull(excludedInstances, "excludedInstances is null");
         requireNonNull(sessionVariables, "sessionVariables is null");
@@ -34,6 +37,33 @@
         requireNonNull(onRejected, "onRejected is null");
     }
 
+    /**
+     * Creates a request that serves no client account.
+     *
+     * @param purpose what the connection is for
+     * @param excludedInstances instances that have rejected the statement
+     * @param sessionVariables the session variables that the connection should preferably have
+     * @param deadlineNanos the monotonic time in ns at which the statement times out
+     * @param onGranted receives the connection
+     * @param onRejected receives the reason if no connection is available before the deadline
+     */
+    public ConnectionRequest(
+            Purpose purpose,
+            Set<InstanceId> excludedInstances,
+            Map<String, String> sessionVariables,
+            long deadlineNanos,
+            Consumer<PooledConnection> onGranted,
+            Consumer<String> onRejected) {
+        this(
+                RequestOrigin.internal(deadlineNanos),
+                purpose,
+                excludedInstances,
+                sessionVariables,
+                deadlineNanos,
+                onGranted,
+                onRejected);
+    }
+
     boolean needsPrimary() {
         return purpose == Purpose.PRIMARY || purpose == Purpose.PRIMARY_TRANSACTION;
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
@@ -338,6 +338,7 @@
         context.connector()
                 .connect(
                         target,
+                        Optional.empty(),
                         OPEN_TIMEOUT,
                         InstanceConnector.Listener.of(
                                 connection -> onOpened(pooled, connection, target),
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnector.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnector.java
@@ -1,8 +1,10 @@
 package org.carobstage.upstream;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.carobstage.discovery.InstanceEntry;
+import org.carobstage.model.AccountName;
 
 /** Opens connections to instances. */
 @FunctionalInterface
@@ -11,10 +13,16 @@
      * Opens a connection.
      *
      * @param target the instance, whose service and id the peer must confirm
+     * @param account the client account whose statements the connection will run, or empty if it
+     *     serves none
      * @param timeout how long opening may take
      * @param listener notified of the outcome
      */
-    void connect(InstanceEntry target, Duration timeout, Listener listener);
+    void connect(
+            InstanceEntry target,
+            Optional<AccountName> account,
+            Duration timeout,
+            Listener listener);
 
     /** Receives the events of one connection. */
     interface Listener {
--- a/carobstage/src/test/java/org/carobstage/fake/FakeService.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeService.java
@@ -119,7 +119,7 @@
     }
 
     public InstanceConnector connector(Predicate<InstanceId> reachable, MessageFilter filter) {
-        return (target, timeout, listener) -> {
+        return (target, account, timeout, listener) -> {
             FakeInstance instance = instances.get(target.id());
             if (instance == null || instance.isUnresponsive() || !reachable.test(target.id())) {
                 clock.schedule(
--- a/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
+++ b/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
@@ -8,6 +8,7 @@
 import org.carobstage.fake.FakeService;
 import org.carobstage.model.FailureDomain;
 import org.carobstage.model.VmId;
+import org.carobstage.quota.OperationLimiter;
 import org.carobstage.route.Consistency;
 import org.carobstage.route.Route;
 import org.carobstage.route.RouteTable;
@@ -54,6 +55,7 @@
                         clock,
                         () -> routeTable,
                         name -> Optional.of(group),
+                        OperationLimiter.unlimited(),
                         RequestEventLog.of(events, clock),
                         metrics);
         group.setConnectionLimit(4, 5);
