Continue ticks and the watch after an unexpected exception

Cause: the timer of ProxyServer scheduled its next run at its end, and StoreWatcher its next watch after all entries of a response were applied. An unexpected exception in one service's tick, or while one entry was applied, ended both for good: the process kept its port but opened no connection and saw no configuration again. Change: the next tick is scheduled first; each step of it, and each entry, runs isolated (FailureIsolation) and is reported as TASK_FAILED. The fake adapter's clock now reports exceptions of timers as the event loop does. Result: StoreWatcherTest.shouldContinueWatchingWhenEntryCausesUnexpectedException and ProxyServerTest.shouldContinueTicksWhenOneEndsWithUnexpectedException fail without the change and pass with it.

--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -12,6 +12,8 @@
     SHUTDOWN_ENDED(1003, Level.INFO),
     /** The time limit of the shutdown has passed with work still in progress. */
     SHUTDOWN_CUT(1004, Level.WARNING),
+    /** A task ended with an unexpected exception; the other tasks continue. */
+    TASK_FAILED(1008, Level.ERROR),
     /** A configuration was applied. */
     CONFIGURATION_APPLIED(2001, Level.INFO),
     /** A configuration entry is invalid and is not applied. */
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -26,6 +26,7 @@
 import org.carobstage.quota.OperationLimiter;
 import org.carobstage.route.RouteTable;
 import org.carobstage.runtime.Clock;
+import org.carobstage.runtime.FailureIsolation;
 import org.carobstage.store.StoreEntry;
 import org.carobstage.store.StoreWatcher;
 import org.carobstage.upstream.ServiceGroup;
@@ -54,6 +55,7 @@
     private final ProxyMetrics metrics = ProxyMetrics.empty();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Duration shutdownTimeout;
+    private final FailureIsolation isolation;
     private volatile Optional<Throwable> listenFailure = Optional.empty();
     private RouteTable routeTable = RouteTable.empty();
     private boolean storeListed;
@@ -69,6 +71,13 @@
         this.clock = adapter.clock();
         this.shutdownTimeout = settings.shutdownTimeout();
         this.events = EventLog.of(settings.vm(), clock, MAX_RETAINED_EVENTS);
+        this.isolation =
+                FailureIsolation.of(
+                        (task, e) ->
+                                events.record(
+                                        EventCode.TASK_FAILED,
+                                        EventScope.empty(),
+                                        task + " failed: " + e));
         this.context =
                 new SessionContext(
                         clock,
@@ -286,17 +295,25 @@
     }
 
     private void tick() {
+        clock.schedule(this::tick, TICK_INTERVAL);
         detectPause();
+        List<ServiceGroup> all = List.copyOf(groups.values());
+        isolation.run("expiring instances", this::expireInstances);
+        isolation.run("updating connection limits", this::updateConnectionLimits);
+        all.forEach(group -> isolation.run("tick of " + group.name(), group::tick));
+        isolation.run("tick of failovers", () -> tickFailovers(all));
+        ready = ready || storeListed && routeTable.isLoaded() && hasConnections();
+    }
+
+    private void expireInstances() {
         if (storeWatcher.isReachable()) {
             instanceRegistry.expire(clock.nanoTime()).forEach(this::onInstanceExpired);
         }
-        updateConnectionLimits();
-        List<ServiceGroup> all = List.copyOf(groups.values());
-        all.forEach(ServiceGroup::tick);
+    }
+
+    private void tickFailovers(List<ServiceGroup> all) {
         failoverCoordinator.setStoreReachable(storeWatcher.isReachable());
         failoverCoordinator.tick(all, membership.members(), membership.lease());
-        ready = ready || storeListed && routeTable.isLoaded() && hasConnections();
-        clock.schedule(this::tick, TICK_INTERVAL);
     }
 
     private boolean hasConnections() {
--- a/carobstage/src/main/java/org/carobstage/store/StoreWatcher.java
+++ b/carobstage/src/main/java/org/carobstage/store/StoreWatcher.java
@@ -14,6 +14,7 @@
 import org.carobstage.event.EventLog;
 import org.carobstage.event.EventScope;
 import org.carobstage.runtime.Clock;
+import org.carobstage.runtime.FailureIsolation;
 import org.carobstage.store.MetadataStore.Page;
 
 /**
@@ -35,6 +36,7 @@
     private final EventLog events;
     private final Listener listener;
     private final WatchPacing pacing;
+    private final FailureIsolation isolation;
     private final Map<String, StoreRevision> revisions = new HashMap<>();
     private Duration retryDelay = INITIAL_RETRY_DELAY;
     private long run;
@@ -48,6 +50,13 @@
         this.events = events;
         this.listener = listener;
         this.pacing = WatchPacing.of(clock.nanoTime());
+        this.isolation =
+                FailureIsolation.of(
+                        (key, e) ->
+                                events.record(
+                                        EventCode.TASK_FAILED,
+                                        EventScope.empty(),
+                                        "applying key=" + key + " failed: " + e));
     }
 
     /**
@@ -185,7 +194,8 @@
         } else {
             revisions.remove(entry.key());
         }
-        listener.onChanged(entry);
+        // The watch has to continue if a single entry causes an unexpected exception.
+        isolation.run(entry.key(), () -> listener.onChanged(entry));
     }
 
     private void handleSuccess() {
--- a/carobstage/src/test/java/org/carobstage/front/FakePlatformAdapter.java
+++ b/carobstage/src/test/java/org/carobstage/front/FakePlatformAdapter.java
@@ -1,7 +1,10 @@
 package org.carobstage.front;
 
 import java.net.BindException;
+import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -15,6 +18,8 @@
 import org.carobstage.model.Address;
 import org.carobstage.model.InstanceId;
 import org.carobstage.route.RouteTable;
+import org.carobstage.runtime.Clock;
+import org.carobstage.runtime.FailureIsolation;
 import org.carobstage.runtime.ManualClock;
 import org.carobstage.store.MetadataStore;
 import org.carobstage.store.StoreEntry;
@@ -35,6 +40,8 @@
     private boolean listening;
     boolean isClosed;
     boolean isAddressInUse;
+    boolean isConnectorFaulty;
+    final List<RuntimeException> callbackFailures = new ArrayList<>();
 
     /** Connects a client, unless the server has stopped accepting connections. */
     Optional<ClientSession> connect(String database, ClientChannel channel) {
@@ -46,8 +53,8 @@
     }
 
     @Override
-    public ManualClock clock() {
-        return clock;
+    public Clock clock() {
+        return new IsolatingClock(clock, callbackFailures);
     }
 
     @Override
@@ -57,7 +64,13 @@
 
     @Override
     public InstanceConnector instanceConnector() {
-        return service.connector();
+        InstanceConnector connector = service.connector();
+        return (target, account, timeout, listener) -> {
+            if (isConnectorFaulty) {
+                throw new IllegalStateException("no buffer");
+            }
+            connector.connect(target, account, timeout, listener);
+        };
     }
 
     @Override
@@ -108,4 +121,24 @@
     public void close() {
         isClosed = true;
     }
+
+    /** Collects the exceptions of timer tasks, as the platform's event loop does. */
+    private record IsolatingClock(Clock delegate, List<RuntimeException> failures)
+            implements Clock {
+        @Override
+        public long nanoTime() {
+            return delegate.nanoTime();
+        }
+
+        @Override
+        public Instant instant() {
+            return delegate.instant();
+        }
+
+        @Override
+        public Timer schedule(Runnable task, Duration delay) {
+            FailureIsolation isolation = FailureIsolation.of((name, e) -> failures.add(e));
+            return delegate.schedule(() -> isolation.run("timer", task), delay);
+        }
+    }
 }
--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.carobstage.error.CodedException;
+import org.carobstage.fake.FakeInstance;
 import org.carobstage.fake.FakeService;
 import org.carobstage.model.Address;
 import org.carobstage.model.FailureDomain;
@@ -53,6 +54,22 @@
         assertThat(adapter.isReady()).isTrue();
     }
 
+    // An exception in one tick ended all later ones, so that no connection was ever opened again.
+    @Test
+    void shouldContinueTicksWhenOneEndsWithUnexpectedException() {
+        adapter.isConnectorFaulty = true;
+        adapter.service.instances().forEach(FakeInstance::crash);
+        adapter.clock.advance(Duration.ofSeconds(1));
+        adapter.isConnectorFaulty = false;
+        adapter.service.instances().forEach(FakeInstance::recover);
+        adapter.clock.advance(Duration.ofSeconds(5));
+        RecordingChannel channel = new RecordingChannel();
+        adapter.connect("drafts", channel).orElseThrow().receive("r1", READ);
+        adapter.clock.advance(Duration.ofMillis(500));
+
+        assertThat(channel.results).singleElement().matches(r -> r.isSuccessful());
+    }
+
     @Test
     void shouldServeNewRouteWhenStoreEntryChanges() {
         adapter.routeTable = routes(2, "filings");
--- a/carobstage/src/test/java/org/carobstage/store/StoreWatcherTest.java
+++ b/carobstage/src/test/java/org/carobstage/store/StoreWatcherTest.java
@@ -43,6 +43,17 @@
         assertThat(values).containsExactly(Map.entry("op/config", "2"));
     }
 
+    // An exception while one entry is applied ended the watch, and later configurations were lost.
+    @Test
+    void shouldContinueWatchingWhenEntryCausesUnexpectedException() {
+        store.put("servers/faulty", "x");
+        clock.advance(Duration.ofMillis(100));
+        store.put("op/config", "2");
+        clock.advance(Duration.ofMillis(400));
+
+        assertThat(values).containsEntry("op/config", "2");
+    }
+
     @Test
     void shouldListAgainWhenHistoryIsCompacted() {
         store.put("servers/a", "x");
@@ -109,6 +120,9 @@
     }
 
     private void applyChange(StoreEntry entry) {
+        if (entry.key().endsWith("faulty")) {
+            throw new IllegalStateException("faulty entry");
+        }
         entry.value()
                 .ifPresentOrElse(
                         value -> values.put(entry.key(), value), () -> values.remove(entry.key()));
