--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
@@ -54,17 +54,21 @@
         assertThat(adapter.isReady()).isTrue();
     }
 
-    // An exception in one tick ended all later ones, so that no connection was ever opened again.
+    // An exception in one tick ended all later ones, so that no failover was ever started again.
     @Test
-    void shouldContinueTicksWhenOneEndsWithUnexpectedException() {
+    void shouldReplacePrimaryWhenEarlierTickEndedWithUnexpectedException() {
         adapter.isConnectorFaulty = true;
         adapter.service.instances().forEach(FakeInstance::crash);
         adapter.clock.advance(Duration.ofSeconds(1));
         adapter.isConnectorFaulty = false;
         adapter.service.instances().forEach(FakeInstance::recover);
         adapter.clock.advance(Duration.ofSeconds(5));
+        adapter.service.primary().orElseThrow().crash();
+        adapter.clock.advance(Duration.ofSeconds(10));
         RecordingChannel channel = new RecordingChannel();
-        adapter.connect("drafts", channel).orElseThrow().receive("r1", READ);
+        adapter.connect("drafts", channel)
+                .orElseThrow()
+                .receive("r1", new Statement.Write("k", "data"));
         adapter.clock.advance(Duration.ofMillis(500));
 
         assertThat(channel.results).singleElement().matches(r -> r.isSuccessful());
