Open client sessions for accounts and end them when keys are revoked

Cause: the configuration may define client accounts, but sessions ignored the client's key, and nothing ended a session whose key was removed.

Change: AccountDecoder reads `tenants`; SessionAccess decides from route table, database and key which account a session has (a missing key waits 300 ms, then NOAUTH). SessionRevocation ends the sessions whose keys no longer hold the same account: statements that were sent complete, others are answered as not run, an open transaction is answered with ABORTED. ClientOperation requests the limiter's permission once per operation and gives connection requests their account, priority and target time. Counters by account name the ten busiest accounts.

A damaged list, also null, makes the configuration unreadable instead of switching accounts off. Names with blanks or control characters do too, because the name is a field of the line that opens a connection. An empty key matches no account, since a client without a key presents it. Keys and names are compared and sent as their UTF-8 bytes.

Ruled out: NOAUTH as the answer to statements of a revoked session, because only BUSY and ABORTED guarantee that nothing ran.

--- a/carobstage/src/main/java/org/carobstage/front/ClientSession.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientSession.java
@@ -9,9 +9,13 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.carobstage.account.ApiKey;
 import org.carobstage.event.EventCode;
+import org.carobstage.front.ProxyMetrics.RejectionCause;
+import org.carobstage.model.AccountName;
 import org.carobstage.model.LogPosition;
 import org.carobstage.route.Route;
+import org.carobstage.route.RouteTable;
 import org.carobstage.sql.Failure;
 import org.carobstage.sql.FailureCode;
 import org.carobstage.sql.Statement;
@@ -24,38 +28,47 @@
     /** Maximum number of statements that a client may send before their results arrive. */
     private static final int MAX_PIPELINED = 64;
 
-    /** How long a new session waits for the route table to be loaded. */
-    private static final Duration ROUTE_TABLE_TIMEOUT = Duration.ofMillis(1_500);
-
-    /** How long a new session waits for a missing route, which may be about to be added. */
-    private static final Duration NEW_ROUTE_TIMEOUT = Duration.ofMillis(300);
-
     /** A client counts as idle this long after its session opened or its last result was sent. */
     private static final Duration IDLE_THRESHOLD = Duration.ofMillis(200);
 
-    private static final Duration ROUTE_POLL_INTERVAL = Duration.ofMillis(50);
+    private static final Duration ACCESS_POLL_INTERVAL = Duration.ofMillis(50);
+
+    /**
+     * How long a session with a revoked key is kept for the statement that tells its client of the
+     * rollback; clients that continue a transaction do so within its idle timeout of 3 s.
+     */
+    private static final Duration ROLLBACK_NOTIFICATION_TIMEOUT = Duration.ofSeconds(10);
 
     private final SessionContext context;
     private final ClientChannel channel;
     private final String database;
     private final Runnable onClosed;
+    private ApiKey key;
+    private Optional<AccountName> account = Optional.empty();
     private final Map<String, String> sessionVariables = new LinkedHashMap<>();
     private final Map<String, PreparedStatement> preparedStatements = new HashMap<>();
     private final Deque<PendingStatement> queue = new ArrayDeque<>();
     private Optional<ClientTransaction> transaction = Optional.empty();
     private Optional<StatementExecution> activeExecution = Optional.empty();
+    private Optional<RevokedSession> ending = Optional.empty();
     private LogPosition lastWritePosition = LogPosition.empty();
     private long lastActivityNanos;
     private boolean open;
     private boolean busy;
     private boolean stopping;
+    private boolean revoked;
     private boolean closed;
 
     ClientSession(
-            SessionContext context, ClientChannel channel, String database, Runnable onClosed) {
+            SessionContext context,
+            ClientChannel channel,
+            String database,
+            ApiKey key,
+            Runnable onClosed) {
         this.context = requireNonNull(context, "context is null");
         this.channel = requireNonNull(channel, "channel is null");
         this.database = requireNonNull(database, "database is null");
+        this.key = requireNonNull(key, "key is null");
         this.onClosed = onClosed;
     }
 
@@ -86,11 +99,12 @@
         queue.clear();
         activeExecution.ifPresent(StatementExecution::cancel);
         transaction.ifPresent(t -> t.rollback(""));
+        account.ifPresent(context.metrics().accounts()::recordClosed);
         onClosed.run();
     }
 
     void open() {
-        awaitRoute(Duration.ZERO);
+        awaitAccess(Duration.ZERO);
     }
 
     /** Closes the session once no statement is in progress and none is likely to be in transit. */
@@ -108,6 +122,30 @@
         transaction.ifPresent(t -> t.abort("stopping"));
     }
 
+    /** Returns whether a route table does not allow this open session. */
+    boolean isRevokedBy(RouteTable table) {
+        return open
+                && !closed
+                && !revoked
+                && !SessionAccess.isStillGranted(table, database, key, account);
+    }
+
+    /**
+     * Ends the session because its key was revoked: a statement that was sent to an instance
+     * completes, a transaction is rolled back, and other statements are answered without running.
+     */
+    void revoke() {
+        context.metrics().recordRejection(RejectionCause.REVOKED);
+        revoked = true;
+        activeExecution.ifPresent(StatementExecution::revoke);
+        transaction.ifPresent(ClientTransaction::revoke);
+        processNext();
+    }
+
+    Optional<AccountName> account() {
+        return account;
+    }
+
     boolean isIdle() {
         return open && !busy && queue.isEmpty() && transaction.isEmpty();
     }
@@ -132,36 +170,79 @@
         return statement;
     }
 
-    private void awaitRoute(Duration waited) {
+    private void awaitAccess(Duration waited) {
         if (closed) {
             return;
         }
-        boolean routesLoaded = context.routeTable().get().isLoaded();
-        if (context.routeTable().get().route(database).isPresent()) {
-            open = true;
-            lastActivityNanos = context.clock().nanoTime();
-            channel.sendReady();
-            processNext();
-        } else if (waited.compareTo(routesLoaded ? NEW_ROUTE_TIMEOUT : ROUTE_TABLE_TIMEOUT) < 0) {
+        RouteTable table = context.routeTable().get();
+        SessionAccess access = SessionAccess.decide(table, database, key, waited);
+        if (access instanceof SessionAccess.Granted granted) {
+            grant(granted.account());
+        } else if (access instanceof SessionAccess.Refused refused) {
+            refuse(refused.code(), table.version());
+        } else {
             context.clock()
                     .schedule(
-                            () -> awaitRoute(waited.plus(ROUTE_POLL_INTERVAL)),
-                            ROUTE_POLL_INTERVAL);
+                            () -> awaitAccess(waited.plus(ACCESS_POLL_INTERVAL)),
+                            ACCESS_POLL_INTERVAL);
+        }
+    }
+
+    private void grant(Optional<AccountName> newAccount) {
+        account = newAccount;
+        if (account.isEmpty()) {
+            // It may be as long as a message, and is not needed.
+            key = ApiKey.of("");
+        }
+        account.ifPresent(context.metrics().accounts()::recordOpened);
+        open = true;
+        lastActivityNanos = context.clock().nanoTime();
+        channel.sendReady();
+        processNext();
+    }
+
+    private void refuse(FailureCode code, long version) {
+        boolean unauthorized = code == FailureCode.UNAUTHORIZED;
+        if (unauthorized) {
+            context.metrics().recordRejection(RejectionCause.UNKNOWN_KEY);
+        }
+        context.requestLog()
+                .record(
+                        unauthorized ? EventCode.SESSION_UNAUTHORIZED : EventCode.SESSION_ENDED,
+                        database,
+                        "",
+                        "code=" + code + " version=" + version);
+        channel.reject(Failure.of(code, unauthorized ? "no account holds this API key" : database));
+        onDisconnect();
+    }
+
+    /** Answers the remaining statements and closes the session, in which none is in progress. */
+    private void endRevoked() {
+        if (ending.isEmpty()) {
+            transaction.ifPresent(t -> t.abort("key revoked"));
+            boolean notificationPending =
+                    transaction.map(ClientTransaction::pollRollbackNotification).orElse(false);
+            ending = Optional.of(RevokedSession.of(transaction.isPresent(), notificationPending));
+        }
+        while (!queue.isEmpty()) {
+            channel.sendResult(ending.get().answer(queue.poll().statement()));
+        }
+        if (ending.get().isNotificationPending()) {
+            context.clock().schedule(() -> close("revoked"), ROLLBACK_NOTIFICATION_TIMEOUT);
         } else {
-            FailureCode code = routesLoaded ? FailureCode.UNKNOWN_DATABASE : FailureCode.BUSY;
-            context.requestLog()
-                    .record(
-                            EventCode.SESSION_ENDED,
-                            database,
-                            "",
-                            "code=" + code + " version=" + context.routeTable().get().version());
-            channel.reject(Failure.of(code, database));
-            onDisconnect();
+            close("revoked");
         }
     }
 
     private void processNext() {
-        if (!open || busy || queue.isEmpty()) {
+        if (!open || closed || busy) {
+            return;
+        }
+        if (revoked) {
+            endRevoked();
+            return;
+        }
+        if (queue.isEmpty()) {
             return;
         }
         busy = true;
--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -35,6 +35,7 @@
     private final Route route;
     private final ServiceGroup group;
     private final ClientSession session;
+    private final ClientOperation operation;
     private final String beginId;
     private final Statement.Begin begin;
     private final boolean replicaAllowed;
@@ -56,6 +57,7 @@
     private boolean hasWritten;
     private boolean failed;
     private boolean rollbackNotificationPending;
+    private boolean revoked;
     private boolean ended;
 
     ClientTransaction(
@@ -69,6 +71,7 @@
         this.route = route;
         this.group = group;
         this.session = session;
+        this.operation = new ClientOperation(context, route, session.account());
         this.beginId = beginId;
         this.begin = begin;
         this.confirmation = new PrimaryConfirmation(route, group, session);
@@ -108,7 +111,10 @@
         if (connection.isPresent()) {
             setUpAndSend(connection.get(), prepared);
         } else {
-            acquireConnection(prepared);
+            operation.requestPermission(
+                    id,
+                    () -> acquireConnection(prepared),
+                    reason -> fail(FailureCode.BUSY, reason));
         }
     }
 
@@ -120,6 +126,7 @@
     void rollback(String id) {
         ended = true;
         cancelTimers();
+        operation.cancel();
         connectionRequest.ifPresent(group::cancel);
         boolean committing = awaitingResult && currentStatement instanceof Statement.Commit;
         if (!committing) {
@@ -142,6 +149,21 @@
         connection = Optional.empty();
     }
 
+    /**
+     * Rolls back the transaction because the key of its session was revoked. A statement that was
+     * sent completes first, and the session then calls {@link #abort}.
+     */
+    void revoke() {
+        revoked = true;
+        if (resultCallback.isPresent() && !awaitingResult) {
+            connectionRequest.ifPresent(group::cancel);
+            if (retryTimer.isEmpty()) {
+                connection.ifPresent(PooledConnection::discard);
+            }
+            fail(FailureCode.ROLLED_BACK, RevokedSession.REASON);
+        }
+    }
+
     /** Discards the connection, instead of reusing it, if a statement may be in progress on it. */
     private void releaseOrDiscard(PooledConnection pooled, String id) {
         if (resultCallback.isPresent() && retryTimer.isEmpty()) {
@@ -175,6 +197,7 @@
         }
         ConnectionRequest request =
                 new ConnectionRequest(
+                        operation.origin(statementReceivedAt.monotonicNanos()),
                         usePrimary ? Purpose.PRIMARY_TRANSACTION : Purpose.TRANSACTION,
                         excludedInstances,
                         session.sessionVariables(),
@@ -339,7 +362,11 @@
         StatementResult statementResult = result.get();
         if (statementResult.hasFailureCode(FailureCode.BUSY)
                 && statementResult.transactionState() == TransactionState.OPEN) {
-            retryForward(pooled);
+            if (revoked) {
+                fail(FailureCode.ROLLED_BACK, RevokedSession.REASON);
+            } else {
+                retryForward(pooled);
+            }
             return;
         }
         if (!statementResult.isSuccessful()) {
@@ -440,6 +467,7 @@
         Consumer<StatementResult> callback = resultCallback.orElseThrow();
         resultCallback = Optional.empty();
         statementTimer.ifPresent(Clock.Timer::cancel);
+        operation.cancel();
         cancelRetryTimer();
         if (!ended && !failed) {
             startIdleTimer();
--- a/carobstage/src/main/java/org/carobstage/front/PlatformAdapter.java
+++ b/carobstage/src/main/java/org/carobstage/front/PlatformAdapter.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
-import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -67,11 +66,10 @@
     /**
      * Starts to accept client connections.
      *
-     * @param sessionFactory opens a session for a database on a channel
+     * @param sessionFactory opens the sessions
      * @return completes with the listen address, or exceptionally if it cannot be used
      */
-    CompletionStage<Address> listenForClients(
-            BiFunction<String, ClientChannel, ClientSession> sessionFactory);
+    CompletionStage<Address> listenForClients(SessionFactory sessionFactory);
 
     /** Stops accepting client connections; open ones are kept. */
     void stopListening();
--- a/carobstage/src/main/java/org/carobstage/front/ProxyMetrics.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyMetrics.java
@@ -15,6 +15,8 @@
     private final Map<String, Long> counters = new TreeMap<>();
     private final Map<String, Histogram> latencyHistograms = new TreeMap<>();
 
+    private final AccountMetrics accounts = AccountMetrics.empty();
+
     private ProxyMetrics() {}
 
     static ProxyMetrics empty() {
@@ -25,6 +27,15 @@
         counters.merge(name, 1L, Long::sum);
     }
 
+    /** Counts a session or operation that was rejected because of its account. */
+    void recordRejection(RejectionCause cause) {
+        increment("account_rejections_total{cause=\"" + cause.label + "\"}");
+    }
+
+    AccountMetrics accounts() {
+        return accounts;
+    }
+
     void recordStatement(String consistency, String outcome, Duration latency) {
         increment(
                 "statements_total{consistency=\""
@@ -40,10 +51,28 @@
     }
 
     Map<String, Long> counters() {
-        return counters;
+        Map<String, Long> all = new TreeMap<>(counters);
+        all.putAll(accounts.counters());
+        return all;
     }
 
     Map<String, Histogram> latencyHistograms() {
         return latencyHistograms;
     }
+
+    /** Why a session or an operation was rejected because of its account. */
+    enum RejectionCause {
+        /** No account holds the key. */
+        UNKNOWN_KEY("unknown_key"),
+        /** The key of an open session was revoked. */
+        REVOKED("revoked"),
+        /** The operation exceeds the limit of the account. */
+        ACCOUNT_LIMIT("account_limit");
+
+        private final String label;
+
+        RejectionCause(String label) {
+            this.label = label;
+        }
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
+import org.carobstage.account.ApiKey;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.discovery.InstanceRegistry;
 import org.carobstage.error.CodedException;
@@ -189,9 +190,10 @@
         }
     }
 
-    private ClientSession openSession(String database, ClientChannel channel) {
+    private ClientSession openSession(String database, ApiKey key, ClientChannel channel) {
         ClientSession[] self = new ClientSession[1];
-        self[0] = new ClientSession(context, channel, database, () -> sessions.remove(self[0]));
+        self[0] =
+                new ClientSession(context, channel, database, key, () -> sessions.remove(self[0]));
         sessions.add(self[0]);
         self[0].open();
         return self[0];
@@ -238,6 +240,11 @@
                 "version=" + newer.version() + " before=" + routeTable.version());
         routeTable = newer;
         updateConnectionLimits();
+        SessionRevocation.apply(sessions, newer)
+                .ifPresent(
+                        detail ->
+                                events.record(
+                                        EventCode.SESSIONS_REVOKED, EventScope.empty(), detail));
     }
 
     private void register(InstanceEntry entry) {
--- a/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
@@ -47,6 +47,7 @@
     private final Route route;
     private final ServiceGroup group;
     private final ClientSession session;
+    private final ClientOperation operation;
     private final String id;
     private final Statement statement;
     private final Optional<PreparedStatement> prepared;
@@ -65,6 +66,7 @@
     private boolean primaryOnly;
     private Optional<LogPosition> readIndex = Optional.empty();
     private boolean completed;
+    private boolean revoked;
     private String positionSource = "";
     private String lastRetryReason = "";
 
@@ -81,6 +83,7 @@
         this.route = route;
         this.group = group;
         this.session = session;
+        this.operation = new ClientOperation(context, route, session.account());
         this.id = id;
         this.statement = statement;
         this.prepared = prepared;
@@ -101,7 +104,7 @@
                     hedgeDelay.compareTo(MIN_HEDGE_DELAY) > 0 ? hedgeDelay : MIN_HEDGE_DELAY;
             timers.add(context.clock().schedule(this::hedge, delay));
         }
-        attempt();
+        operation.requestPermission(id, this::attempt, this::reject);
     }
 
     /** Cancels the statement because its client has disconnected. */
@@ -110,6 +113,14 @@
         cleanUp();
     }
 
+    /** Sends the statement to no further instance because the key of its session was revoked. */
+    void revoke() {
+        revoked = true;
+        if (pendingResults == 0) {
+            reject(RevokedSession.REASON);
+        }
+    }
+
     private void attempt() {
         if (completed) {
             return;
@@ -147,6 +158,7 @@
         ConnectionRequest[] request = new ConnectionRequest[1];
         request[0] =
                 new ConnectionRequest(
+                        operation.origin(receivedAt.monotonicNanos()),
                         usePrimary ? Purpose.PRIMARY : Purpose.ANY_INSTANCE,
                         excludedInstances,
                         session.sessionVariables(),
@@ -272,6 +284,10 @@
         if (completed) {
             return;
         }
+        if (revoked) {
+            reject(RevokedSession.REASON);
+            return;
+        }
         lastRetryReason = reason;
         if (attempts >= MAX_ATTEMPTS) {
             reject("attempts=" + attempts + " last: " + reason);
@@ -300,7 +316,11 @@
     }
 
     private void hedge() {
-        if (!completed && pendingResults > 0 && attempts < MAX_ATTEMPTS && !primaryOnly) {
+        if (!completed
+                && !revoked
+                && pendingResults > 0
+                && attempts < MAX_ATTEMPTS
+                && !primaryOnly) {
             excludedInstances.addAll(contactedInstances);
             if (group.hasOtherInstance(excludedInstances)) {
                 context.metrics().increment("hedged_reads_total");
@@ -371,6 +391,7 @@
     }
 
     private void cleanUp() {
+        operation.cancel();
         timers.forEach(Clock.Timer::cancel);
         List.copyOf(connectionRequests).forEach(group::cancel);
         connectionRequests.clear();
--- a/carobstage/src/main/java/org/carobstage/sql/FailureCode.java
+++ b/carobstage/src/main/java/org/carobstage/sql/FailureCode.java
@@ -24,6 +24,8 @@
     OUTCOME_UNKNOWN(false),
     /** No route exists for the database. */
     UNKNOWN_DATABASE(false),
+    /** No account holds the client's API key. */
+    UNAUTHORIZED(false),
     /** The statement exceeds the size limit. */
     TOO_LARGE(false),
     /** The statement is malformed or not allowed in the current transaction state. */
--- a/carobstage/src/test/java/org/carobstage/front/FakePlatformAdapter.java
+++ b/carobstage/src/test/java/org/carobstage/front/FakePlatformAdapter.java
@@ -5,9 +5,9 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.carobstage.account.ApiKey;
 import org.carobstage.failover.PromotionClient;
 import org.carobstage.fake.FakeMetadataStore;
 import org.carobstage.fake.FakeService;
@@ -30,7 +30,7 @@
     final FakeMetadataStore store = FakeMetadataStore.of(clock);
     RouteTable routeTable = RouteTable.empty();
     private final FakeMetadataStore.Client storeClient = store.client();
-    private BiFunction<String, ClientChannel, ClientSession> sessionFactory;
+    private SessionFactory sessionFactory;
     private BooleanSupplier readinessProbe = () -> false;
     private boolean listening;
     boolean isClosed;
@@ -38,7 +38,13 @@
 
     /** Connects a client, unless the server has stopped accepting connections. */
     Optional<ClientSession> connect(String database, ClientChannel channel) {
-        return listening ? Optional.of(sessionFactory.apply(database, channel)) : Optional.empty();
+        return connect(database, "", channel);
+    }
+
+    Optional<ClientSession> connect(String database, String key, ClientChannel channel) {
+        return listening
+                ? Optional.of(sessionFactory.open(database, ApiKey.of(key), channel))
+                : Optional.empty();
     }
 
     boolean isReady() {
@@ -84,8 +90,7 @@
     }
 
     @Override
-    public CompletionStage<Address> listenForClients(
-            BiFunction<String, ClientChannel, ClientSession> factory) {
+    public CompletionStage<Address> listenForClients(SessionFactory factory) {
         if (isAddressInUse) {
             return CompletableFuture.failedFuture(new BindException("address in use"));
         }
--- a/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
+++ b/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
@@ -2,10 +2,18 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.carobstage.account.AccountTable;
+import org.carobstage.account.ApiKey;
+import org.carobstage.account.ClientAccount;
 import org.carobstage.event.EventLog;
 import org.carobstage.fake.FakeService;
+import org.carobstage.model.AccountName;
 import org.carobstage.model.FailureDomain;
 import org.carobstage.model.VmId;
 import org.carobstage.quota.OperationLimiter;
@@ -23,16 +31,19 @@
     final FakeService service = FakeService.of(clock);
     final ProxyMetrics metrics = ProxyMetrics.empty();
     final ServiceGroup group;
+    OperationLimiter limiter = OperationLimiter.unlimited();
     RouteTable routeTable =
             new RouteTable(
                     1,
                     Map.of(
                             "primary", route("primary", Consistency.PRIMARY),
                             "bounded", route("bounded", Consistency.BOUNDED_STALENESS),
-                            "own", route("own", Consistency.READ_YOUR_WRITES)),
+                            "own", route("own", Consistency.READ_YOUR_WRITES),
+                            "public", publicRoute()),
                     Map.of(FakeService.NAME, 20),
                     Duration.ofSeconds(3));
     private final SessionContext context;
+    private final Map<RecordingChannel, ClientSession> sessions = new LinkedHashMap<>();
     private int requestCount;
 
     SessionFixture() {
@@ -55,7 +66,7 @@
                         clock,
                         () -> routeTable,
                         name -> Optional.of(group),
-                        OperationLimiter.unlimited(),
+                        (account, callback) -> limiter.acquire(account, callback),
                         RequestEventLog.of(events, clock),
                         metrics);
         group.setConnectionLimit(4, 5);
@@ -65,11 +76,41 @@
     }
 
     ClientSession openSession(String database, RecordingChannel channel) {
-        ClientSession session = new ClientSession(context, channel, database, () -> {});
+        return openSession(database, "", channel);
+    }
+
+    ClientSession openSession(String database, String key, RecordingChannel channel) {
+        ClientSession session =
+                new ClientSession(
+                        context, channel, database, ApiKey.of(key), () -> sessions.remove(channel));
+        sessions.put(channel, session);
         session.open();
         return session;
     }
 
+    /** Applies a configuration with other keys; each account is given as {@code name=key}. */
+    Optional<String> applyAccounts(String... accounts) {
+        List<ClientAccount> all =
+                Arrays.stream(accounts)
+                        .map(a -> a.split("="))
+                        .map(
+                                a ->
+                                        new ClientAccount(
+                                                AccountName.of(a[0]),
+                                                Set.of(ApiKey.of(a[1])),
+                                                0,
+                                                Optional.empty()))
+                        .toList();
+        routeTable =
+                new RouteTable(
+                        routeTable.version() + 1,
+                        routeTable.routes(),
+                        routeTable.connectionLimits(),
+                        routeTable.idleTransactionTimeout(),
+                        Optional.of(AccountTable.of(all)));
+        return SessionRevocation.apply(sessions.values(), routeTable);
+    }
+
     /** Sends a statement and returns its request id. */
     String send(ClientSession session, Statement statement) {
         String id = "r" + requestCount++;
@@ -104,6 +145,19 @@
                 1);
     }
 
+    private static Route publicRoute() {
+        Route route = route("public", Consistency.BOUNDED_STALENESS);
+        return new Route(
+                route.database(),
+                route.service(),
+                route.consistency(),
+                route.maxStaleness(),
+                route.timeout(),
+                route.targetLatency(),
+                route.priority(),
+                true);
+    }
+
     private void tick() {
         group.tick();
         clock.schedule(this::tick, Duration.ofMillis(50));
