Serve each request on a connection of its own account

Cause: a pooled connection ran the statements of any client, and every waiting request opened a connection in each dispatch round up to the limit. With 82 accounts over 2 connections per instance, nearly every operation needs an opening.

Change: a PooledConnection belongs to one account or to none. For an elastic ConnectionQuota (accounts in use, or more processes than connections), OpeningPlanner causes at most one opening per waiting request; at the limit, an idle connection of another account is closed. InstanceSelector adds the expected time of an opening to the latency. ConnectionShare decides the limit (additive increase, halved by a refusal) and the backoff. WaitEstimate rejects a request whose deadline passes before a connection is expected. Control commands wait for an opening where no connection is kept open.

Ruled out: opening inside the dispatch round, which closes an idle connection that a later request of the same round could use.

--- a/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
@@ -19,6 +19,7 @@
 import org.carobstage.store.StoreResponse;
 import org.carobstage.store.StoreRevision;
 import org.carobstage.store.StoreWrite;
+import org.carobstage.upstream.ConnectionQuota;
 
 /**
  * The proxy processes that share the connections to the instances. Each process registers a store
@@ -156,6 +157,23 @@
         return starting ? Math.max(1, quota / STARTUP_QUOTA_DIVISOR) : quota;
     }
 
+    /**
+     * Returns the quota of this process for the connections to an instance.
+     *
+     * @param connectionLimit how many connections the instance allows
+     * @param accountsInUse whether connections belong to client accounts
+     */
+    ConnectionQuota connectionQuota(int connectionLimit, boolean accountsInUse) {
+        int connections = connectionQuota(connectionLimit);
+        int available = connectionLimit - RESERVED_CONNECTIONS;
+        return new ConnectionQuota(
+                connections,
+                members.size(),
+                available,
+                available < quotaMemberCount,
+                accountsInUse);
+    }
+
     private void observeRun(VmId member, String value) {
         String before = runs.put(member, value);
         if (before != null && !before.equals(value) && !member.equals(vm)) {
--- a/carobstage/src/main/java/org/carobstage/front/PrometheusExporter.java
+++ b/carobstage/src/main/java/org/carobstage/front/PrometheusExporter.java
@@ -10,6 +10,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.carobstage.model.ServiceName;
+import org.carobstage.upstream.PoolCounters;
 import org.carobstage.upstream.ServiceGroup;
 
 /**
@@ -44,11 +45,20 @@
                     String label = "{service=\"" + name + "\"}";
                     add(registry, "waiting_statements" + label, group.waitingCount());
                     add(registry, "open_connections" + label, group.openConnectionCount());
+                    addConnectionCounters(registry, label, group.connectionCounters());
                     add(registry, "primary_term" + label, group.leadership().term().number());
                 });
         return registry.scrape();
     }
 
+    private static void addConnectionCounters(
+            PrometheusMeterRegistry registry, String label, PoolCounters counters) {
+        add(registry, "connection_openings_total" + label, counters.openings());
+        add(registry, "connection_evictions_total" + label, counters.evictions());
+        add(registry, "connection_refusals_total" + label, counters.refusals());
+        add(registry, "connection_backoff_millis" + label, counters.backoff().toMillis());
+    }
+
     private static void add(PrometheusMeterRegistry registry, String name, double value) {
         int labelStart = name.indexOf('{');
         String baseName = labelStart < 0 ? name : name.substring(0, labelStart);
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -28,6 +28,7 @@
 import org.carobstage.runtime.Clock;
 import org.carobstage.store.StoreEntry;
 import org.carobstage.store.StoreWatcher;
+import org.carobstage.upstream.ConnectionQuota;
 import org.carobstage.upstream.ServiceGroup;
 import org.carobstage.upstream.UpstreamContext;
 
@@ -278,11 +279,11 @@
     }
 
     private void updateConnectionLimits(ServiceGroup group) {
-        int quota =
+        boolean accountsInUse = routeTable.accounts().isPresent();
+        group.setConnectionQuota(
                 Optional.ofNullable(routeTable.connectionLimits().get(group.name()))
-                        .map(membership::connectionQuota)
-                        .orElse(1);
-        group.setConnectionLimit(quota, membership.members().size());
+                        .map(limit -> membership.connectionQuota(limit, accountsInUse))
+                        .orElse(ConnectionQuota.fixed(1, membership.members().size())));
     }
 
     private void tick() {
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionAdmission.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionAdmission.java
@@ -29,8 +29,9 @@
         return queue.size();
     }
 
-    void cancel(ConnectionRequest request) {
-        queue.removeMatching(r -> r == request);
+    /** Removes a request; returns whether it was waiting. */
+    boolean cancel(ConnectionRequest request) {
+        return !queue.removeMatching(r -> r == request).isEmpty();
     }
 
     void assignConnections(
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionDispatcher.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionDispatcher.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -15,6 +16,9 @@
     private final InstancePools pools;
     private final Supplier<Optional<InstanceConnectionPool>> primaryPool;
     private final ConnectionAdmission admission;
+    private final OpeningPlanner planner = new OpeningPlanner(this::rankedPools);
+    private boolean dispatching;
+    private boolean dispatchAgain;
 
     ConnectionDispatcher(
             Clock clock,
@@ -40,7 +44,34 @@
 
     /** Grants connections to the waiting requests, the earliest deadline first. */
     void dispatch() {
-        admission.assignConnections(clock.nanoTime(), this::grant);
+        dispatchAgain = true;
+        if (dispatching) {
+            return;
+        }
+        dispatching = true;
+        try {
+            while (dispatchAgain) {
+                dispatchAgain = false;
+                admission.assignConnections(clock.nanoTime(), this::grant);
+                planner.openConnections().forEach(this::rejectIfTooLate);
+            }
+        } finally {
+            dispatching = false;
+        }
+    }
+
+    /** Grants a connection that is new to the first request that can use it. */
+    void offer(PooledConnection connection) {
+        if (!dispatching && pools.quota().isElastic()) {
+            dispatching = true;
+            try {
+                admission.assignConnections(
+                        clock.nanoTime(), r -> pinIfNeeded(r, tryAcquireAt(connection.pool(), r)));
+            } finally {
+                dispatching = false;
+            }
+        }
+        dispatch();
     }
 
     /** Rejects the waiting requests that cannot be served before their deadlines. */
@@ -53,23 +84,81 @@
     }
 
     private Optional<PooledConnection> grant(ConnectionRequest request) {
+        return opensOnDemand(request) ? grantOnDemand(request) : grantWithinLimit(request);
+    }
+
+    private Optional<PooledConnection> tryAcquireAt(
+            InstanceConnectionPool pool, ConnectionRequest request) {
+        return acceptingPools(request).anyMatch(p -> p == pool)
+                ? pool.tryAcquire(request)
+                : Optional.empty();
+    }
+
+    private Optional<PooledConnection> grantWithinLimit(ConnectionRequest request) {
         List<InstanceConnectionPool> accepting =
-                pools.rankByLatency(usablePools(request))
-                        .filter(p -> request.pinsConnection() || p.canAcceptStatement())
-                        .toList();
+                pools.rankByLatency(acceptingPools(request)).toList();
         Optional<PooledConnection> connection =
                 accepting.stream()
-                        .map(p -> p.tryAcquire(request.sessionVariables()))
+                        .map(p -> p.tryAcquire(request))
                         .flatMap(Optional::stream)
                         .findFirst();
         if (connection.isEmpty()) {
-            accepting.stream().findFirst().ifPresent(InstanceConnectionPool::openIfAllowed);
-        } else if (request.pinsConnection()) {
-            connection.get().pin();
+            accepting.stream().findFirst().ifPresent(p -> p.openIfAllowed(Optional.empty()));
+        }
+        return pinIfNeeded(request, connection);
+    }
+
+    /**
+     * Takes an idle connection only of the instance with the lowest expected latency, which
+     * includes the opening of a connection, so that a loaded one is not preferred for being open.
+     */
+    private Optional<PooledConnection> grantOnDemand(ConnectionRequest request) {
+        Optional<PooledConnection> connection =
+                rankedPools(request)
+                        .filter(p -> p.hasIdle(request) || p.canOpen(request.origin().account()))
+                        .findFirst()
+                        .flatMap(p -> p.tryAcquire(request));
+        if (connection.isEmpty()) {
+            planner.add(request);
         }
+        return pinIfNeeded(request, connection);
+    }
+
+    private static Optional<PooledConnection> pinIfNeeded(
+            ConnectionRequest request, Optional<PooledConnection> connection) {
+        connection.filter(c -> request.pinsConnection()).ifPresent(PooledConnection::pin);
         return connection;
     }
 
+    private boolean opensOnDemand(ConnectionRequest request) {
+        return pools.quota().isElastic() || request.origin().account().isPresent();
+    }
+
+    private void rejectIfTooLate(ConnectionRequest request) {
+        long remaining = request.deadlineNanos() - clock.nanoTime();
+        usablePools(request)
+                .filter(p -> !p.isSuspected())
+                .map(p -> p.expectedWait(request))
+                .min(Duration::compareTo)
+                .filter(wait -> wait.toNanos() > remaining)
+                .ifPresent(wait -> reject(request, wait));
+    }
+
+    private void reject(ConnectionRequest request, Duration wait) {
+        if (admission.cancel(request)) {
+            request.onRejected()
+                    .accept("no connection is free, retry after " + wait.toMillis() + " ms");
+        }
+    }
+
+    private Stream<InstanceConnectionPool> rankedPools(ConnectionRequest request) {
+        return pools.rankByLatency(acceptingPools(request), request);
+    }
+
+    private Stream<InstanceConnectionPool> acceptingPools(ConnectionRequest request) {
+        return usablePools(request).filter(p -> request.pinsConnection() || p.canAcceptStatement());
+    }
+
     private Stream<InstanceConnectionPool> usablePools(ConnectionRequest request) {
         if (request.needsPrimary()) {
             return primaryPool.get().stream();
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
@@ -72,6 +72,10 @@
         return purpose == Purpose.TRANSACTION || purpose == Purpose.PRIMARY_TRANSACTION;
     }
 
+    boolean acceptsAnyAccount() {
+        return purpose == Purpose.STATUS_QUERY;
+    }
+
     boolean acceptsDraining() {
         return purpose == Purpose.STATUS_QUERY;
     }
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionSet.java
@@ -0,0 +1,111 @@
+package org.carobstage.upstream;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.carobstage.model.AccountName;
+
+/** The open connections to one instance; selects the one to use or to close. */
+final class ConnectionSet {
+    private final List<PooledConnection> connections = new ArrayList<>();
+
+    private ConnectionSet() {}
+
+    static ConnectionSet empty() {
+        return new ConnectionSet();
+    }
+
+    void add(PooledConnection connection) {
+        connections.add(connection);
+    }
+
+    void remove(PooledConnection connection) {
+        connections.remove(connection);
+    }
+
+    int size() {
+        return connections.size();
+    }
+
+    Stream<PooledConnection> all() {
+        return List.copyOf(connections).stream();
+    }
+
+    Stream<PooledConnection> idle() {
+        return all().filter(c -> !c.isBusy());
+    }
+
+    Stream<PooledConnection> idle(Optional<AccountName> account) {
+        return idle().filter(c -> c.account().equals(account));
+    }
+
+    int busyCount() {
+        return (int) connections.stream().filter(PooledConnection::isBusy).count();
+    }
+
+    /** Returns how many statements outside transactions are running. */
+    int statementCount() {
+        return (int) connections.stream().filter(c -> c.isBusy() && !c.isPinned()).count();
+    }
+
+    /** Returns the connection whose session variables match best. */
+    static Optional<PooledConnection> bestMatch(
+            Stream<PooledConnection> candidates, Map<String, String> sessionVariables) {
+        return candidates.max(Comparator.comparingInt(c -> sessionMatchScore(c, sessionVariables)));
+    }
+
+    /**
+     * Returns the idle connection to close for another account: one without account, which only
+     * status queries may still need, or else the least recently used one.
+     */
+    Optional<PooledConnection> evictable(Optional<AccountName> account) {
+        return idle().filter(c -> !c.account().equals(account))
+                .min(
+                        Comparator.comparing((PooledConnection c) -> c.account().isPresent())
+                                .thenComparingLong(PooledConnection::idleSinceNanos));
+    }
+
+    /** Returns the connections to close because they have been idle for too long. */
+    List<PooledConnection> expired(ConnectionShare share, boolean isSuspected, long nowNanos) {
+        Duration timeout = share.idleTimeout(size());
+        return idle().filter(c -> nowNanos - c.idleSinceNanos() > timeout.toNanos())
+                .skip(share.minConnections(isSuspected))
+                .limit(share.idleClosings(size()))
+                .toList();
+    }
+
+    /**
+     * Returns how long the oldest unanswered request has waited without any response from the
+     * instance.
+     */
+    Duration silence(long nowNanos, long lastResponseNanos) {
+        return connections.stream()
+                .map(PooledConnection::sentAt)
+                .flatMap(Optional::stream)
+                .map(sent -> nowNanos - Math.max(sent.monotonicNanos(), lastResponseNanos))
+                .max(Comparator.naturalOrder())
+                .map(Duration::ofNanos)
+                .orElse(Duration.ZERO);
+    }
+
+    /** Returns the connections with a request that has been unanswered for longer than a time. */
+    List<PooledConnection> silentFor(Duration time, long nowNanos) {
+        return all().filter(c -> c.sentAt().isPresent())
+                .filter(c -> nowNanos - c.sentAt().get().monotonicNanos() > time.toNanos())
+                .toList();
+    }
+
+    private static int sessionMatchScore(
+            PooledConnection connection, Map<String, String> sessionVariables) {
+        if (connection.sessionVariables().equals(sessionVariables)) {
+            return 2;
+        }
+        return sessionVariables.keySet().containsAll(connection.sessionVariables().keySet())
+                ? 1
+                : 0;
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
@@ -4,14 +4,15 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.freshness.ClockReading;
+import org.carobstage.model.AccountName;
 import org.carobstage.sql.FailureCode;
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.StatementResult;
@@ -26,76 +27,44 @@
      */
     private static final Duration DRAIN_LIMIT = Duration.ofMillis(6_000);
 
-    /** Connections kept open without demand, since opening one takes tens of ms and a slot. */
-    private static final int MIN_CONNECTIONS = 1;
-
     /**
      * Timeout of opening; it covers the time that a new connection waits in a full instance's
      * queue.
      */
     private static final Duration OPEN_TIMEOUT = Duration.ofMillis(400);
 
-    /** The delay after a failed attempt to open a connection. */
-    private static final Duration OPEN_RETRY_DELAY = Duration.ofMillis(150);
-
-    /**
-     * Number of consecutive failed attempts to open a connection, without a response in between,
-     * after which the instance is suspected.
-     */
-    private static final int FAILURES_TO_SUSPECT = 2;
-
-    /**
-     * Silence after which a new connection probes the instance; longer than the wait in a full
-     * queue.
-     */
-    private static final Duration PROBE_AFTER_SILENCE = Duration.ofMillis(300);
-
     /** Silence after which a connection is closed, even if others of the instance get responses. */
     private static final Duration CLOSE_AFTER_SILENCE = Duration.ofMillis(2_500);
 
-    /**
-     * Idle time after which connections above the minimum are closed, to leave room for other
-     * processes.
-     */
-    private static final Duration IDLE_TIMEOUT = Duration.ofMillis(1_000);
-
     /**
      * Statements in flight for each slot of an instance, over all processes: one runs while the
      * next is in transit.
      */
     private static final int STATEMENTS_PER_SLOT = 2;
 
-    /** The weight of the newest sample in the moving average of the latency. */
-    private static final double NEWEST_WEIGHT = 0.2;
-
-    /** The latency assumed before the first sample. */
-    private static final double INITIAL_LATENCY_MILLIS = 20;
-
     private final ServiceGroup group;
     private final UpstreamContext context;
-    private final List<PooledConnection> connections = new ArrayList<>();
+    private final ConnectionSet connections = ConnectionSet.empty();
+    private final List<Opening> openings = new ArrayList<>();
+    private final ControlCommands controlCommands = ControlCommands.of(this);
+    private final FailureDetector detector;
+    private final PoolStatistics statistics = PoolStatistics.empty();
     private InstanceEntry entry;
-    private int connectionLimit = 1;
-    private int processCount = 1;
-    private int openingCount;
-    private int consecutiveFailures;
-    private long openNotBeforeNanos;
-    private long lastResponseNanos;
+    private ConnectionShare share;
     private long drainingSinceNanos;
     private long statusRequestedNanos;
-    private boolean suspected;
     private boolean closed;
     private boolean refusalReported;
-    private double latencyMillis = INITIAL_LATENCY_MILLIS;
 
     InstanceConnectionPool(ServiceGroup group, UpstreamContext context, InstanceEntry entry) {
         this.group = requireNonNull(group, "group is null");
         this.context = requireNonNull(context, "context is null");
         this.entry = requireNonNull(entry, "entry is null");
-        this.openNotBeforeNanos = context.clock().nanoTime();
-        this.lastResponseNanos = openNotBeforeNanos;
-        this.drainingSinceNanos = openNotBeforeNanos;
-        this.statusRequestedNanos = openNotBeforeNanos - TimeUnit.HOURS.toNanos(1);
+        this.detector = FailureDetector.of(group, context.clock());
+        long nowNanos = context.clock().nanoTime();
+        this.share = ConnectionShare.of(ConnectionQuota.fixed(1, 1), nowNanos);
+        this.drainingSinceNanos = nowNanos;
+        this.statusRequestedNanos = nowNanos - TimeUnit.HOURS.toNanos(1);
     }
 
     InstanceEntry entry() {
@@ -107,7 +76,7 @@
     }
 
     boolean isSuspected() {
-        return suspected;
+        return detector.isSuspected();
     }
 
     /**
@@ -123,17 +92,15 @@
         entry = newer;
         if (isReplaced) {
             retireAll();
-            consecutiveFailures = 0;
-            openNotBeforeNanos = context.clock().nanoTime();
+            detector.onReplaced();
+            share = share.onReplaced(context.clock().nanoTime());
         }
     }
 
-    void setConnectionLimit(int limit, int sharedBy) {
-        connectionLimit = limit;
-        processCount = sharedBy;
-        while (connections.size() > connectionLimit) {
-            Optional<PooledConnection> idle =
-                    connections.stream().filter(c -> !c.isBusy()).findFirst();
+    void setQuota(ConnectionQuota quota) {
+        share = share.withQuota(quota);
+        while (connections.size() > share.limit()) {
+            Optional<PooledConnection> idle = connections.idle().findFirst();
             if (idle.isEmpty()) {
                 break;
             }
@@ -149,19 +116,22 @@
     }
 
     InstanceSelector.Candidate toCandidate() {
-        return new InstanceSelector.Candidate(
-                entry.id(),
-                entry.domain().equals(context.domain()),
-                suspected,
-                entry.draining(),
-                busyCount(),
-                entry.slots(),
-                latencyMillis);
+        return toCandidate(connections.busyCount(), Duration.ZERO);
+    }
+
+    /** Returns the candidate for a request, with the cost of opening a connection for it. */
+    InstanceSelector.Candidate toCandidate(ConnectionRequest request) {
+        boolean isIdle = idle(request).findFirst().isPresent();
+        return toCandidate(
+                connections.busyCount() + openings.size(),
+                isIdle
+                        ? Duration.ZERO
+                        : statistics.expectedOpeningTime(openings, now().monotonicNanos()));
     }
 
     /** Returns the moving average of the statement latency. */
     Duration averageLatency() {
-        return Duration.ofNanos((long) (latencyMillis * 1e6));
+        return statistics.latency().duration();
     }
 
     /**
@@ -171,59 +141,107 @@
         boolean drainExpired =
                 entry.draining()
                         && context.clock().nanoTime() - drainingSinceNanos > DRAIN_LIMIT.toNanos();
-        return !suspected && !drainExpired;
+        return !isSuspected() && !drainExpired;
     }
 
     /** Returns how many statements outside transactions this process may have in flight here. */
     int statementLimit() {
+        int processCount = share.quota().processCount();
         return 1 + (STATEMENTS_PER_SLOT * entry.slots() + processCount - 1) / processCount;
     }
 
     /** Returns whether another statement outside a transaction may be sent to the instance. */
     boolean canAcceptStatement() {
-        return connections.stream().filter(c -> c.isBusy() && !c.isPinned()).count()
-                < statementLimit();
+        return connections.statementCount() < statementLimit();
     }
 
-    /** Acquires the idle connection whose session variables match best. */
-    Optional<PooledConnection> tryAcquire(Map<String, String> sessionVariables) {
-        Optional<PooledConnection> idle =
-                connections.stream()
-                        .filter(c -> !c.isBusy())
-                        .max(Comparator.comparingInt(c -> sessionMatchScore(c, sessionVariables)));
-        idle.ifPresent(PooledConnection::markBusy);
-        return idle;
+    /** Returns whether an idle connection can serve a request. */
+    boolean hasIdle(ConnectionRequest request) {
+        return idle(request).findFirst().isPresent();
+    }
+
+    /** Acquires the idle connection of the request's account whose session variables match best. */
+    Optional<PooledConnection> tryAcquire(ConnectionRequest request) {
+        return acquire(ConnectionSet.bestMatch(idle(request), request.sessionVariables()));
+    }
+
+    /** Opens the connection that is kept open without demand, if any is. */
+    void openWarmConnection() {
+        if (connections.size() + openings.size() < share.minConnections(isSuspected())) {
+            openIfAllowed(Optional.empty());
+        }
     }
 
     /** Opens a connection if the limit and the delay after a failure allow it. */
-    void openIfAllowed() {
-        long nowNanos = context.clock().nanoTime();
-        if (!closed
-                && connections.size() + openingCount < connectionLimit
-                && nowNanos - openNotBeforeNanos >= 0) {
-            open();
+    void openIfAllowed(Optional<AccountName> account) {
+        if (canOpen(account)) {
+            openMakingRoom(account);
         }
     }
 
+    /**
+     * Returns whether a connection may be opened now, possibly in place of an idle one of another
+     * account.
+     */
+    boolean canOpen(Optional<AccountName> account) {
+        return !closed
+                && share.mayOpen(context.clock().nanoTime())
+                && (hasRoom() || connections.evictable(account).isPresent());
+    }
+
+    /** Opens a connection, for which an idle one of another account is closed at the limit. */
+    Opening openMakingRoom(Optional<AccountName> account) {
+        if (!hasRoom()) {
+            connections.evictable(account).ifPresent(this::evict);
+        }
+        return open(account);
+    }
+
+    /** Raises the limit if all connections are in use, no instance refuses and the quota allows. */
+    void raiseLimit() {
+        if (!hasRoom()) {
+            share = share.onDemand(context.clock().nanoTime());
+        }
+    }
+
+    /** Returns the connections that are being opened. */
+    List<Opening> openings() {
+        return openings;
+    }
+
+    /** Returns whether a status query can expect one of the open connections soon. */
+    boolean hasUnpinned() {
+        return !openings.isEmpty() || connections.all().anyMatch(c -> !c.isPinned());
+    }
+
+    /** Estimates when a connection could serve a request. */
+    Duration expectedWait(ConnectionRequest request) {
+        return statistics
+                .waitEstimate(share)
+                .expectedWait(request, connections, openings, now().monotonicNanos());
+    }
+
+    PoolCounters counters() {
+        return statistics.counters(share.backoff(context.clock().nanoTime()));
+    }
+
     long statusRequestedNanos() {
         return statusRequestedNanos;
     }
 
     long lastResponseNanos() {
-        return lastResponseNanos;
+        return detector.lastResponseNanos();
     }
 
     void tick(long nowNanos) {
-        if (connections.size() + openingCount < Math.min(MIN_CONNECTIONS, connectionLimit)) {
-            openIfAllowed();
-        }
+        openWarmConnection();
         closeSilentConnections(nowNanos);
         closeIdleConnections(nowNanos);
-        Duration silence = silence(nowNanos);
-        if (silence.compareTo(PROBE_AFTER_SILENCE) > 0
-                && openingCount == 0
-                && nowNanos - openNotBeforeNanos >= 0) {
-            open();
+        Duration silence = connections.silence(nowNanos, lastResponseNanos());
+        if (silence.compareTo(FailureDetector.PROBE_AFTER_SILENCE) > 0
+                && openings.isEmpty()
+                && share.mayOpen(nowNanos)) {
+            open(Optional.empty());
         }
     }
 
@@ -239,9 +257,8 @@
      */
     void resetTimersAfterPause() {
         ClockReading now = now();
-        lastResponseNanos = now.monotonicNanos();
-        consecutiveFailures = 0;
-        connections.stream().filter(c -> c.sentAt().isPresent()).forEach(c -> c.setSentAt(now));
+        detector.resetAfterPause();
+        connections.all().filter(c -> c.sentAt().isPresent()).forEach(c -> c.setSentAt(now));
     }
 
     void onResult(
@@ -252,7 +269,7 @@
         if (response.isEmpty()) {
             return;
         }
-        recordResponse();
+        detector.recordResponse(entry);
         StatementResult result = response.get();
         if (result.hasFailureCode(FailureCode.NOT_PRIMARY)) {
             group.onNotPrimary(entry.id());
@@ -260,15 +277,23 @@
             result.logPosition().ifPresent(p -> group.onLeadershipConfirmed(entry.id(), p, sentAt));
         }
         if (statement instanceof Statement.Read || statement instanceof Statement.Execute) {
-            double latency = sentAt.age(now()).toNanos() / 1e6;
-            latencyMillis += NEWEST_WEIGHT * (latency - latencyMillis);
+            statistics.onLatency(sentAt.age(now()));
         }
     }
 
     void release(PooledConnection connection) {
-        connection.markIdle(context.clock().nanoTime());
-        if (connection.isRetired() || connections.size() > connectionLimit) {
+        long nowNanos = context.clock().nanoTime();
+        if (connection.isPinned()) {
+            statistics.onUnpinned(Duration.ofNanos(nowNanos - connection.busySinceNanos()));
+        }
+        boolean isNew = connection.markIdle(nowNanos);
+        if (connection.isRetired() || connections.size() > share.limit()) {
             connection.discard();
+        } else if (controlCommands.hasWaiting()) {
+            connection.markBusy(nowNanos);
+            controlCommands.sendNext(connection);
+        } else if (isNew) {
+            group.offer(connection);
         } else {
             group.dispatch();
         }
@@ -279,51 +304,82 @@
         group.dispatch();
     }
 
-    /** Sends a control command on an idle connection; returns false if there is none. */
+    /**
+     * Sends a control command on an idle connection of any account. If none is kept open, the
+     * command waits until one is open.
+     *
+     * @return false if the command was not sent and will not be
+     */
     boolean trySendControlCommand(Statement statement, Consumer<StatusResponse> callback) {
-        Optional<PooledConnection> idle = tryAcquire(Map.of());
+        Optional<PooledConnection> idle =
+                acquire(ConnectionSet.bestMatch(connections.idle(), Map.of()));
         idle.ifPresent(c -> sendControlCommand(c, statement, callback));
-        return idle.isPresent();
+        return idle.isPresent() || defer(statement, callback);
     }
 
     /** Sends a control command on a busy connection, which is released with the response. */
     void sendControlCommand(
             PooledConnection connection, Statement statement, Consumer<StatusResponse> callback) {
-        ClockReading sentAt = now();
-        connection.setSentAt(sentAt);
-        connection
-                .delegate()
-                .sendControlCommand(
-                        statement,
-                        response -> {
-                            connection.setSentAt(null);
-                            if (response.hasResponse()) {
-                                recordResponse();
-                            }
-                            response.status().ifPresent(s -> group.onStatus(entry.id(), s, sentAt));
-                            callback.accept(response);
-                            if (connection.isOpen()) {
-                                release(connection);
-                            }
-                        });
+        controlCommands.send(connection, statement, callback);
+    }
+
+    void onStatusResponse(
+            PooledConnection connection, StatusResponse response, ClockReading sentAt) {
+        connection.setSentAt(null);
+        if (response.hasResponse()) {
+            detector.recordResponse(entry);
+        }
+        response.status().ifPresent(s -> group.onStatus(entry.id(), s, sentAt));
     }
 
     int openConnectionCount() {
         return connections.size();
     }
 
-    private int busyCount() {
-        return (int) connections.stream().filter(PooledConnection::isBusy).count();
+    private InstanceSelector.Candidate toCandidate(int runningCount, Duration opening) {
+        return new InstanceSelector.Candidate(
+                entry.id(),
+                entry.domain().equals(context.domain()),
+                isSuspected(),
+                entry.draining(),
+                runningCount,
+                entry.slots(),
+                statistics.latency().millis(),
+                opening.toNanos() / 1e6);
+    }
+
+    private Stream<PooledConnection> idle(ConnectionRequest request) {
+        return request.acceptsAnyAccount()
+                ? connections.idle()
+                : connections.idle(request.origin().account());
+    }
+
+    private Optional<PooledConnection> acquire(Optional<PooledConnection> idle) {
+        idle.ifPresent(c -> c.markBusy(context.clock().nanoTime()));
+        return idle;
+    }
+
+    private boolean hasRoom() {
+        return connections.size() + openings.size() < share.limit();
+    }
+
+    private void evict(PooledConnection connection) {
+        statistics.onEvicted();
+        connection.discard();
     }
 
-    private static int sessionMatchScore(
-            PooledConnection connection, Map<String, String> sessionVariables) {
-        if (connection.sessionVariables().equals(sessionVariables)) {
-            return 2;
+    private boolean defer(Statement statement, Consumer<StatusResponse> callback) {
+        if (!share.quota().isElastic() || connections.size() > 0) {
+            return false;
+        }
+        if (openings.isEmpty()) {
+            openIfAllowed(Optional.empty());
+        }
+        if (openings.isEmpty()) {
+            return false;
         }
-        return sessionVariables.keySet().containsAll(connection.sessionVariables().keySet())
-                ? 1
-                : 0;
+        controlCommands.addWaiting(statement, callback);
+        return true;
     }
 
     private static boolean requiresPrimary(Statement statement) {
@@ -331,124 +387,108 @@
                 || statement instanceof Statement.Begin begin && !begin.isReadOnly();
     }
 
-    private void open() {
-        openingCount++;
-        PooledConnection pooled = new PooledConnection(this);
-        InstanceEntry target = entry;
+    private Opening open(Optional<AccountName> account) {
+        Opening opening = Opening.of(entry, account, context.clock().nanoTime());
+        openings.add(opening);
+        statistics.onOpeningStarted();
+        PooledConnection pooled = new PooledConnection(this, account);
         context.connector()
                 .connect(
-                        target,
-                        Optional.empty(),
+                        entry,
+                        account,
                         OPEN_TIMEOUT,
                         InstanceConnector.Listener.of(
-                                connection -> onOpened(pooled, connection, target),
-                                this::onOpenFailed,
+                                connection -> onOpened(pooled, connection, opening),
+                                reason -> onOpenFailed(reason, opening),
                                 () -> {
                                     pooled.markLost();
                                     removeConnection(pooled);
                                 }));
+        return opening;
     }
 
-    private void onOpened(
-            PooledConnection pooled, InstanceConnection connection, InstanceEntry target) {
-        openingCount--;
+    private void onOpened(PooledConnection pooled, InstanceConnection connection, Opening opening) {
+        long nowNanos = context.clock().nanoTime();
+        openings.remove(opening);
+        statistics.onOpened(Duration.ofNanos(nowNanos - opening.startedNanos()));
+        share = share.onOpened();
         refusalReported = false;
         pooled.attach(connection);
         connections.add(pooled);
-        if (closed || !target.address().equals(entry.address())) {
+        if (closed || !opening.target().address().equals(entry.address())) {
             pooled.discard();
+            failDeferredCommands();
             return;
         }
-        recordResponse();
+        detector.recordResponse(entry);
         if (group.hasNoLeader()) {
-            pooled.markBusy();
+            pooled.markBusy(nowNanos);
             pooled.requestStatus(() -> {});
         } else {
             release(pooled);
         }
     }
 
-    private void onOpenFailed(OpenFailure reason) {
-        openingCount--;
+    private void onOpenFailed(OpenFailure reason, Opening opening) {
+        openings.remove(opening);
         long nowNanos = context.clock().nanoTime();
-        openNotBeforeNanos = nowNanos + OPEN_RETRY_DELAY.toNanos();
+        if (reason == OpenFailure.CONNECTION_LIMIT) {
+            statistics.onRefused();
+            share =
+                    share.onRefused(
+                            opening.startedNanos(), nowNanos, context.jitter().getAsDouble());
+        } else {
+            share = share.onFailed(nowNanos);
+        }
+        recordOpenFailure(reason, nowNanos);
+        failDeferredCommands();
+        if (share.quota().isElastic()) {
+            context.clock().schedule(group::dispatch, share.backoff(nowNanos));
+            group.dispatch();
+        }
+    }
+
+    private void failDeferredCommands() {
+        if (openings.isEmpty()) {
+            controlCommands.failWaiting();
+        }
+    }
+
+    private void recordOpenFailure(OpenFailure reason, long nowNanos) {
         boolean responded = reason == OpenFailure.CONNECTION_LIMIT || reason == OpenFailure.REFUSED;
         if (responded) {
-            recordResponse();
+            detector.recordResponse(entry);
             if (!refusalReported) {
                 refusalReported = true;
                 group.onConnectionsRefused(entry, reason, connections.size());
             }
             return;
         }
-        consecutiveFailures++;
-        if (reason == OpenFailure.RESET) {
-            group.onConnectionReset(entry.id());
-        }
-        boolean silent =
-                reason == OpenFailure.NO_ANSWER
-                        && silence(nowNanos).compareTo(PROBE_AFTER_SILENCE) > 0;
-        if ((silent || consecutiveFailures >= FAILURES_TO_SUSPECT) && !suspected) {
-            suspected = true;
-            group.onSuspicionChanged(
-                    entry, true, reason + ", silent for " + silence(nowNanos).toMillis());
-        }
-    }
-
-    private void recordResponse() {
-        lastResponseNanos = context.clock().nanoTime();
-        consecutiveFailures = 0;
-        group.onResponse(entry.id());
-        if (suspected) {
-            suspected = false;
-            group.onSuspicionChanged(entry, false, "the instance responded");
-        }
-    }
-
-    /**
-     * Returns how long the oldest unanswered request has waited without any response from the
-     * instance.
-     */
-    private Duration silence(long nowNanos) {
-        return connections.stream()
-                .map(PooledConnection::sentAt)
-                .flatMap(Optional::stream)
-                .map(sent -> nowNanos - Math.max(sent.monotonicNanos(), lastResponseNanos))
-                .max(Comparator.naturalOrder())
-                .map(Duration::ofNanos)
-                .orElse(Duration.ZERO);
+        detector.recordOpenFailure(
+                entry, reason, connections.silence(nowNanos, lastResponseNanos()));
     }
 
     private void closeSilentConnections(long nowNanos) {
-        List<PooledConnection> silent =
-                connections.stream()
-                        .filter(c -> c.sentAt().isPresent())
-                        .filter(
-                                c ->
-                                        nowNanos - c.sentAt().get().monotonicNanos()
-                                                > CLOSE_AFTER_SILENCE.toNanos())
-                        .toList();
-        silent.forEach(PooledConnection::discard);
+        connections.silentFor(CLOSE_AFTER_SILENCE, nowNanos).forEach(PooledConnection::discard);
     }
 
     /** The timer of the group no longer reaches a pool that was removed. */
     private void closeRemaining() {
         closeSilentConnections(context.clock().nanoTime());
-        if (!connections.isEmpty()) {
+        if (connections.size() > 0) {
             context.clock().schedule(this::closeRemaining, CLOSE_AFTER_SILENCE);
         }
     }
 
     private void closeIdleConnections(long nowNanos) {
-        connections.stream()
-                .filter(c -> !c.isBusy() && nowNanos - c.idleSinceNanos() > IDLE_TIMEOUT.toNanos())
-                .skip(MIN_CONNECTIONS)
-                .toList()
-                .forEach(PooledConnection::discard);
+        for (PooledConnection idle : connections.expired(share, isSuspected(), nowNanos)) {
+            share = share.onIdleClosed();
+            idle.discard();
+        }
     }
 
     private void retireAll() {
-        connections.forEach(PooledConnection::markRetired);
-        connections.stream().filter(c -> !c.isBusy()).toList().forEach(PooledConnection::discard);
+        connections.all().forEach(PooledConnection::markRetired);
+        connections.idle().forEach(PooledConnection::discard);
     }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/InstancePools.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstancePools.java
@@ -16,8 +16,7 @@
 /** The connection pools of the instances of one service. */
 final class InstancePools {
     private final Map<InstanceId, InstanceConnectionPool> pools = new TreeMap<>();
-    private int connectionLimit = 1;
-    private int processCount = 1;
+    private ConnectionQuota quota = ConnectionQuota.fixed(1, 1);
 
     private InstancePools() {}
 
@@ -27,7 +26,7 @@
 
     InstanceConnectionPool add(InstanceConnectionPool pool) {
         requireNonNull(pool, "pool is null");
-        pool.setConnectionLimit(connectionLimit, processCount);
+        pool.setQuota(quota);
         pools.put(pool.entry().id(), pool);
         return pool;
     }
@@ -36,10 +35,19 @@
         Optional.ofNullable(pools.remove(id)).ifPresent(InstanceConnectionPool::close);
     }
 
-    void setConnectionLimit(int limit, int sharedBy) {
-        connectionLimit = limit;
-        processCount = sharedBy;
-        pools.values().forEach(pool -> pool.setConnectionLimit(limit, sharedBy));
+    void setQuota(ConnectionQuota newer) {
+        quota = requireNonNull(newer, "newer is null");
+        all().forEach(pool -> pool.setQuota(newer));
+    }
+
+    ConnectionQuota quota() {
+        return quota;
+    }
+
+    PoolCounters counters() {
+        return pools.values().stream()
+                .map(InstanceConnectionPool::counters)
+                .reduce(PoolCounters.NONE, PoolCounters::plus);
     }
 
     Optional<InstanceConnectionPool> find(InstanceId id) {
@@ -72,6 +80,13 @@
                 .map(c -> pools.get(c.id()));
     }
 
+    /** Sorts pools by the expected latency of a request, with the opening that it needs. */
+    Stream<InstanceConnectionPool> rankByLatency(
+            Stream<InstanceConnectionPool> candidates, ConnectionRequest request) {
+        return InstanceSelector.rankByLatency(candidates.map(p -> p.toCandidate(request))).stream()
+                .map(c -> pools.get(c.id()));
+    }
+
     int openConnectionCount() {
         return pools.values().stream().mapToInt(InstanceConnectionPool::openConnectionCount).sum();
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceSelector.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceSelector.java
@@ -39,7 +39,9 @@
                 c.runningCount() >= c.slotCount() ? 1.0 + c.runningCount() - c.slotCount() : 0;
         double loadFactor =
                 1 + (double) c.runningCount() / Math.max(1, c.slotCount()) + queueFactor;
-        return c.latencyMillis() * loadFactor + (c.isLocal() ? 0 : REMOTE_PENALTY_MILLIS);
+        return c.latencyMillis() * loadFactor
+                + c.openingMillis()
+                + (c.isLocal() ? 0 : REMOTE_PENALTY_MILLIS);
     }
 
     /**
@@ -52,6 +54,7 @@
      * @param runningCount how many statements of this process it runs
      * @param slotCount how many statements it runs at once
      * @param latencyMillis its recent latency, in ms
+     * @param openingMillis how long a connection takes to open if none is idle, in ms
      */
     record Candidate(
             InstanceId id,
@@ -60,5 +63,6 @@
             boolean isDraining,
             int runningCount,
             int slotCount,
-            double latencyMillis) {}
+            double latencyMillis,
+            double openingMillis) {}
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.freshness.ClockReading;
+import org.carobstage.model.AccountName;
 import org.carobstage.model.LogPosition;
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.StatementResult;
@@ -18,19 +19,23 @@
 /** A connection to an instance with the state that earlier statements have left on it. */
 public final class PooledConnection {
     private final InstanceConnectionPool pool;
+    private final Optional<AccountName> account;
     private final Map<String, String> sessionVariables = new HashMap<>();
     private final Set<String> preparedStatements = new HashSet<>();
     private InstanceConnection connection;
     private boolean open = true;
     private boolean busy;
     private boolean pinned;
+    private boolean used;
+    private long busySinceNanos;
     private long idleSinceNanos;
     private boolean retired;
     private TransactionState state = TransactionState.IDLE;
     private ClockReading sentAt;
 
-    PooledConnection(InstanceConnectionPool pool) {
+    PooledConnection(InstanceConnectionPool pool, Optional<AccountName> account) {
         this.pool = requireNonNull(pool, "pool is null");
+        this.account = requireNonNull(account, "account is null");
     }
 
     /**
@@ -69,6 +74,15 @@
         return open;
     }
 
+    /**
+     * Returns the client account whose statements run on the connection.
+     *
+     * @return the account, or empty if the connection serves none
+     */
+    public Optional<AccountName> account() {
+        return account;
+    }
+
     /** Reserves the connection for a client's transaction, also between its statements. */
     void pin() {
         pinned = true;
@@ -149,14 +163,27 @@
         return busy;
     }
 
-    void markBusy() {
+    InstanceConnectionPool pool() {
+        return pool;
+    }
+
+    void markBusy(long nowNanos) {
         busy = true;
+        busySinceNanos = nowNanos;
     }
 
-    void markIdle(long nowNanos) {
+    /** Marks the connection as idle; returns whether it has served no request yet. */
+    boolean markIdle(long nowNanos) {
+        boolean isNew = !used;
+        used = true;
         busy = false;
         pinned = false;
         idleSinceNanos = nowNanos;
+        return isNew;
+    }
+
+    long busySinceNanos() {
+        return busySinceNanos;
     }
 
     boolean isPinned() {
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -22,18 +22,6 @@
 
 /** The instances of one service: their pools, the leader and the queue for connections. */
 public final class ServiceGroup {
-    /** Age at which the confirmed position is renewed, to stay within the staleness of reads. */
-    private static final Duration POSITION_INTERVAL = Duration.ofMillis(1_000);
-
-    /** The interval of status queries to instances that run no statements; each takes a slot. */
-    private static final Duration STATUS_INTERVAL = Duration.ofMillis(15_000);
-
-    /** Time without requests after which the position is no longer kept recent. */
-    private static final Duration UNUSED_AFTER = Duration.ofMillis(5_000);
-
-    /** The interval of status queries while no leader is known. */
-    private static final Duration SEARCH_INTERVAL = Duration.ofMillis(100);
-
     /** The interval at which a former primary that still reports to lead is told to step down. */
     private static final Duration STEP_DOWN_INTERVAL = Duration.ofMillis(500);
 
@@ -46,6 +34,7 @@
     private long stepDownNotBeforeNanos;
     private Optional<InstanceId> fencedInstance = Optional.empty();
     private final ReadIndexService readIndex;
+    private final StatusSchedule schedule;
 
     private ServiceGroup(ServiceName name, UpstreamContext context) {
         this.name = name;
@@ -53,6 +42,7 @@
         this.lastRequestNanos = context.clock().nanoTime();
         this.stepDownNotBeforeNanos = lastRequestNanos;
         this.leader = new LeaderTracker(name, context, this::dispatch);
+        this.schedule = new StatusSchedule(leader, pools);
         this.connections =
                 new ConnectionDispatcher(
                         context.clock(), pools, this::primaryPool, leader.recoveryEstimate());
@@ -191,7 +181,7 @@
         Optional<InstanceConnectionPool> known = pools.find(entry.id());
         if (known.isEmpty()) {
             leader.add(entry.id());
-            pools.add(new InstanceConnectionPool(this, context, entry)).openIfAllowed();
+            pools.add(new InstanceConnectionPool(this, context, entry)).openWarmConnection();
             return;
         }
         InstanceConnectionPool pool = known.get();
@@ -223,7 +213,25 @@
      * @param sharedBy how many processes share the instances
      */
     public void setConnectionLimit(int limit, int sharedBy) {
-        pools.setConnectionLimit(limit, sharedBy);
+        setConnectionQuota(ConnectionQuota.fixed(limit, sharedBy));
+    }
+
+    /**
+     * Sets how many connections this process may have to each instance.
+     *
+     * @param quota the quota
+     */
+    public void setConnectionQuota(ConnectionQuota quota) {
+        pools.setQuota(quota);
+    }
+
+    /**
+     * Returns the counts of what happened to the connections to the present instances.
+     *
+     * @return the counts
+     */
+    public PoolCounters connectionCounters() {
+        return pools.counters();
     }
 
     /**
@@ -294,11 +302,11 @@
         long nowNanos = context.clock().nanoTime();
         for (InstanceConnectionPool pool : pools.all()) {
             pool.tick(nowNanos);
-            if (isStatusDue(pool, nowNanos)) {
+            if (schedule.isStatusDue(pool, nowNanos)) {
                 pool.requestStatus(nowNanos);
             }
         }
-        if (isPositionDue(nowNanos)) {
+        if (schedule.isPositionDue(lastRequestNanos, nowNanos)) {
             readIndex.refresh();
         }
         connections.rejectUnservable();
@@ -395,6 +403,11 @@
         return pools.openConnectionCount();
     }
 
+    /** Grants a new connection to the first waiting request of its account. */
+    void offer(PooledConnection connection) {
+        connections.offer(connection);
+    }
+
     void onLeadershipConfirmed(InstanceId id, LogPosition position, ClockReading requestedAt) {
         leader.onLeadershipConfirmed(id, position, requestedAt);
         readIndex.completeReads();
@@ -440,31 +453,6 @@
                 "instance=" + entry.id() + " reason=" + reason + " connections=" + open);
     }
 
-    private boolean isStatusDue(InstanceConnectionPool pool, long nowNanos) {
-        long requestedNanos = pool.statusRequestedNanos();
-        if (hasNoLeader()) {
-            return nowNanos - requestedNanos >= SEARCH_INTERVAL.toNanos();
-        }
-        if (leader.acknowledgedCommits().isOutcomeUnknown()
-                && leadership().isLeader(pool.entry().id())) {
-            return nowNanos - requestedNanos >= POSITION_INTERVAL.toNanos();
-        }
-        return nowNanos - Math.max(pool.lastResponseNanos(), requestedNanos)
-                >= STATUS_INTERVAL.toNanos();
-    }
-
-    private boolean isPositionDue(long nowNanos) {
-        boolean inUse = nowNanos - lastRequestNanos < UNUSED_AFTER.toNanos();
-        return inUse
-                && leader.quorum()
-                        .newest()
-                        .filter(
-                                p ->
-                                        nowNanos - p.requestedAt().monotonicNanos()
-                                                < POSITION_INTERVAL.toNanos())
-                        .isEmpty();
-    }
-
     /** Tells a primary that was replaced while it was unreachable that its term has ended. */
     private void stepDown(InstanceId id) {
         long nowNanos = context.clock().nanoTime();
--- a/carobstage/src/test/java/org/carobstage/fake/FakeConnection.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeConnection.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.carobstage.model.AccountName;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
 import org.carobstage.sql.Failure;
@@ -28,6 +29,7 @@
     private final FakeInstance instance;
     private final FakeService service;
     private final InstanceConnector.Listener listener;
+    private final Optional<AccountName> account;
     private final Predicate<InstanceId> reachable;
     private final Deque<PendingStatement> pendingStatements = new ArrayDeque<>();
     private final Map<String, String> sessionVariables = new HashMap<>();
@@ -43,11 +45,13 @@
     FakeConnection(
             FakeInstance instance,
             InstanceConnector.Listener listener,
+            Optional<AccountName> account,
             Predicate<InstanceId> reachable,
             MessageFilter filter) {
         this.instance = instance;
         this.service = instance.service;
         this.listener = listener;
+        this.account = account;
         this.reachable = reachable;
         this.filter = filter;
     }
@@ -250,6 +254,7 @@
             applyCommand(statement);
         }
         if (!pending.requestId().isEmpty()) {
+            instance.executingAccounts.put(pending.requestId(), account);
             instance.executedStatements.add(
                     pending.requestId() + " " + statement + " " + sessionVariables);
         }
--- a/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
@@ -2,11 +2,14 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.carobstage.discovery.InstanceEntry;
+import org.carobstage.model.AccountName;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
 import org.carobstage.model.Term;
@@ -42,6 +45,10 @@
     int stepDownCount;
     private boolean ignoringStepDown;
     int runningStatements;
+    private int connectionLimit = Integer.MAX_VALUE;
+    private int refusalCount;
+    private int openingCount;
+    final Map<String, Optional<AccountName>> executingAccounts = new HashMap<>();
     int maxConcurrentStatements;
 
     FakeInstance(FakeService service, InstanceId id, String domain) {
@@ -131,6 +138,26 @@
         return connections.size();
     }
 
+    /** Sets how many connections of all processes the instance accepts. */
+    public void setConnectionLimit(int limit) {
+        connectionLimit = limit;
+    }
+
+    /** Returns how many connections were refused at the limit. */
+    public int refusalCount() {
+        return refusalCount;
+    }
+
+    /** Returns how many connections were accepted. */
+    public int openingCount() {
+        return openingCount;
+    }
+
+    /** Returns the account of the connection that executed each request, by request id. */
+    public Map<String, Optional<AccountName>> executingAccounts() {
+        return executingAccounts;
+    }
+
     public List<Set<String>> preparedStatementNames() {
         return connections.stream().map(connection -> connection.preparedStatements).toList();
     }
@@ -270,9 +297,16 @@
 
     void connect(
             InstanceConnector.Listener listener,
+            Optional<AccountName> account,
             Predicate<InstanceId> reachable,
             MessageFilter filter) {
-        FakeConnection connection = new FakeConnection(this, listener, reachable, filter);
+        if (connections.size() >= connectionLimit) {
+            refusalCount++;
+            listener.onOpenFailed(InstanceConnector.OpenFailure.CONNECTION_LIMIT);
+            return;
+        }
+        openingCount++;
+        FakeConnection connection = new FakeConnection(this, listener, account, reachable, filter);
         connections.add(connection);
         listener.onOpened(connection);
     }
--- a/carobstage/src/test/java/org/carobstage/fake/FakeService.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeService.java
@@ -131,7 +131,8 @@
                         Duration.ofMillis(1));
             } else {
                 clock.schedule(
-                        () -> instance.connect(listener, reachable, filter), CONNECT_DURATION);
+                        () -> instance.connect(listener, account, reachable, filter),
+                        CONNECT_DURATION);
             }
         };
     }
