--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -106,6 +106,24 @@
     LINES_DROPPED(1007, Level.WARNING),
     /** A transaction ended without its caller's commit or rollback. */
     TRANSACTION_ROLLED_BACK(5001, Level.INFO),
+    /** This process owns the quota buckets of a shard. */
+    QUOTA_SHARD_GAINED(6001, Level.INFO),
+    /** This process no longer owns the quota buckets of a shard. */
+    QUOTA_SHARD_LOST(6002, Level.INFO),
+    /** The entry of a shard is not usable, so the shard has no owner. */
+    QUOTA_SHARD_REFUSED(6003, Level.WARNING),
+    /** A link to or from another process was opened. */
+    PEER_LINK_OPENED(6004, Level.INFO),
+    /** A link to or from another process was closed. */
+    PEER_LINK_CLOSED(6005, Level.INFO),
+    /** A link was closed because of a malformed or refused message, or an unexpected error. */
+    PEER_LINK_FAULT(6006, Level.WARNING),
+    /** This process uses its equal share of the limits of a shard. */
+    QUOTA_STANDALONE_STARTED(6007, Level.WARNING),
+    /** The owner of a shard responds again. */
+    QUOTA_STANDALONE_ENDED(6008, Level.INFO),
+    /** No links are accepted, since the listen address cannot be used. */
+    PEER_LISTEN_FAILED(6009, Level.ERROR),
     /** The file of token keys was read. */
     TOKEN_KEYS_READ(7001, Level.INFO),
     /** The file of token keys cannot be used; the keys read before remain valid. */
--- a/carobstage/src/main/java/org/carobstage/front/PlatformAdapter.java
+++ b/carobstage/src/main/java/org/carobstage/front/PlatformAdapter.java
@@ -10,6 +10,7 @@
 import org.carobstage.failover.PromotionClient;
 import org.carobstage.model.Address;
 import org.carobstage.model.InstanceId;
+import org.carobstage.peer.PeerTransport;
 import org.carobstage.route.RouteTable;
 import org.carobstage.runtime.Clock;
 import org.carobstage.store.MetadataStore;
@@ -56,6 +57,13 @@
      */
     PromotionClient promotionClient();
 
+    /**
+     * Returns the transport of messages between processes.
+     *
+     * @return the transport
+     */
+    PeerTransport peerTransport();
+
     /**
      * Decodes an entry of the metadata store.
      *
--- a/carobstage/src/main/java/org/carobstage/peer/PeerTransport.java
+++ b/carobstage/src/main/java/org/carobstage/peer/PeerTransport.java
@@ -1,6 +1,8 @@
 package org.carobstage.peer;
 
 import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
 import org.carobstage.model.Address;
 
@@ -17,8 +19,9 @@
      *
      * @param address the address to listen on
      * @param receiver creates the receiver of an accepted link
+     * @return completes with the listen address, or exceptionally if it cannot be used
      */
-    void listen(Address address, Function<Link, Receiver> receiver);
+    CompletionStage<Address> listen(Address address, Function<Link, Receiver> receiver);
 
     /**
      * Opens a link to another process.
@@ -58,7 +61,12 @@
          */
         void onMessage(byte[] message);
 
-        /** Called once when an open link is closed by either side. */
-        void onClosed();
+        /**
+         * Called once when an open link is closed by either side.
+         *
+         * @param fault the malformed frame or the exception of {@link #onMessage} that closed it,
+         *     or empty if it was closed or lost
+         */
+        void onClosed(Optional<Throwable> fault);
     }
 }
--- a/carobstage/src/test/java/org/carobstage/front/FakePlatformAdapter.java
+++ b/carobstage/src/test/java/org/carobstage/front/FakePlatformAdapter.java
@@ -10,10 +10,12 @@
 import java.util.function.Supplier;
 import org.carobstage.failover.PromotionClient;
 import org.carobstage.fake.FakeMetadataStore;
+import org.carobstage.fake.FakePeerNetwork;
 import org.carobstage.fake.FakeService;
 import org.carobstage.fake.MessageFilter;
 import org.carobstage.model.Address;
 import org.carobstage.model.InstanceId;
+import org.carobstage.peer.PeerTransport;
 import org.carobstage.route.RouteTable;
 import org.carobstage.runtime.ManualClock;
 import org.carobstage.store.MetadataStore;
@@ -29,6 +31,7 @@
     final FakeService service = FakeService.of(clock);
     final FakeMetadataStore store = FakeMetadataStore.of(clock);
     RouteTable routeTable = RouteTable.empty();
+    final FakePeerNetwork peers = FakePeerNetwork.of(clock);
     private final FakeMetadataStore.Client storeClient = store.client();
     private BiFunction<String, ClientChannel, ClientSession> sessionFactory;
     private BooleanSupplier readinessProbe = () -> false;
@@ -70,6 +73,11 @@
         return service.promotionClient(MessageFilter.NONE);
     }
 
+    @Override
+    public PeerTransport peerTransport() {
+        return peers.transport();
+    }
+
     @Override
     public DecodedEntry decode(StoreEntry entry) {
         if (entry.key().equals("routes")) {
