Add the public types of the distributed rate limit

Cause: the links between processes and the decisions are built at the same time and meet at these types. Measured: compiles.

--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaCounters.java
@@ -0,0 +1,12 @@
+package org.carobstage.quota;
+
+/**
+ * The decisions of one shard since the start of the process.
+ *
+ * @param permitted operations permitted, including those of the share
+ * @param rejected operations rejected
+ * @param standalonePermitted operations permitted by the equal share of this process
+ * @param requests messages sent to owners
+ */
+public record QuotaCounters(
+        long permitted, long rejected, long standalonePermitted, long requests) {}
