--- a/carobstage/src/main/java/org/carobstage/front/PrometheusExporter.java
+++ b/carobstage/src/main/java/org/carobstage/front/PrometheusExporter.java
@@ -22,7 +22,10 @@
 
     private PrometheusExporter() {}
 
-    static String export(ProxyMetrics metrics, Map<ServiceName, ServiceGroup> groups) {
+    static String export(
+            ProxyMetrics metrics,
+            Map<ServiceName, ServiceGroup> groups,
+            Map<String, Double> quotaMetrics) {
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         metrics.counters().forEach((name, value) -> add(registry, name, value));
         metrics.latencyHistograms()
@@ -46,6 +49,7 @@
                     add(registry, "open_connections" + label, group.openConnectionCount());
                     add(registry, "primary_term" + label, group.leadership().term().number());
                 });
+        quotaMetrics.forEach((name, value) -> add(registry, name, value));
         return registry.scrape();
     }
 
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import org.carobstage.discovery.InstanceEntry;
@@ -24,6 +25,8 @@
 import org.carobstage.model.Address;
 import org.carobstage.model.ServiceName;
 import org.carobstage.quota.OperationLimiter;
+import org.carobstage.quota.QuotaService;
+import org.carobstage.quota.QuotaSettings;
 import org.carobstage.route.RouteTable;
 import org.carobstage.runtime.Clock;
 import org.carobstage.store.StoreEntry;
@@ -46,6 +49,7 @@
     private final SessionContext context;
     private final UpstreamContext upstream;
     private final ClusterMembership membership;
+    private final Optional<QuotaService> quota;
     private final FailoverCoordinator failoverCoordinator;
     private final StoreWatcher storeWatcher;
     private final InstanceRegistry instanceRegistry = InstanceRegistry.empty();
@@ -69,12 +73,14 @@
         this.clock = adapter.clock();
         this.shutdownTimeout = settings.shutdownTimeout();
         this.events = EventLog.of(settings.vm(), clock, MAX_RETAINED_EVENTS);
+        this.quota = settings.quota().map(this::createQuotaService);
         this.context =
                 new SessionContext(
                         clock,
                         () -> routeTable,
                         name -> Optional.ofNullable(groups.get(name)),
-                        OperationLimiter.unlimited(),
+                        quota.<OperationLimiter>map(QuotaService::limiter)
+                                .orElseGet(OperationLimiter::unlimited),
                         RequestEventLog.of(events, clock),
                         metrics);
         this.upstream =
@@ -171,10 +177,10 @@
         lastTickNanos = clock.nanoTime();
         lastTickMillis = clock.instant().toEpochMilli();
         adapter.listenForClients(this::openSession).whenComplete(this::onListening);
-        adapter.listenForProbes(
-                () -> ready && !stopping, () -> PrometheusExporter.export(metrics, groups));
+        adapter.listenForProbes(() -> ready && !stopping, this::exportMetrics);
         storeWatcher.start();
         membership.join();
+        quota.ifPresent(QuotaService::start);
         clock.schedule(this::tick, TICK_INTERVAL);
     }
 
@@ -217,6 +223,7 @@
         try {
             membership.onStoreChange(entry);
             failoverCoordinator.onStoreChange(entry);
+            quota.ifPresent(q -> q.onStoreChange(entry));
         } catch (IllegalArgumentException e) {
             recordUnreadableEntry(entry.key(), String.valueOf(e.getMessage()));
         }
@@ -255,6 +262,22 @@
         group.put(entry);
     }
 
+    private QuotaService createQuotaService(QuotaSettings settings) {
+        return QuotaService.of(
+                settings,
+                events,
+                clock,
+                adapter.metadataStore(),
+                adapter.peerTransport(),
+                () -> routeTable.accounts(),
+                new SplittableRandom());
+    }
+
+    private String exportMetrics() {
+        Map<String, Double> quotaMetrics = quota.map(QuotaService::metrics).orElseGet(Map::of);
+        return PrometheusExporter.export(metrics, groups, quotaMetrics);
+    }
+
     private ServiceGroup createGroup(ServiceName name) {
         ServiceGroup group = ServiceGroup.of(name, upstream);
         failoverCoordinator.add(group);
@@ -267,6 +290,7 @@
 
     private void onStoreListed() {
         storeListed = true;
+        quota.ifPresent(QuotaService::onStoreListed);
     }
 
     private void onStoreReconnected() {
@@ -295,6 +319,7 @@
         all.forEach(ServiceGroup::tick);
         failoverCoordinator.setStoreReachable(storeWatcher.isReachable());
         failoverCoordinator.tick(all, membership.members(), membership.lease());
+        quota.ifPresent(q -> q.onMembers(membership.members(), membership.registeredAt()));
         ready = ready || storeListed && routeTable.isLoaded() && hasConnections();
         clock.schedule(this::tick, TICK_INTERVAL);
     }
@@ -336,6 +361,7 @@
         stopping = true;
         events.record(
                 EventCode.SHUTDOWN_STARTED, EventScope.empty(), "sessions=" + sessions.size());
+        quota.ifPresent(QuotaService::stopOwning);
         ShutdownSchedule schedule = ShutdownSchedule.of(shutdownTimeout);
         clock.schedule(() -> closeIdleSessions(schedule), schedule.readinessPropagationDelay());
         clock.schedule(this::abortTransactions, schedule.transactionAbortDelay());
@@ -376,6 +402,7 @@
         shutdownEnded = true;
         adapter.stopListening();
         membership.leave();
+        quota.ifPresent(QuotaService::close);
         events.record(EventCode.SHUTDOWN_ENDED, EventScope.empty(), "sessions=" + sessions.size());
         clock.schedule(stopped::countDown, TICK_INTERVAL);
     }
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServerSettings.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServerSettings.java
@@ -6,12 +6,16 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.carobstage.error.CodedException;
 import org.carobstage.error.ErrorCode;
 import org.carobstage.model.Address;
 import org.carobstage.model.FailureDomain;
 import org.carobstage.model.VmId;
+import org.carobstage.quota.QuotaPolicy;
+import org.carobstage.quota.QuotaSettings;
 import org.carobstage.settings.IniReader;
 import org.carobstage.settings.IniReader.Section;
 import org.carobstage.settings.ValidationResult;
@@ -30,6 +34,7 @@
  * @param fencingEnforced whether the platform rejects promotion requests with an outdated fencing
  *     token, and a promotion ends the leadership of the former primary at once
  * @param shutdownTimeout the maximum duration of a graceful shutdown
+ * @param quota how account limits are enforced, or empty if they are not
  */
 public record ProxyServerSettings(
         VmId vm,
@@ -40,8 +45,16 @@
         Address storeAddress,
         Address promotionAddress,
         boolean fencingEnforced,
-        Duration shutdownTimeout) {
+        Duration shutdownTimeout,
+        Optional<QuotaSettings> quota) {
     private static final Duration MAX_SHUTDOWN_TIMEOUT = Duration.ofMinutes(10);
+    private static final Duration MIN_QUOTA_WINDOW = Duration.ofSeconds(1);
+    private static final Duration MAX_QUOTA_WINDOW = Duration.ofHours(1);
+
+    /** A smaller excess leaves granted tokens too little time to be used. */
+    private static final double MIN_QUOTA_EXCESS = 0.01;
+
+    private static final int MAX_QUOTA_SLACK = 1_000_000;
 
     /** Rejects null components. */
     public ProxyServerSettings {
@@ -53,6 +66,43 @@
         requireNonNull(storeAddress, "storeAddress is null");
         requireNonNull(promotionAddress, "promotionAddress is null");
         requireNonNull(shutdownTimeout, "shutdownTimeout is null");
+        requireNonNull(quota, "quota is null");
+    }
+
+    /**
+     * Creates settings that do not enforce account limits.
+     *
+     * @param vm the VM that the process runs on
+     * @param failureDomain the failure domain of the VM
+     * @param clientAddress the address that accepts client connections
+     * @param readinessAddress the address that serves readiness probes
+     * @param metricsAddress the address that serves metrics
+     * @param storeAddress the address of the metadata store
+     * @param promotionAddress the address of the service that promotes instances
+     * @param fencingEnforced whether the platform rejects outdated fencing tokens
+     * @param shutdownTimeout the maximum duration of a graceful shutdown
+     */
+    public ProxyServerSettings(
+            VmId vm,
+            FailureDomain failureDomain,
+            Address clientAddress,
+            Address readinessAddress,
+            Address metricsAddress,
+            Address storeAddress,
+            Address promotionAddress,
+            boolean fencingEnforced,
+            Duration shutdownTimeout) {
+        this(
+                vm,
+                failureDomain,
+                clientAddress,
+                readinessAddress,
+                metricsAddress,
+                storeAddress,
+                promotionAddress,
+                fencingEnforced,
+                shutdownTimeout,
+                Optional.empty());
     }
 
     /**
@@ -98,6 +148,7 @@
                         .required(
                                 "limit",
                                 ValueParsers.duration(Duration.ZERO, MAX_SHUTDOWN_TIMEOUT));
+        Optional<QuotaSettings> quota = readQuota(ini);
         Supplier<ProxyServerSettings> settings =
                 () ->
                         new ProxyServerSettings(
@@ -109,7 +160,31 @@
                                 storeAddress,
                                 promotionAddress,
                                 fencingEnforced,
-                                shutdownTimeout);
+                                shutdownTimeout,
+                                quota);
         return ini.build(settings);
     }
+
+    private static Optional<QuotaSettings> readQuota(IniReader ini) {
+        Optional<Address> peerAddress = ini.section("peers").optional("listen", Address::parse);
+        if (!ini.hasSection("accounts")) {
+            return Optional.empty();
+        }
+        Section accounts = ini.section("accounts");
+        Optional<Duration> window =
+                read(accounts, "window", ValueParsers.duration(MIN_QUOTA_WINDOW, MAX_QUOTA_WINDOW));
+        Optional<Double> excess =
+                read(accounts, "excess", ValueParsers.fraction(MIN_QUOTA_EXCESS, 1));
+        Optional<Integer> slack = read(accounts, "slack", ValueParsers.integer(0, MAX_QUOTA_SLACK));
+        return window.isPresent() && excess.isPresent() && slack.isPresent()
+                ? Optional.of(
+                        new QuotaSettings(
+                                new QuotaPolicy(window.get(), excess.get(), slack.get()),
+                                peerAddress))
+                : Optional.empty();
+    }
+
+    private static <T> Optional<T> read(Section section, String key, Function<String, T> parser) {
+        return Optional.ofNullable(section.required(key, parser));
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/peer/PeerHello.java
+++ b/carobstage/src/main/java/org/carobstage/peer/PeerHello.java
@@ -19,6 +19,9 @@
 
     private static final int MAX_TEXT_LENGTH = 256;
 
+    /** Later versions may add elements, so that an earlier one can read their version. */
+    private static final int MAX_ELEMENTS = 16;
+
     /** Rejects null components. */
     public PeerHello {
         requireNonNull(vm, "vm is null");
@@ -48,7 +51,7 @@
      * @throws IllegalArgumentException if it is malformed
      */
     static PeerHello decode(byte[] message) {
-        JsonNode list = PeerMessage.decodeList(message, 3);
+        JsonNode list = PeerMessage.decodeList(message, 3, MAX_ELEMENTS);
         return new PeerHello(
                 (int) PeerMessage.requireNumber(list.get(0), 0, Integer.MAX_VALUE),
                 VmId.of(PeerMessage.requireText(list.get(1), MAX_TEXT_LENGTH)),
--- a/carobstage/src/main/java/org/carobstage/peer/PeerLink.java
+++ b/carobstage/src/main/java/org/carobstage/peer/PeerLink.java
@@ -76,7 +76,12 @@
         return peer.isPresent();
     }
 
-    boolean isOutgoing() {
+    /**
+     * Returns whether this process has opened the link.
+     *
+     * @return false if the other process has
+     */
+    public boolean isOutgoing() {
         return outgoing;
     }
 
--- a/carobstage/src/main/java/org/carobstage/peer/PeerMessage.java
+++ b/carobstage/src/main/java/org/carobstage/peer/PeerMessage.java
@@ -40,15 +40,16 @@
      * Decodes a message that is a list.
      *
      * @param message the encoded message
-     * @param size the number of elements that it must have
+     * @param minSize the smallest number of elements
+     * @param maxSize the largest number of elements
      * @return the list
      * @throws IllegalArgumentException if the message is malformed or has another number of
      *     elements
      */
-    public static JsonNode decodeList(byte[] message, int size) {
+    public static JsonNode decodeList(byte[] message, int minSize, int maxSize) {
         requireComplete(message);
         try {
-            return requireList(MAPPER.readTree(message), size, size);
+            return requireList(MAPPER.readTree(message), minSize, maxSize);
         } catch (IOException | MessagePackException e) {
             throw new IllegalArgumentException("malformed message: " + e.getMessage(), e);
         }
--- a/carobstage/src/main/java/org/carobstage/settings/IniReader.java
+++ b/carobstage/src/main/java/org/carobstage/settings/IniReader.java
@@ -62,6 +62,16 @@
         return sectionsRead.computeIfAbsent(name, n -> new Section(n, ini.get(n)));
     }
 
+    /**
+     * Returns whether the text contains a section, possibly without keys.
+     *
+     * @param name the section's name
+     * @return true if it does
+     */
+    public boolean hasSection(String name) {
+        return ini.containsKey(name);
+    }
+
     /**
      * Returns the sections whose names consist of a type and a subsection name, such as {@code
      * [class filing]}.
--- a/carobstage/src/main/java/org/carobstage/settings/ValueParsers.java
+++ b/carobstage/src/main/java/org/carobstage/settings/ValueParsers.java
@@ -5,10 +5,13 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.function.Function;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 /** Parsers of INI values; each throws {@link IllegalArgumentException} if the text is malformed. */
 public final class ValueParsers {
+    private static final Pattern FRACTION = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?");
+
     private ValueParsers() {}
 
     /**
@@ -55,6 +58,22 @@
         return text -> (int) (long) requireInRange(wholeNumber(text), (long) min, (long) max);
     }
 
+    /**
+     * Creates a parser of fractions within a range.
+     *
+     * @param min the lowest value allowed
+     * @param max the highest value allowed
+     * @return the parser
+     */
+    public static Function<String, Double> fraction(double min, double max) {
+        return text -> {
+            if (!FRACTION.matcher(text).matches()) {
+                throw new IllegalArgumentException("not a decimal fraction: " + text);
+            }
+            return requireInRange(Double.valueOf(text), min, max);
+        };
+    }
+
     /**
      * Creates a parser of the constants of an enum, case-insensitive.
      *
