--- a/carobstage/src/main/java/org/carobstage/quota/ShardClaim.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardClaim.java
@@ -116,14 +116,19 @@
         if (!observed || calling || heldAt.isPresent() || situation.stopping()) {
             return new Action.None();
         }
-        long dueNanos = freeSinceNanos + delay(situation).toNanos();
-        if (situation.nowNanos() - dueNanos < 0 || situation.nowNanos() - retryNanos < 0) {
+        if (situation.nowNanos() - retryNanos < 0) {
             return new Action.None();
         }
         if (entry.isEmpty()) {
-            return situation.mayAcquire() ? new Action.Acquire() : new Action.None();
+            boolean isTurn =
+                    situation
+                            .mayAcquireSince()
+                            .filter(since -> isTurn(Math.max(since, freeSinceNanos), situation))
+                            .isPresent();
+            return isTurn ? new Action.Acquire() : new Action.None();
         }
-        return owner.filter(o -> isUnused(o, situation.era())).isPresent()
+        return isTurn(freeSinceNanos, situation)
+                        && owner.filter(o -> isUnused(o, situation.era())).isPresent()
                 ? new Action.Delete(entry.get().revision())
                 : new Action.None();
     }
@@ -147,10 +152,12 @@
         return named.era() < era || named.isProcess(vm, run) && heldAt.isEmpty();
     }
 
-    private Duration delay(Situation situation) {
-        return RANK_DELAY
-                .multipliedBy(situation.rank())
-                .plus(DELAY_PER_OWNED_SHARD.multipliedBy(situation.ownedShards()));
+    private static boolean isTurn(long sinceNanos, Situation situation) {
+        Duration delay =
+                RANK_DELAY
+                        .multipliedBy(situation.rank())
+                        .plus(DELAY_PER_OWNED_SHARD.multipliedBy(situation.ownedShards()));
+        return situation.nowNanos() - sinceNanos >= delay.toNanos();
     }
 
     /**
@@ -159,8 +166,8 @@
      * @param nowNanos the monotonic time
      * @param era the era of the store
      * @param lease the current lease
-     * @param mayAcquire whether the process may own shards, and an owner of an earlier era has
-     *     stopped
+     * @param mayAcquireSince the monotonic time since which the process may own shards, as an owner
+     *     of an earlier era has stopped; empty if it may not
      * @param stopping whether the process owns no shard any more
      * @param rank the number of members that try before this process
      * @param ownedShards the number of shards that it owns
@@ -169,7 +176,7 @@
             long nowNanos,
             long era,
             Optional<LeaseId> lease,
-            boolean mayAcquire,
+            Optional<Long> mayAcquireSince,
             boolean stopping,
             int rank,
             int ownedShards) {}
--- a/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
@@ -227,7 +227,7 @@
                 nowNanos,
                 store.era().current(),
                 lease.id(),
-                needed && address.isPresent() && formerOwnerStopped,
+                formerOwnersStopped.filter(stopped -> needed && address.isPresent()),
                 stopping,
                 RendezvousOrder.rank(key(shard), vm, members),
                 (int) claims.values().stream().filter(ShardClaim::isHeldOrCalling).count());
