Decide operations with tokens of a shard's owner or the equal share

Cause: a limit holds over all processes together, without a call to the store per operation. Ruled out: capacities of burst / members for the shares: they add up to a second burst while the owner's bucket is full.

--- a/carobstage/src/main/java/org/carobstage/quota/QuotaCounters.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaCounters.java
@@ -9,4 +9,20 @@
  * @param requests messages sent to owners
  */
 public record QuotaCounters(
-        long permitted, long rejected, long standalonePermitted, long requests) {}
+        long permitted, long rejected, long standalonePermitted, long requests) {
+    QuotaCounters withPermitted() {
+        return new QuotaCounters(permitted + 1, rejected, standalonePermitted, requests);
+    }
+
+    QuotaCounters withRejected() {
+        return new QuotaCounters(permitted, rejected + 1, standalonePermitted, requests);
+    }
+
+    QuotaCounters withStandalonePermitted() {
+        return new QuotaCounters(permitted, rejected, standalonePermitted + 1, requests);
+    }
+
+    QuotaCounters withRequest() {
+        return new QuotaCounters(permitted, rejected, standalonePermitted, requests + 1);
+    }
+}
--- a/carobstage/src/main/java/org/carobstage/quota/QuotaLimiter.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaLimiter.java
@@ -1,11 +1,14 @@
 package org.carobstage.quota;
 
+import static java.util.Objects.requireNonNull;
+
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.carobstage.account.RateLimit;
 import org.carobstage.freshness.ClockReading;
 import org.carobstage.model.AccountName;
@@ -17,7 +20,35 @@
     /** The interval at which {@link #onTick} has to be called. */
     public static final Duration TICK_INTERVAL = Duration.ofMillis(10);
 
-    private QuotaLimiter() {}
+    private static final int LONGEST_NAME_IN_LOG = 64;
+
+    private final Clock clock;
+    private final Membership membership = Membership.empty();
+    private final Map<QuotaShard, QuotaShardClient> clients;
+
+    private QuotaLimiter(
+            VmId self,
+            QuotaPolicy policy,
+            Function<AccountName, Optional<RateLimit>> limits,
+            QuotaRequestSender sender,
+            Clock clock) {
+        this.clock = requireNonNull(clock, "clock is null");
+        ClockReading now = ClockReading.now(clock);
+        this.clients =
+                QuotaShard.all().stream()
+                        .collect(
+                                Collectors.toUnmodifiableMap(
+                                        Function.identity(),
+                                        shard ->
+                                                QuotaShardClient.of(
+                                                        shard,
+                                                        self,
+                                                        policy,
+                                                        membership,
+                                                        limits,
+                                                        sender,
+                                                        now)));
+    }
 
     /**
      * Creates a limiter that knows no owner.
@@ -35,16 +66,20 @@
             Function<AccountName, Optional<RateLimit>> limits,
             QuotaRequestSender sender,
             Clock clock) {
-        return new QuotaLimiter();
+        return new QuotaLimiter(self, policy, limits, sender, clock);
     }
 
     @Override
     public void acquire(AccountName account, Consumer<Decision> callback) {
-        callback.accept(new Decision.Permitted());
+        requireNonNull(callback, "callback is null");
+        clients.get(QuotaShard.of(account)).acquire(account, callback, ClockReading.now(clock));
     }
 
     /** Rejects operations that have waited for too long and sends the messages that are due. */
-    public void onTick() {}
+    public void onTick() {
+        ClockReading now = ClockReading.now(clock);
+        clients.values().forEach(client -> client.onTick(now));
+    }
 
     /**
      * Accepts a response; one that is late, repeated or not from the owner has no effect.
@@ -52,22 +87,30 @@
      * @param from the VM that has sent the response
      * @param response the response
      */
-    public void onResponse(VmId from, QuotaResponse response) {}
+    public void onResponse(VmId from, QuotaResponse response) {
+        clients.get(response.shard()).onResponse(from, response, ClockReading.now(clock));
+    }
 
     /**
-     * Sets the owner of a shard.
+     * Sets the owner of a shard. To be called for every new ownership, also if the same VM owns the
+     * shard again.
      *
      * @param shard the shard
      * @param owner the VM that owns it, or empty if no owner is known
      */
-    public void onOwnerChanged(QuotaShard shard, Optional<VmId> owner) {}
+    public void onOwnerChanged(QuotaShard shard, Optional<VmId> owner) {
+        clients.get(shard).onOwnerChanged(owner, ClockReading.now(clock));
+    }
 
     /**
      * Sets the processes that are registered in the store.
      *
      * @param members the members, including this process
      */
-    public void onMembers(Set<VmId> members) {}
+    public void onMembers(Set<VmId> members) {
+        onTick();
+        membership.onMembers(members, ClockReading.now(clock));
+    }
 
     /**
      * Confirms that this process is registered in the store. The equal share is used only for 15 s
@@ -77,7 +120,10 @@
      * @param requestedAt the reading before the successful call to the store (registration or
      *     renewal of its lease) was sent
      */
-    public void onRegistered(ClockReading requestedAt) {}
+    public void onRegistered(ClockReading requestedAt) {
+        onTick();
+        membership.onRegistered(requestedAt);
+    }
 
     /**
      * Returns the counters by shard.
@@ -85,7 +131,10 @@
      * @return the counters of every shard
      */
     public Map<QuotaShard, QuotaCounters> counters() {
-        return Map.of();
+        return clients.entrySet().stream()
+                .collect(
+                        Collectors.toUnmodifiableMap(
+                                Map.Entry::getKey, entry -> entry.getValue().counters()));
     }
 
     /**
@@ -96,6 +145,12 @@
      *     age of its last response
      */
     public String describe(AccountName account) {
-        return "";
+        String name = account.value();
+        String shown =
+                name.length() <= LONGEST_NAME_IN_LOG
+                        ? name
+                        : name.substring(0, LONGEST_NAME_IN_LOG) + "...";
+        QuotaShardClient client = clients.get(QuotaShard.of(account));
+        return "account " + shown + ", " + client.describe(account, ClockReading.now(clock));
     }
 }
--- a/carobstage/src/main/java/org/carobstage/quota/QuotaResponse.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaResponse.java
@@ -11,7 +11,8 @@
  * @param shard the shard of the request
  * @param sequence the sequence of the request
  * @param owner whether the responding process owns the shard and grants tokens
- * @param grants the grants by account; an account without one has no limit
+ * @param grants the grants by account; an account without one gets no tokens, as when its limit is
+ *     not known to the owner yet
  */
 public record QuotaResponse(
         QuotaShard shard, long sequence, boolean owner, Map<AccountName, Grant> grants) {
