--- a/carobstage/src/main/java/org/carobstage/quota/QuotaService.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaService.java
@@ -49,7 +49,7 @@
     private final ShardOwnership ownership;
     private final PeerLinks links;
     private final Map<VmId, Long> memberSeenNanos = new HashMap<>();
-    private final Map<QuotaShard, Optional<VmId>> owners = new HashMap<>();
+    private final Map<QuotaShard, Optional<ShardOwner>> owners = new HashMap<>();
     private final Map<QuotaShard, StandalonePeriod> standalone = new LinkedHashMap<>();
     private final Map<QuotaShard, Long> grants = new HashMap<>();
     private long linkTickNanos;
@@ -238,9 +238,9 @@
 
     private void updateOwners() {
         for (QuotaShard shard : QuotaShard.all()) {
-            Optional<VmId> owner = ownership.owner(shard).map(ShardOwner::vm);
+            Optional<ShardOwner> owner = ownership.owner(shard);
             if (!owner.equals(owners.put(shard, owner))) {
-                limiter.onOwnerChanged(shard, owner);
+                limiter.onOwnerChanged(shard, owner.map(ShardOwner::vm));
             }
         }
         if (settings.peerAddress().isPresent()) {
--- a/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
@@ -221,8 +221,10 @@
 
     private Situation situation(QuotaShard shard) {
         long nowNanos = clock.nanoTime();
-        boolean formerOwnerStopped =
-                eraSinceNanos.filter(since -> nowNanos - since >= ERA_DELAY.toNanos()).isPresent();
+        Optional<Long> formerOwnersStopped =
+                eraSinceNanos
+                        .map(since -> since + ERA_DELAY.toNanos())
+                        .filter(stopped -> nowNanos - stopped >= 0);
         return new Situation(
                 nowNanos,
                 store.era().current(),
