--- a/carobstage/src/main/java/org/carobstage/peer/PeerMessage.java
+++ b/carobstage/src/main/java/org/carobstage/peer/PeerMessage.java
@@ -3,7 +3,6 @@
 import static java.util.Objects.requireNonNull;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
@@ -16,9 +15,7 @@
 
 /** Encodes messages between processes in MessagePack and checks them when they are decoded. */
 public final class PeerMessage {
-    private static final ObjectMapper MAPPER =
-            new ObjectMapper(new MessagePackFactory())
-                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+    private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
 
     private PeerMessage() {}
 
