--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/quota/QuotaServiceTest.java
@@ -0,0 +1,139 @@
+package org.carobstage.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.carobstage.event.EventCode;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Each run checks the hard bound in every window, and that every operation is decided in time. */
+class QuotaServiceTest {
+    private static final Duration SECONDS_5 = Duration.ofSeconds(5);
+
+    private final QuotaFleet fleet = QuotaFleet.of(4);
+
+    @BeforeEach
+    void start() {
+        fleet.clock.advance(Duration.ofSeconds(6));
+    }
+
+    // The operations of an account may all arrive at one process, which is not its owner.
+    @Test
+    void shouldPermitWholeRateWhenAllOperationsArriveAtOneProcess() {
+        QuotaFleet.Process entry = fleet.notOwner();
+        fleet.runWithLoad(Duration.ofSeconds(10), 150, Set.of(entry));
+
+        assertThat(fleet.permittedIn(SECONDS_5)).isBetween(190L, 210L);
+    }
+
+    @Test
+    void shouldUseEqualShareWhenLinkToOwnerIsSilent() {
+        fleet.runWithLoad(SECONDS_5);
+        QuotaFleet.Process owner = fleet.owner();
+        QuotaFleet.Process client = fleet.notOwner();
+        double before = client.metric("quota_standalone_seconds_total");
+        owner.setLinksSilent(true);
+        fleet.runWithLoad(SECONDS_5);
+        assertThat(codes(client)).contains(EventCode.QUOTA_STANDALONE_STARTED);
+        assertThat(fleet.permittedIn(Duration.ofSeconds(3))).isBetween(90L, 130L);
+        owner.setLinksSilent(false);
+        fleet.runWithLoad(SECONDS_5);
+
+        assertThat(codes(client)).contains(EventCode.QUOTA_STANDALONE_ENDED);
+        assertThat(client.metric("quota_standalone_seconds_total") - before).isBetween(4.0, 6.0);
+    }
+
+    // Around a planned stop, the former and the next owner must not both grant.
+    @Test
+    void shouldHandOverWithinBoundWhenOwnerStopsUnderLoad() {
+        fleet.runWithLoad(SECONDS_5);
+        QuotaFleet.Process owner = fleet.owner();
+        owner.service.stopOwning();
+        assertThat(owner.isOwner()).isFalse();
+        fleet.runWithLoad(SECONDS_5);
+
+        assertThat(fleet.owner()).isNotSameAs(owner);
+        assertThat(fleet.permittedIn(Duration.ofSeconds(3))).isBetween(100L, 140L);
+    }
+
+    // A frozen owner resumes with buckets that another process has spent meanwhile.
+    @Test
+    void shouldKeepBoundWhenOwnerIsFrozenAndResumes() {
+        fleet.runWithLoad(SECONDS_5);
+        QuotaFleet.Process frozen = fleet.owner();
+        frozen.pause();
+        fleet.runWithLoad(Duration.ofSeconds(6));
+        frozen.resume();
+        fleet.runWithLoad(SECONDS_5);
+
+        assertThat(fleet.owner()).isNotSameAs(frozen);
+    }
+
+    // Less than the lease: the work of a process that was only slow must not move elsewhere.
+    @Test
+    void shouldKeepOwnerWhenItIsFrozenBriefly() {
+        fleet.runWithLoad(SECONDS_5);
+        QuotaFleet.Process frozen = fleet.owner();
+        frozen.pause();
+        fleet.runWithLoad(Duration.ofMillis(800));
+        frozen.resume();
+        fleet.runWithLoad(SECONDS_5);
+
+        assertThat(fleet.owner()).isSameAs(frozen);
+        assertThat(fleet.permittedIn(Duration.ofSeconds(3))).isBetween(100L, 140L);
+    }
+
+    // A process that replaces another one on its VM must not use what its predecessor was granted.
+    @Test
+    void shouldKeepBoundWhenProcessesAreReplaced() {
+        fleet.runWithLoad(SECONDS_5);
+        for (int i = 0; i < 3; i++) {
+            QuotaFleet.Process replaced = i == 1 ? fleet.owner() : fleet.notOwner();
+            replaced.pause();
+            fleet.launch(replaced.vm);
+            fleet.runWithLoad(Duration.ofSeconds(4));
+        }
+
+        assertThat(fleet.permittedIn(Duration.ofSeconds(2))).isBetween(60L, 100L);
+    }
+
+    @Test
+    void shouldKeepBoundWhenStoreIsAwayAndReturns() {
+        fleet.runWithLoad(SECONDS_5);
+        fleet.processes.values().forEach(p -> p.client.setReachable(false));
+        fleet.runWithLoad(Duration.ofSeconds(9));
+        fleet.processes.values().forEach(p -> p.client.setReachable(true));
+        fleet.runWithLoad(Duration.ofSeconds(9));
+
+        assertThat(fleet.permittedIn(Duration.ofSeconds(3))).isBetween(100L, 140L);
+    }
+
+    @Test
+    void shouldKeepBoundWhenStoreIsRestored() {
+        fleet.store.copy();
+        fleet.runWithLoad(SECONDS_5);
+        fleet.store.restore();
+        fleet.runWithLoad(Duration.ofSeconds(9));
+
+        assertThat(fleet.permittedIn(Duration.ofSeconds(3))).isBetween(100L, 140L);
+    }
+
+    // Links that are reset again and again must not stop the decisions.
+    @Test
+    void shouldKeepBoundWhenLinksAreResetRepeatedly() {
+        for (int i = 0; i < 20; i++) {
+            fleet.runWithLoad(Duration.ofMillis(700));
+            fleet.network.resetAll();
+        }
+        fleet.runWithLoad(SECONDS_5);
+
+        assertThat(fleet.permittedIn(Duration.ofSeconds(3))).isBetween(100L, 140L);
+    }
+
+    private static List<EventCode> codes(QuotaFleet.Process process) {
+        return process.events.localEvents().stream().map(e -> e.code()).toList();
+    }
+}
