--- a/carobstage/src/main/java/org/carobstage/front/PrometheusExporter.java
+++ b/carobstage/src/main/java/org/carobstage/front/PrometheusExporter.java
@@ -23,7 +23,10 @@
 
     private PrometheusExporter() {}
 
-    static String export(ProxyMetrics metrics, Map<ServiceName, ServiceGroup> groups) {
+    static String export(
+            ProxyMetrics metrics,
+            Map<ServiceName, ServiceGroup> groups,
+            Map<String, Double> quotaMetrics) {
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         metrics.counters().forEach((name, value) -> add(registry, name, value));
         metrics.latencyHistograms()
@@ -48,6 +51,7 @@
                     addConnectionCounters(registry, label, group.connectionCounters());
                     add(registry, "primary_term" + label, group.leadership().term().number());
                 });
+        quotaMetrics.forEach((name, value) -> add(registry, name, value));
         return registry.scrape();
     }
 
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import org.carobstage.account.ApiKey;
@@ -25,6 +26,8 @@
 import org.carobstage.model.Address;
 import org.carobstage.model.ServiceName;
 import org.carobstage.quota.OperationLimiter;
+import org.carobstage.quota.QuotaService;
+import org.carobstage.quota.QuotaSettings;
 import org.carobstage.route.RouteTable;
 import org.carobstage.runtime.Clock;
 import org.carobstage.runtime.FailureIsolation;
@@ -49,6 +52,7 @@
     private final SessionContext context;
     private final UpstreamContext upstream;
     private final ClusterMembership membership;
+    private final Optional<QuotaService> quota;
     private final FailoverCoordinator failoverCoordinator;
     private final StoreWatcher storeWatcher;
     private final InstanceRegistry instanceRegistry = InstanceRegistry.empty();
@@ -80,12 +84,14 @@
                                         EventCode.TASK_FAILED,
                                         EventScope.empty(),
                                         task + " failed: " + e));
+        this.quota = settings.quota().map(this::createQuotaService);
         this.context =
                 new SessionContext(
                         clock,
                         () -> routeTable,
                         name -> Optional.ofNullable(groups.get(name)),
-                        OperationLimiter.unlimited(),
+                        quota.<OperationLimiter>map(QuotaService::limiter)
+                                .orElseGet(OperationLimiter::unlimited),
                         RequestEventLog.of(events, clock),
                         metrics);
         this.upstream =
@@ -182,10 +188,10 @@
         lastTickNanos = clock.nanoTime();
         lastTickMillis = clock.instant().toEpochMilli();
         adapter.listenForClients(this::openSession).whenComplete(this::onListening);
-        adapter.listenForProbes(
-                () -> ready && !stopping, () -> PrometheusExporter.export(metrics, groups));
+        adapter.listenForProbes(() -> ready && !stopping, this::exportMetrics);
         storeWatcher.start();
         membership.join();
+        quota.ifPresent(QuotaService::start);
         clock.schedule(this::tick, TICK_INTERVAL);
     }
 
@@ -229,6 +235,7 @@
         try {
             membership.onStoreChange(entry);
             failoverCoordinator.onStoreChange(entry);
+            quota.ifPresent(q -> q.onStoreChange(entry));
         } catch (IllegalArgumentException e) {
             recordUnreadableEntry(entry.key(), String.valueOf(e.getMessage()));
         }
@@ -272,6 +279,22 @@
         group.put(entry);
     }
 
+    private QuotaService createQuotaService(QuotaSettings settings) {
+        return QuotaService.of(
+                settings,
+                events,
+                clock,
+                adapter.metadataStore(),
+                adapter.peerTransport(),
+                () -> routeTable.accounts(),
+                new SplittableRandom());
+    }
+
+    private String exportMetrics() {
+        Map<String, Double> quotaMetrics = quota.map(QuotaService::metrics).orElseGet(Map::of);
+        return PrometheusExporter.export(metrics, groups, quotaMetrics);
+    }
+
     private ServiceGroup createGroup(ServiceName name) {
         ServiceGroup group = ServiceGroup.of(name, upstream);
         failoverCoordinator.add(group);
@@ -284,6 +307,7 @@
 
     private void onStoreListed() {
         storeListed = true;
+        quota.ifPresent(QuotaService::onStoreListed);
     }
 
     private void onStoreReconnected() {
@@ -310,6 +334,7 @@
         isolation.run("updating connection limits", this::updateConnectionLimits);
         all.forEach(group -> isolation.run("tick of " + group.name(), group::tick));
         isolation.run("tick of failovers", () -> tickFailovers(all));
+        isolation.run("updating quota members", this::updateQuotaMembers);
         ready = ready || storeListed && routeTable.isLoaded() && hasConnections();
     }
 
@@ -324,6 +349,10 @@
         failoverCoordinator.tick(all, membership.members(), membership.lease());
     }
 
+    private void updateQuotaMembers() {
+        quota.ifPresent(q -> q.onMembers(membership.members(), membership.registeredAt()));
+    }
+
     private boolean hasConnections() {
         return groups.isEmpty()
                 || groups.values().stream().anyMatch(g -> g.openConnectionCount() > 0);
@@ -361,6 +390,7 @@
         stopping = true;
         events.record(
                 EventCode.SHUTDOWN_STARTED, EventScope.empty(), "sessions=" + sessions.size());
+        quota.ifPresent(QuotaService::stopOwning);
         ShutdownSchedule schedule = ShutdownSchedule.of(shutdownTimeout);
         clock.schedule(() -> closeIdleSessions(schedule), schedule.readinessPropagationDelay());
         clock.schedule(this::abortTransactions, schedule.transactionAbortDelay());
@@ -401,6 +431,7 @@
         shutdownEnded = true;
         adapter.stopListening();
         membership.leave();
+        quota.ifPresent(QuotaService::close);
         events.record(EventCode.SHUTDOWN_ENDED, EventScope.empty(), "sessions=" + sessions.size());
         clock.schedule(stopped::countDown, TICK_INTERVAL);
     }
