Survive failing decoders and ticks, answer clients at the end of a stop

Cause: four faults, each shown by a test that failed first. - An exception thrown while a store entry is applied ended the watch, so that no later configuration was read (ProxyServerFaultTest). - An exception in a tick ended all later ticks. - A client that always has statements ahead of the answers was served until the process exited, which cut off its last statements. - A transaction with a statement in progress when idle transactions are rolled back was served until the process exited.

Change: ProxyServer records an entry that fails as unreadable, without its text, and schedules the next tick first. Midway between the rollback of idle transactions and the exit no more statements start: those that were sent complete, others are answered as not run (EndingSession, as for revoked keys).

Ruled out: repeated work after a lost response; writes and commits without a response are reported as unknown and not retried (ClientSessionTest).

Open: a connector that throws leaves openingCount of its pool too high (package upstream, not changed here).

--- a/carobstage/src/main/java/org/carobstage/front/ClientSession.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientSession.java
@@ -31,18 +31,17 @@
     /** A client counts as idle this long after its session opened or its last result was sent. */
     private static final Duration IDLE_THRESHOLD = Duration.ofMillis(200);
 
-    private static final Duration ACCESS_POLL_INTERVAL = Duration.ofMillis(50);
-
     /**
-     * How long a session with a revoked key is kept for the statement that tells its client of the
-     * rollback; clients that continue a transaction do so within its idle timeout of 3 s.
+     * How long a session that ends is kept for the statement that tells its client; clients that
+     * continue a transaction do so within its idle timeout of 3 s.
      */
-    private static final Duration ROLLBACK_NOTIFICATION_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration LAST_ANSWER_TIMEOUT = Duration.ofSeconds(10);
 
     private final SessionContext context;
     private final ClientChannel channel;
     private final String database;
     private final Runnable onClosed;
+    private final SessionOpening opening;
     private ApiKey key;
     private Optional<AccountName> account = Optional.empty();
     private final Map<String, String> sessionVariables = new LinkedHashMap<>();
@@ -50,13 +49,13 @@
     private final Deque<PendingStatement> queue = new ArrayDeque<>();
     private Optional<ClientTransaction> transaction = Optional.empty();
     private Optional<StatementExecution> activeExecution = Optional.empty();
-    private Optional<RevokedSession> ending = Optional.empty();
+    private Optional<EndingSession.Reason> endReason = Optional.empty();
+    private Optional<EndingSession> ending = Optional.empty();
     private LogPosition lastWritePosition = LogPosition.empty();
     private long lastActivityNanos;
     private boolean open;
     private boolean busy;
     private boolean stopping;
-    private boolean revoked;
     private boolean closed;
 
     ClientSession(
@@ -70,6 +69,7 @@
         this.database = requireNonNull(database, "database is null");
         this.key = requireNonNull(key, "key is null");
         this.onClosed = onClosed;
+        this.opening = new SessionOpening(context, database, key, this::onGranted, this::onRefused);
     }
 
     /**
@@ -96,6 +96,7 @@
             return;
         }
         closed = true;
+        opening.cancel();
         queue.clear();
         activeExecution.ifPresent(StatementExecution::cancel);
         transaction.ifPresent(t -> t.rollback(""));
@@ -104,7 +105,7 @@
     }
 
     void open() {
-        awaitAccess(Duration.ZERO);
+        opening.start();
     }
 
     /** Closes the session once no statement is in progress and none is likely to be in transit. */
@@ -126,7 +127,7 @@
     boolean isRevokedBy(RouteTable table) {
         return open
                 && !closed
-                && !revoked
+                && endReason.isEmpty()
                 && !SessionAccess.isStillGranted(table, database, key, account);
     }
 
@@ -136,10 +137,19 @@
      */
     void revoke() {
         context.metrics().recordRejection(RejectionCause.REVOKED);
-        revoked = true;
-        activeExecution.ifPresent(StatementExecution::revoke);
-        transaction.ifPresent(ClientTransaction::revoke);
-        processNext();
+        end(EndingSession.Reason.REVOKED);
+    }
+
+    /**
+     * Ends the session because the process is about to exit: a statement that was sent to an
+     * instance completes, the next one is answered without running.
+     */
+    void endForShutdown() {
+        stopping = true;
+        opening.refuse(FailureCode.BUSY);
+        if (!closed && endReason.isEmpty()) {
+            end(EndingSession.Reason.STOPPING);
+        }
     }
 
     Optional<AccountName> account() {
@@ -162,33 +172,7 @@
         lastWritePosition = lastWritePosition.max(position);
     }
 
-    /** Replaces the client's name of a prepared statement by the name shared by all sessions. */
-    Statement withSharedName(Statement statement, Optional<PreparedStatement> preparedStatement) {
-        if (statement instanceof Statement.Execute execute && preparedStatement.isPresent()) {
-            return new Statement.Execute(preparedStatement.get().sharedName(), execute.arguments());
-        }
-        return statement;
-    }
-
-    private void awaitAccess(Duration waited) {
-        if (closed) {
-            return;
-        }
-        RouteTable table = context.routeTable().get();
-        SessionAccess access = SessionAccess.decide(table, database, key, waited);
-        if (access instanceof SessionAccess.Granted granted) {
-            grant(granted.account());
-        } else if (access instanceof SessionAccess.Refused refused) {
-            refuse(refused.code(), table.version());
-        } else {
-            context.clock()
-                    .schedule(
-                            () -> awaitAccess(waited.plus(ACCESS_POLL_INTERVAL)),
-                            ACCESS_POLL_INTERVAL);
-        }
-    }
-
-    private void grant(Optional<AccountName> newAccount) {
+    private void onGranted(Optional<AccountName> newAccount) {
         account = newAccount;
         if (account.isEmpty()) {
             // It may be as long as a message, and is not needed.
@@ -201,36 +185,34 @@
         processNext();
     }
 
-    private void refuse(FailureCode code, long version) {
-        boolean unauthorized = code == FailureCode.UNAUTHORIZED;
-        if (unauthorized) {
-            context.metrics().recordRejection(RejectionCause.UNKNOWN_KEY);
-        }
-        context.requestLog()
-                .record(
-                        unauthorized ? EventCode.SESSION_UNAUTHORIZED : EventCode.SESSION_ENDED,
-                        database,
-                        "",
-                        "code=" + code + " version=" + version);
-        channel.reject(Failure.of(code, unauthorized ? "no account holds this API key" : database));
+    private void onRefused(Failure failure) {
+        channel.reject(failure);
         onDisconnect();
     }
 
-    /** Answers the remaining statements and closes the session, in which none is in progress. */
-    private void endRevoked() {
+    private void end(EndingSession.Reason reason) {
+        endReason = Optional.of(reason);
+        activeExecution.ifPresent(e -> e.end(reason));
+        transaction.ifPresent(t -> t.end(reason));
+        processNext();
+    }
+
+    /** Answers the remaining statements; closes the session unless it waits for one more. */
+    private void answerRemaining(EndingSession.Reason reason) {
         if (ending.isEmpty()) {
-            transaction.ifPresent(t -> t.abort("key revoked"));
-            boolean notificationPending =
+            transaction.ifPresent(t -> t.abort(reason.label()));
+            boolean rollbackUnknown =
                     transaction.map(ClientTransaction::pollRollbackNotification).orElse(false);
-            ending = Optional.of(RevokedSession.of(transaction.isPresent(), notificationPending));
+            // At a stop a statement may be in transit, which must be answered.
+            boolean answerPending = rollbackUnknown || reason == EndingSession.Reason.STOPPING;
+            ending = Optional.of(EndingSession.of(reason, transaction.isPresent(), answerPending));
+            context.clock().schedule(() -> close(reason.label()), LAST_ANSWER_TIMEOUT);
         }
         while (!queue.isEmpty()) {
             channel.sendResult(ending.get().answer(queue.poll().statement()));
         }
-        if (ending.get().isNotificationPending()) {
-            context.clock().schedule(() -> close("revoked"), ROLLBACK_NOTIFICATION_TIMEOUT);
-        } else {
-            close("revoked");
+        if (!ending.get().isAnswerPending()) {
+            close(reason.label());
         }
     }
 
@@ -238,8 +220,8 @@
         if (!open || closed || busy) {
             return;
         }
-        if (revoked) {
-            endRevoked();
+        if (endReason.isPresent()) {
+            answerRemaining(endReason.get());
             return;
         }
         if (queue.isEmpty()) {
--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -57,7 +57,7 @@
     private boolean hasWritten;
     private boolean failed;
     private boolean rollbackNotificationPending;
-    private boolean revoked;
+    private Optional<EndingSession.Reason> endReason = Optional.empty();
     private boolean ended;
 
     ClientTransaction(
@@ -150,17 +150,17 @@
     }
 
     /**
-     * Rolls back the transaction because the key of its session was revoked. A statement that was
-     * sent completes first, and the session then calls {@link #abort}.
+     * Rolls back the transaction because its session ends. A statement that was sent completes
+     * first, and the session then calls {@link #abort}.
      */
-    void revoke() {
-        revoked = true;
+    void end(EndingSession.Reason reason) {
+        endReason = Optional.of(reason);
         if (resultCallback.isPresent() && !awaitingResult) {
             connectionRequest.ifPresent(group::cancel);
             if (retryTimer.isEmpty()) {
                 connection.ifPresent(PooledConnection::discard);
             }
-            fail(FailureCode.ROLLED_BACK, RevokedSession.REASON);
+            fail(FailureCode.ROLLED_BACK, reason.text());
         }
     }
 
@@ -338,7 +338,7 @@
                     pooled.send(
                             currentId,
                             Optional.empty(),
-                            session.withSharedName(currentStatement, prepared),
+                            PreparedStatement.withSharedName(currentStatement, prepared),
                             result -> onResult(pooled, result));
                 });
     }
@@ -362,8 +362,8 @@
         StatementResult statementResult = result.get();
         if (statementResult.hasFailureCode(FailureCode.BUSY)
                 && statementResult.transactionState() == TransactionState.OPEN) {
-            if (revoked) {
-                fail(FailureCode.ROLLED_BACK, RevokedSession.REASON);
+            if (endReason.isPresent()) {
+                fail(FailureCode.ROLLED_BACK, endReason.get().text());
             } else {
                 retryForward(pooled);
             }
--- a/carobstage/src/main/java/org/carobstage/front/PreparedStatement.java
+++ b/carobstage/src/main/java/org/carobstage/front/PreparedStatement.java
@@ -2,6 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.Optional;
+import org.carobstage.sql.Statement;
+
 /**
  * A statement that a client has prepared.
  *
@@ -21,4 +24,12 @@
     String sharedName() {
         return (isWrite ? "w_" : "r_") + queryText.replace(' ', '_');
     }
+
+    /** Replaces the client's name of a prepared statement by the name shared by all sessions. */
+    static Statement withSharedName(Statement statement, Optional<PreparedStatement> prepared) {
+        if (statement instanceof Statement.Execute execute && prepared.isPresent()) {
+            return new Statement.Execute(prepared.get().sharedName(), execute.arguments());
+        }
+        return statement;
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -3,15 +3,11 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
-import org.carobstage.account.ApiKey;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.discovery.InstanceRegistry;
 import org.carobstage.error.CodedException;
@@ -51,7 +47,7 @@
     private final StoreWatcher storeWatcher;
     private final InstanceRegistry instanceRegistry = InstanceRegistry.empty();
     private final Map<ServiceName, ServiceGroup> groups = new TreeMap<>();
-    private final Set<ClientSession> sessions = new LinkedHashSet<>();
+    private final ClientSessions sessions;
     private final ProxyMetrics metrics = ProxyMetrics.empty();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Duration shutdownTimeout;
@@ -78,6 +74,7 @@
                         OperationLimiter.unlimited(),
                         RequestEventLog.of(events, clock),
                         metrics);
+        this.sessions = ClientSessions.of(context);
         this.upstream =
                 new UpstreamContext(
                         clock,
@@ -171,7 +168,7 @@
     private void start() {
         lastTickNanos = clock.nanoTime();
         lastTickMillis = clock.instant().toEpochMilli();
-        adapter.listenForClients(this::openSession).whenComplete(this::onListening);
+        adapter.listenForClients(sessions::open).whenComplete(this::onListening);
         adapter.listenForProbes(
                 () -> ready && !stopping, () -> PrometheusExporter.export(metrics, groups));
         storeWatcher.start();
@@ -190,16 +187,16 @@
         }
     }
 
-    private ClientSession openSession(String database, ApiKey key, ClientChannel channel) {
-        ClientSession[] self = new ClientSession[1];
-        self[0] =
-                new ClientSession(context, channel, database, key, () -> sessions.remove(self[0]));
-        sessions.add(self[0]);
-        self[0].open();
-        return self[0];
+    private void onStoreChange(StoreEntry entry) {
+        try {
+            apply(entry);
+        } catch (RuntimeException e) {
+            // Thrown to the watcher, it would end the watch. Its text may quote the entry.
+            recordUnreadableEntry(entry.key(), "unexpected " + e.getClass().getName());
+        }
     }
 
-    private void onStoreChange(StoreEntry entry) {
+    private void apply(StoreEntry entry) {
         DecodedEntry decoded = adapter.decode(entry);
         if (decoded instanceof DecodedEntry.Routes newer) {
             applyRoutes(newer.table());
@@ -240,7 +237,7 @@
                 "version=" + newer.version() + " before=" + routeTable.version());
         routeTable = newer;
         updateConnectionLimits();
-        SessionRevocation.apply(sessions, newer)
+        sessions.revoke(newer)
                 .ifPresent(
                         detail ->
                                 events.record(
@@ -293,6 +290,8 @@
     }
 
     private void tick() {
+        // Scheduled first, so that an exception does not end the ticks.
+        clock.schedule(this::tick, TICK_INTERVAL);
         detectPause();
         if (storeWatcher.isReachable()) {
             instanceRegistry.expire(clock.nanoTime()).forEach(this::onInstanceExpired);
@@ -303,7 +302,6 @@
         failoverCoordinator.setStoreReachable(storeWatcher.isReachable());
         failoverCoordinator.tick(all, membership.members(), membership.lease());
         ready = ready || storeListed && routeTable.isLoaded() && hasConnections();
-        clock.schedule(this::tick, TICK_INTERVAL);
     }
 
     private boolean hasConnections() {
@@ -345,22 +343,19 @@
                 EventCode.SHUTDOWN_STARTED, EventScope.empty(), "sessions=" + sessions.size());
         ShutdownSchedule schedule = ShutdownSchedule.of(shutdownTimeout);
         clock.schedule(() -> closeIdleSessions(schedule), schedule.readinessPropagationDelay());
-        clock.schedule(this::abortTransactions, schedule.transactionAbortDelay());
+        clock.schedule(sessions::abortTransactions, schedule.transactionAbortDelay());
+        clock.schedule(this::endSessions, schedule.sessionEndDelay());
         clock.schedule(this::endShutdown, schedule.exitDelay());
     }
 
     private void closeIdleSessions(ShutdownSchedule schedule) {
-        List<ClientSession> all = new ArrayList<>(sessions);
-        Duration interval = schedule.idleCloseWindow().dividedBy(Math.max(1, all.size()));
-        for (int i = 0; i < all.size(); i++) {
-            clock.schedule(all.get(i)::closeWhenIdle, interval.multipliedBy(i));
-        }
+        sessions.closeWhenIdle(schedule.idleCloseWindow());
         clock.schedule(this::closeRemainingSessions, schedule.idleCloseWindow());
     }
 
     /** Completes the shutdown once no session is left; new clients are served until then. */
     private void closeRemainingSessions() {
-        List.copyOf(sessions).forEach(ClientSession::closeWhenIdle);
+        sessions.closeWhenIdle();
         if (sessions.isEmpty() && !acceptingClients) {
             endShutdown();
             return;
@@ -372,8 +367,10 @@
         clock.schedule(this::closeRemainingSessions, TICK_INTERVAL);
     }
 
-    private void abortTransactions() {
-        List.copyOf(sessions).forEach(ClientSession::abortTransaction);
+    private void endSessions() {
+        acceptingClients = false;
+        adapter.stopListening();
+        sessions.endForShutdown();
     }
 
     private void endShutdown() {
--- a/carobstage/src/main/java/org/carobstage/front/ShutdownSchedule.java
+++ b/carobstage/src/main/java/org/carobstage/front/ShutdownSchedule.java
@@ -9,12 +9,15 @@
  *     platform has detected that it is not ready
  * @param idleCloseWindow the period over which the closing of idle sessions is spread
  * @param transactionAbortDelay the delay after which idle transactions are rolled back
+ * @param sessionEndDelay the delay after which no more statements start, so that those in progress
+ *     end before the process exits
  * @param exitDelay the delay after which the process exits even if sessions remain
  */
 record ShutdownSchedule(
         Duration readinessPropagationDelay,
         Duration idleCloseWindow,
         Duration transactionAbortDelay,
+        Duration sessionEndDelay,
         Duration exitDelay) {
     /** The platform probes readiness every second and stops routing clients after two failures. */
     private static final Duration PROBE_FAILURE_PERIOD = Duration.ofMillis(2_200);
@@ -27,7 +30,12 @@
                 third.compareTo(PROBE_FAILURE_PERIOD) < 0 ? third : PROBE_FAILURE_PERIOD;
         Duration exitDelay =
                 timeout.compareTo(EXIT_MARGIN) > 0 ? timeout.minus(EXIT_MARGIN) : timeout;
+        Duration abortDelay = timeout.dividedBy(2);
         return new ShutdownSchedule(
-                readinessDelay, timeout.dividedBy(6), timeout.dividedBy(2), exitDelay);
+                readinessDelay,
+                timeout.dividedBy(6),
+                abortDelay,
+                abortDelay.plus(exitDelay).dividedBy(2),
+                exitDelay);
     }
 }
--- a/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
@@ -66,7 +66,7 @@
     private boolean primaryOnly;
     private Optional<LogPosition> readIndex = Optional.empty();
     private boolean completed;
-    private boolean revoked;
+    private Optional<EndingSession.Reason> endReason = Optional.empty();
     private String positionSource = "";
     private String lastRetryReason = "";
 
@@ -113,11 +113,11 @@
         cleanUp();
     }
 
-    /** Sends the statement to no further instance because the key of its session was revoked. */
-    void revoke() {
-        revoked = true;
+    /** Sends the statement to no further instance because its session ends. */
+    void end(EndingSession.Reason reason) {
+        endReason = Optional.of(reason);
         if (pendingResults == 0) {
-            reject(RevokedSession.REASON);
+            reject(reason.text());
         }
     }
 
@@ -223,7 +223,7 @@
         connection.send(
                 id,
                 requiredPosition,
-                session.withSharedName(statement, prepared),
+                PreparedStatement.withSharedName(statement, prepared),
                 result -> {
                     pendingResults--;
                     inFlightCommit.ifPresent(commit -> commit.complete(result));
@@ -284,8 +284,8 @@
         if (completed) {
             return;
         }
-        if (revoked) {
-            reject(RevokedSession.REASON);
+        if (endReason.isPresent()) {
+            reject(endReason.get().text());
             return;
         }
         lastRetryReason = reason;
@@ -317,7 +317,7 @@
 
     private void hedge() {
         if (!completed
-                && !revoked
+                && endReason.isEmpty()
                 && pendingResults > 0
                 && attempts < MAX_ATTEMPTS
                 && !primaryOnly) {
--- a/carobstage/src/test/java/org/carobstage/front/FakePlatformAdapter.java
+++ b/carobstage/src/test/java/org/carobstage/front/FakePlatformAdapter.java
@@ -2,6 +2,8 @@
 
 import java.net.BindException;
 import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -21,14 +23,18 @@
 import org.carobstage.upstream.InstanceConnector;
 
 /**
- * An in-memory platform. The store key {@code routes} decodes to the current route table, a key
- * {@code instances/ID} to the registration of that instance.
+ * An in-memory platform. The store key {@code routes} decodes to the route table that its value
+ * names, or else to the current one, a key {@code instances/ID} to the registration of that
+ * instance.
  */
 final class FakePlatformAdapter implements PlatformAdapter {
     final ManualClock clock = ManualClock.of(Instant.EPOCH);
     final FakeService service = FakeService.of(clock);
     final FakeMetadataStore store = FakeMetadataStore.of(clock);
     RouteTable routeTable = RouteTable.empty();
+    final Map<String, RouteTable> routeTables = new HashMap<>();
+    String failingKey = "";
+    int remainingConnectFailures;
     private final FakeMetadataStore.Client storeClient = store.client();
     private SessionFactory sessionFactory;
     private BooleanSupplier readinessProbe = () -> false;
@@ -63,7 +69,14 @@
 
     @Override
     public InstanceConnector instanceConnector() {
-        return service.connector();
+        InstanceConnector connector = service.connector();
+        return (target, account, timeout, listener) -> {
+            if (remainingConnectFailures > 0) {
+                remainingConnectFailures--;
+                throw new IllegalStateException("connector failed");
+            }
+            connector.connect(target, account, timeout, listener);
+        };
     }
 
     @Override
@@ -78,8 +91,10 @@
 
     @Override
     public DecodedEntry decode(StoreEntry entry) {
-        if (entry.key().equals("routes")) {
-            return new DecodedEntry.Routes(routeTable);
+        if (entry.key().equals(failingKey)) {
+            throw new IllegalStateException("decoder failed");
+        } else if (entry.key().equals("routes")) {
+            return new DecodedEntry.Routes(entry.value().map(routeTables::get).orElse(routeTable));
         } else if (entry.key().startsWith("instances/")) {
             String id = entry.key().substring("instances/".length());
             return entry.value().isPresent()
--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
@@ -24,7 +24,7 @@
     private static final Address ANY_ADDRESS = Address.of("127.0.0.1", 0);
     private static final Statement READ = new Statement.Read("k");
 
-    private static final ProxyServerSettings SETTINGS =
+    static final ProxyServerSettings SETTINGS =
             new ProxyServerSettings(
                     VmId.of("vm"),
                     FailureDomain.of("domain-b"),
@@ -183,7 +183,7 @@
         server.awaitStop();
     }
 
-    private static RouteTable routes(long version, String database) {
+    static RouteTable routes(long version, String database) {
         Route route =
                 new Route(
                         database,
--- a/carobstage/src/test/java/org/carobstage/front/SessionRevocationTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/SessionRevocationTest.java
@@ -99,7 +99,7 @@
 
         assertThat(codes()).containsExactly(FailureCode.BUSY);
         assertThat(channel.lastResult().failure().orElseThrow().message())
-                .isEqualTo(RevokedSession.REASON);
+                .isEqualTo(EndingSession.Reason.REVOKED.text());
         assertThat(channel.isClosed).isTrue();
         assertThat(fixture.group.waitingCount()).isZero();
         fixture.send(holder, COMMIT);
@@ -120,7 +120,7 @@
 
         assertThat(codes()).containsExactly(FailureCode.BUSY);
         assertThat(channel.lastResult().failure().orElseThrow().message())
-                .isEqualTo(RevokedSession.REASON);
+                .isEqualTo(EndingSession.Reason.REVOKED.text());
         assertThat(fixture.executionCount(id)).isZero();
         assertThat(channel.isClosed).isTrue();
     }
