End the other sessions of a revoked key when one fails

Cause: an exception while one session was ended left the sessions after it open under a key that is not trusted any more.

Change: SessionRevocation logs the exception, counts it in the line of the version and goes on. Rejections by an account's limit are logged once, as STATEMENT_REFUSED or STATEMENT_FAILED, because two lines each would use up the 200 lines a second of the request log.

--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -106,8 +106,6 @@
     SESSION_UNAUTHORIZED(5007, Level.INFO),
     /** A configuration has ended the sessions of removed or moved keys. */
     SESSIONS_REVOKED(5008, Level.INFO),
-    /** An operation was rejected by the limit of its account. */
-    OPERATION_LIMITED(5009, Level.INFO),
     /** Log lines were dropped because they exceeded the rate limit. */
     LINES_DROPPED(1007, Level.WARNING),
     /** A transaction ended without its caller's commit or rollback. */
--- a/carobstage/src/main/java/org/carobstage/front/ClientOperation.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientOperation.java
@@ -4,7 +4,6 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.carobstage.event.EventCode;
 import org.carobstage.front.ProxyMetrics.RejectionCause;
 import org.carobstage.model.AccountName;
 import org.carobstage.quota.OperationLimiter.Decision;
@@ -33,11 +32,10 @@
     /**
      * Requests the permission, unless it was granted before.
      *
-     * @param id the id of the client's request
      * @param onPermitted runs when the operation may run
      * @param onRejected receives the reason if it must not run
      */
-    void requestPermission(String id, Runnable onPermitted, Consumer<String> onRejected) {
+    void requestPermission(Runnable onPermitted, Consumer<String> onRejected) {
         if (permitted) {
             onPermitted.run();
             return;
@@ -46,7 +44,7 @@
                 Optional.of(
                         decision -> {
                             if (decision instanceof Decision.Rejected rejected) {
-                                onRejected.accept(recordRejection(id, rejected));
+                                onRejected.accept(recordRejection(rejected));
                             } else {
                                 permitted = true;
                                 onPermitted.run();
@@ -76,16 +74,10 @@
         receiver.ifPresent(r -> r.accept(decision));
     }
 
-    private String recordRejection(String id, Decision.Rejected rejected) {
+    private String recordRejection(Decision.Rejected rejected) {
         // Rounded up: a client that retries a fraction of a millisecond early is rejected again.
         long millis = (rejected.retryAfter().toNanos() + 999_999) / 1_000_000;
         context.metrics().recordRejection(RejectionCause.ACCOUNT_LIMIT);
-        context.requestLog()
-                .record(
-                        EventCode.OPERATION_LIMITED,
-                        route.database(),
-                        id,
-                        "account=" + account.orElseThrow() + " retry_ms=" + millis);
         return "account limit, retry after " + millis + " ms";
     }
 }
--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -112,9 +112,7 @@
             setUpAndSend(connection.get(), prepared);
         } else {
             operation.requestPermission(
-                    id,
-                    () -> acquireConnection(prepared),
-                    reason -> fail(FailureCode.BUSY, reason));
+                    () -> acquireConnection(prepared), reason -> fail(FailureCode.BUSY, reason));
         }
     }
 
--- a/carobstage/src/main/java/org/carobstage/front/SessionRevocation.java
+++ b/carobstage/src/main/java/org/carobstage/front/SessionRevocation.java
@@ -1,5 +1,7 @@
 package org.carobstage.front;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -13,6 +15,8 @@
     /** Accounts named in the log line; the others are counted. */
     private static final int MAX_NAMED_ACCOUNTS = 10;
 
+    private static final Logger LOGGER = System.getLogger(SessionRevocation.class.getName());
+
     private SessionRevocation() {}
 
     /**
@@ -25,8 +29,21 @@
     static Optional<String> apply(Collection<ClientSession> sessions, RouteTable table) {
         List<ClientSession> revoked =
                 List.copyOf(sessions).stream().filter(s -> s.isRevokedBy(table)).toList();
-        revoked.forEach(ClientSession::revoke);
-        return revoked.isEmpty() ? Optional.empty() : Optional.of(describe(revoked, table));
+        // One session that fails must not keep the others open under a revoked key.
+        long failed = revoked.stream().filter(s -> !tryRevoke(s)).count();
+        return revoked.isEmpty()
+                ? Optional.empty()
+                : Optional.of(describe(revoked, table) + (failed > 0 ? " failed=" + failed : ""));
+    }
+
+    private static boolean tryRevoke(ClientSession session) {
+        try {
+            session.revoke();
+            return true;
+        } catch (RuntimeException e) {
+            LOGGER.log(Level.ERROR, "a session with a revoked key could not be ended", e);
+            return false;
+        }
     }
 
     private static String describe(List<ClientSession> revoked, RouteTable table) {
--- a/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
@@ -104,7 +104,7 @@
                     hedgeDelay.compareTo(MIN_HEDGE_DELAY) > 0 ? hedgeDelay : MIN_HEDGE_DELAY;
             timers.add(context.clock().schedule(this::hedge, delay));
         }
-        operation.requestPermission(id, this::attempt, this::reject);
+        operation.requestPermission(this::attempt, this::reject);
     }
 
     /** Cancels the statement because its client has disconnected. */
--- a/carobstage/src/test/java/org/carobstage/front/RecordingChannel.java
+++ b/carobstage/src/test/java/org/carobstage/front/RecordingChannel.java
@@ -11,6 +11,7 @@
     final List<Failure> rejections = new ArrayList<>();
     boolean isReady;
     boolean isClosed;
+    boolean isFailing;
 
     @Override
     public void sendReady() {
@@ -29,6 +30,9 @@
 
     @Override
     public void close() {
+        if (isFailing) {
+            throw new IllegalStateException("channel failed");
+        }
         isClosed = true;
     }
 
--- a/carobstage/src/test/java/org/carobstage/front/SessionRevocationTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/SessionRevocationTest.java
@@ -46,6 +46,22 @@
         assertThat(channel.isClosed).isTrue();
     }
 
+    // An exception in one session must not keep the others open under a revoked key.
+    @Test
+    void shouldCloseOtherSessionsWhenOneFails() {
+        RecordingChannel other = new RecordingChannel();
+        ClientSession second = fixture.openSession("primary", "k1", other);
+        channel.isFailing = true;
+
+        assertThat(fixture.applyAccounts()).get().asString().contains("sessions=2", "failed=1");
+        assertThat(other.isClosed).isTrue();
+        channel.isFailing = false;
+        String id = fixture.send(session, WRITE);
+        fixture.send(second, WRITE);
+        fixture.advanceMillis(100);
+        assertThat(fixture.executionCount(id)).isZero();
+    }
+
     // An unrelated change must not end sessions.
     @Test
     void shouldKeepSessionWhenItsAccountGetsAnotherKey() {
