Bound refusals and keep no idle connection below one per process

Cause: with 118 processes and 73 connections, periodic queries of the position opened connections in all processes at the same time; status queries took the openings of operations; a failed receiver of a connection or of a status left the connection in use for ever; a connection whose opening began before the instance was replaced at the same address was used; a connection selected as idle could be granted before it was closed.

Change: below one connection per process, only the primary is queried without a request, with jitter, every processes x 20 ms on average (2.4 s for 118); the position is requested by the reads. After a refusal a process closes connections at their release for 2 s. Status queries take no openings of requests. Callbacks that fail are recorded (3026) and their connection is closed. A refusal is reported at most every 5 s.

Ruled out: a kept connection to the primary (118 of 73); the periodic query of a quorum, which needs twice the openings.

--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -76,6 +76,10 @@
     INSTANCE_STATUS_CHANGED(3023, Level.INFO),
     /** An instance without an entry may hold commits, or is no longer taken to hold any. */
     REPLICA_SET_CHANGED(3024, Level.INFO),
+    /** Connections are from now on opened on demand, or no longer. */
+    CONNECTION_SHARING_CHANGED(3025, Level.INFO),
+    /** The receiver of a connection or of a response failed. */
+    CALLBACK_FAILED(3026, Level.WARNING),
     /** The store responds again. */
     STORE_REGAINED(2020, Level.INFO),
     /** The store does not respond or rejects calls. */
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionQueue.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionQueue.java
@@ -105,7 +105,7 @@
                         connection -> {
                             waiting.remove(request);
                             rate(request).recordGrant(nowNanos, count(request.needsPrimary()) > 0);
-                            request.onGranted().accept(connection);
+                            connection.grantTo(request);
                         });
     }
 
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionSet.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionSet.java
@@ -36,7 +36,7 @@
     }
 
     Stream<PooledConnection> idle() {
-        return all().filter(c -> !c.isBusy());
+        return all().filter(c -> !c.isBusy() && !c.isRetired());
     }
 
     Stream<PooledConnection> idle(Optional<AccountName> account) {
@@ -69,11 +69,16 @@
                                 .thenComparingLong(PooledConnection::idleSinceNanos));
     }
 
+    /** Returns idle connections to close so that no more than the limit remain, if possible. */
+    List<PooledConnection> excess(int limit) {
+        return idle().limit(Math.max(0, size() - limit)).toList();
+    }
+
     /** Returns the connections to close because they have been idle for too long. */
-    List<PooledConnection> expired(ConnectionShare share, boolean isSuspected, long nowNanos) {
+    List<PooledConnection> expired(ConnectionShare share, boolean needsProbe, long nowNanos) {
         Duration timeout = share.idleTimeout(size());
         return idle().filter(c -> nowNanos - c.idleSinceNanos() > timeout.toNanos())
-                .skip(share.minConnections(isSuspected))
+                .skip(share.minConnections(needsProbe))
                 .limit(share.idleClosings(size()))
                 .toList();
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionShare.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionShare.java
@@ -12,6 +12,7 @@
  * @param quota the quota of this process
  * @param extra the connections above the equal share
  * @param refusals the refusals since a connection was last opened
+ * @param refused whether an opening was ever refused at the connection limit
  * @param refusedNanos the monotonic time in ns of the last refusal
  * @param openNotBeforeNanos the monotonic time in ns before which no connection is opened
  * @param increaseNotBeforeNanos the monotonic time in ns of the next increase
@@ -20,6 +21,7 @@
         ConnectionQuota quota,
         int extra,
         int refusals,
+        boolean refused,
         long refusedNanos,
         long openNotBeforeNanos,
         long increaseNotBeforeNanos) {
@@ -48,7 +50,7 @@
     }
 
     static ConnectionShare of(ConnectionQuota quota, long nowNanos) {
-        return new ConnectionShare(quota, 0, 0, nowNanos, nowNanos, nowNanos);
+        return new ConnectionShare(quota, 0, 0, false, nowNanos, nowNanos, nowNanos);
     }
 
     ConnectionShare withQuota(ConnectionQuota newer) {
@@ -57,6 +59,7 @@
                 newer,
                 newer.isElastic() ? allowed : 0,
                 refusals,
+                refused,
                 refusedNanos,
                 openNotBeforeNanos,
                 increaseNotBeforeNanos);
@@ -67,9 +70,14 @@
         return quota.connections() + extra;
     }
 
-    /** Returns how many connections are kept open without demand. */
-    int minConnections(boolean isSuspected) {
-        return quota.belowOne() && !isSuspected ? 0 : MIN_CONNECTIONS;
+    /**
+     * Returns how many connections are kept open without demand.
+     *
+     * @param needsProbe whether the last opening had no response, so that the next one confirms or
+     *     ends the suspicion
+     */
+    int minConnections(boolean needsProbe) {
+        return quota.belowOne() && !needsProbe ? 0 : MIN_CONNECTIONS;
     }
 
     /** Returns how long a connection may stay idle if the given number is open. */
@@ -77,6 +85,11 @@
         return quota.isElastic() && openCount > equalShare() ? EXTRA_IDLE_TIMEOUT : IDLE_TIMEOUT;
     }
 
+    /** Returns whether another process is likely to need a connection that is no longer in use. */
+    boolean closesAtRelease(long nowNanos) {
+        return quota.belowOne() && refused && nowNanos - refusedNanos < MAX_BACKOFF.toNanos();
+    }
+
     /** Returns how many idle connections may be closed if the given number is open. */
     int idleClosings(int openCount) {
         boolean closesExtraOnly = quota.isElastic() && openCount > equalShare();
@@ -106,7 +119,7 @@
 
     ConnectionShare onOpened() {
         return new ConnectionShare(
-                quota, extra, 0, refusedNanos, openNotBeforeNanos, increaseNotBeforeNanos);
+                quota, extra, 0, refused, refusedNanos, openNotBeforeNanos, increaseNotBeforeNanos);
     }
 
     /** Delays the next opening after a failure other than a refusal at the limit. */
@@ -141,6 +154,7 @@
                 quota,
                 Math.max(0, limit() / 2 - quota.connections()),
                 refusals + 1,
+                true,
                 nowNanos,
                 later(notBefore),
                 notBefore + INCREASE_INTERVAL.toNanos());
@@ -161,6 +175,6 @@
 
     private ConnectionShare with(int newExtra, long openNotBefore, long increaseNotBefore) {
         return new ConnectionShare(
-                quota, newExtra, refusals, refusedNanos, openNotBefore, increaseNotBefore);
+                quota, newExtra, refusals, refused, refusedNanos, openNotBefore, increaseNotBefore);
     }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/ControlCommands.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ControlCommands.java
@@ -32,7 +32,7 @@
                         statement,
                         response -> {
                             pool.onStatusResponse(connection, response, sentAt);
-                            callback.accept(response);
+                            pool.runCallback(() -> callback.accept(response));
                             if (connection.isOpen()) {
                                 pool.release(connection);
                             }
@@ -56,7 +56,8 @@
     void failWaiting() {
         List<Command> failed = List.copyOf(waiting);
         waiting.clear();
-        failed.forEach(c -> c.callback().accept(new StatusResponse(false, Optional.empty())));
+        StatusResponse none = new StatusResponse(false, Optional.empty());
+        failed.forEach(c -> pool.runCallback(() -> c.callback().accept(none)));
     }
 
     private record Command(Statement statement, Consumer<StatusResponse> callback) {}
--- a/carobstage/src/main/java/org/carobstage/upstream/FailureDetector.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/FailureDetector.java
@@ -21,11 +21,16 @@
      */
     private static final int FAILURES_TO_SUSPECT = 2;
 
+    /** Shared connections are refused now and then; a new report follows only after this time. */
+    private static final Duration REFUSAL_REPORT_INTERVAL = Duration.ofSeconds(5);
+
     private final ServiceGroup group;
     private final Clock clock;
     private int consecutiveFailures;
     private long lastResponseNanos;
     private boolean suspected;
+    private boolean refusalReported;
+    private long refusalReportedNanos;
 
     private FailureDetector(ServiceGroup group, Clock clock) {
         this.group = requireNonNull(group, "group is null");
@@ -41,6 +46,11 @@
         return suspected;
     }
 
+    /** Returns whether an opening had no response since the last response. */
+    boolean needsProbe() {
+        return suspected || consecutiveFailures > 0;
+    }
+
     long lastResponseNanos() {
         return lastResponseNanos;
     }
@@ -66,14 +76,40 @@
         }
     }
 
+    /** Records that a connection was opened; a later refusal is reported again. */
+    void onOpened() {
+        if (clock.nanoTime() - refusalReportedNanos >= REFUSAL_REPORT_INTERVAL.toNanos()) {
+            refusalReported = false;
+        }
+    }
+
     /**
-     * Records a failed opening to which the instance did not respond.
+     * Records a failed opening.
      *
      * @param entry the instance
      * @param reason why the opening failed
      * @param silence how long the oldest request has waited without any response
+     * @param openCount how many connections are open
      */
-    void recordOpenFailure(InstanceEntry entry, OpenFailure reason, Duration silence) {
+    void onOpenFailed(InstanceEntry entry, OpenFailure reason, Duration silence, int openCount) {
+        boolean responded = reason == OpenFailure.CONNECTION_LIMIT || reason == OpenFailure.REFUSED;
+        if (responded) {
+            recordResponse(entry);
+            reportRefusal(entry, reason, openCount);
+        } else {
+            recordFailure(entry, reason, silence);
+        }
+    }
+
+    private void reportRefusal(InstanceEntry entry, OpenFailure reason, int openCount) {
+        if (!refusalReported) {
+            refusalReported = true;
+            refusalReportedNanos = clock.nanoTime();
+            group.onConnectionsRefused(entry, reason, openCount);
+        }
+    }
+
+    private void recordFailure(InstanceEntry entry, OpenFailure reason, Duration silence) {
         consecutiveFailures++;
         if (reason == OpenFailure.RESET) {
             group.onConnectionReset(entry.id());
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
@@ -53,8 +53,8 @@
     private ConnectionShare share;
     private long drainingSinceNanos;
     private long statusRequestedNanos;
+    private double statusJitter;
     private boolean closed;
-    private boolean refusalReported;
 
     InstanceConnectionPool(ServiceGroup group, UpstreamContext context, InstanceEntry entry) {
         this.group = requireNonNull(group, "group is null");
@@ -83,14 +83,12 @@
      * Replaces the entry; connections to an earlier address or incarnation are closed once idle.
      */
     void update(InstanceEntry newer) {
-        boolean isReplaced =
-                !newer.address().equals(entry.address())
-                        || newer.bornMillis() != entry.bornMillis();
+        InstanceEntry former = entry;
         if (newer.draining() && !entry.draining()) {
             drainingSinceNanos = context.clock().nanoTime();
         }
         entry = newer;
-        if (isReplaced) {
+        if (isReplaced(former)) {
             retireAll();
             detector.onReplaced();
             share = share.onReplaced(context.clock().nanoTime());
@@ -99,13 +97,7 @@
 
     void setQuota(ConnectionQuota quota) {
         share = share.withQuota(quota);
-        while (connections.size() > share.limit()) {
-            Optional<PooledConnection> idle = connections.idle().findFirst();
-            if (idle.isEmpty()) {
-                break;
-            }
-            idle.get().discard();
-        }
+        connections.excess(share.limit()).forEach(PooledConnection::discardIfIdle);
     }
 
     /** Closes idle connections at once, the others when they are released or silent. */
@@ -121,10 +113,9 @@
 
     /** Returns the candidate for a request, with the cost of opening a connection for it. */
     InstanceSelector.Candidate toCandidate(ConnectionRequest request) {
-        boolean isIdle = idle(request).findFirst().isPresent();
         return toCandidate(
                 connections.busyCount() + openings.size(),
-                isIdle
+                hasIdle(request)
                         ? Duration.ZERO
                         : statistics.expectedOpeningTime(openings, now().monotonicNanos()));
     }
@@ -155,7 +146,6 @@
         return connections.statementCount() < statementLimit();
     }
 
-    /** Returns whether an idle connection can serve a request. */
     boolean hasIdle(ConnectionRequest request) {
         return idle(request).findFirst().isPresent();
     }
@@ -167,7 +157,7 @@
 
     /** Opens the connection that is kept open without demand, if any is. */
     void openWarmConnection() {
-        if (connections.size() + openings.size() < share.minConnections(isSuspected())) {
+        if (connections.size() + openings.size() < share.minConnections(detector.needsProbe())) {
             openIfAllowed(Optional.empty());
         }
     }
@@ -192,7 +182,8 @@
     /** Opens a connection, for which an idle one of another account is closed at the limit. */
     Opening openMakingRoom(Optional<AccountName> account) {
         if (!hasRoom()) {
-            connections.evictable(account).ifPresent(this::evict);
+            statistics.onEvicted();
+            connections.evictable(account).ifPresent(PooledConnection::discard);
         }
         return open(account);
     }
@@ -204,7 +195,6 @@
         }
     }
 
-    /** Returns the connections that are being opened. */
     List<Opening> openings() {
         return openings;
     }
@@ -229,6 +219,10 @@
         return statusRequestedNanos;
     }
 
+    double statusJitter() {
+        return statusJitter;
+    }
+
     long lastResponseNanos() {
         return detector.lastResponseNanos();
     }
@@ -237,15 +231,18 @@
         openWarmConnection();
         closeSilentConnections(nowNanos);
         closeIdleConnections(nowNanos);
-        Duration silence = connections.silence(nowNanos, lastResponseNanos());
-        if (silence.compareTo(FailureDetector.PROBE_AFTER_SILENCE) > 0
-                && openings.isEmpty()
-                && share.mayOpen(nowNanos)) {
+        boolean silent =
+                connections
+                                .silence(nowNanos, lastResponseNanos())
+                                .compareTo(FailureDetector.PROBE_AFTER_SILENCE)
+                        > 0;
+        if (silent && openings.isEmpty() && share.mayOpen(nowNanos)) {
             open(Optional.empty());
         }
     }
 
     void requestStatus(long nowNanos) {
+        statusJitter = context.jitter().getAsDouble();
         if (trySendControlCommand(new Statement.QueryStatus(), response -> {})) {
             statusRequestedNanos = nowNanos;
         }
@@ -282,6 +279,10 @@
     }
 
     void release(PooledConnection connection) {
+        if (!connection.isOpen()) {
+            group.dispatch();
+            return;
+        }
         long nowNanos = context.clock().nanoTime();
         if (connection.isPinned()) {
             statistics.onUnpinned(Duration.ofNanos(nowNanos - connection.busySinceNanos()));
@@ -297,6 +298,9 @@
         } else {
             group.dispatch();
         }
+        if (connection.isOpen() && !connection.isBusy() && share.closesAtRelease(nowNanos)) {
+            connection.discard();
+        }
     }
 
     void removeConnection(PooledConnection connection) {
@@ -332,6 +336,17 @@
         response.status().ifPresent(s -> group.onStatus(entry.id(), s, sentAt));
     }
 
+    /** Runs a callback; returns false if it failed, which must not affect other requests. */
+    boolean runCallback(Runnable callback) {
+        try {
+            callback.run();
+            return true;
+        } catch (RuntimeException e) {
+            group.onCallbackFailed(entry.id(), e);
+            return false;
+        }
+    }
+
     int openConnectionCount() {
         return connections.size();
     }
@@ -363,11 +378,6 @@
         return connections.size() + openings.size() < share.limit();
     }
 
-    private void evict(PooledConnection connection) {
-        statistics.onEvicted();
-        connection.discard();
-    }
-
     private boolean defer(Statement statement, Consumer<StatusResponse> callback) {
         if (!share.quota().isElastic() || connections.size() > 0) {
             return false;
@@ -382,6 +392,11 @@
         return true;
     }
 
+    private boolean isReplaced(InstanceEntry former) {
+        return !former.address().equals(entry.address())
+                || former.bornMillis() != entry.bornMillis();
+    }
+
     private static boolean requiresPrimary(Statement statement) {
         return statement instanceof Statement.Write
                 || statement instanceof Statement.Begin begin && !begin.isReadOnly();
@@ -412,10 +427,10 @@
         openings.remove(opening);
         statistics.onOpened(Duration.ofNanos(nowNanos - opening.startedNanos()));
         share = share.onOpened();
-        refusalReported = false;
+        detector.onOpened();
         pooled.attach(connection);
         connections.add(pooled);
-        if (closed || !opening.target().address().equals(entry.address())) {
+        if (closed || isReplaced(opening.target())) {
             pooled.discard();
             failDeferredCommands();
             return;
@@ -440,7 +455,11 @@
         } else {
             share = share.onFailed(nowNanos);
         }
-        recordOpenFailure(reason, nowNanos);
+        detector.onOpenFailed(
+                entry,
+                reason,
+                connections.silence(nowNanos, lastResponseNanos()),
+                connections.size());
         failDeferredCommands();
         if (share.quota().isElastic()) {
             context.clock().schedule(group::dispatch, share.backoff(nowNanos));
@@ -454,20 +473,6 @@
         }
     }
 
-    private void recordOpenFailure(OpenFailure reason, long nowNanos) {
-        boolean responded = reason == OpenFailure.CONNECTION_LIMIT || reason == OpenFailure.REFUSED;
-        if (responded) {
-            detector.recordResponse(entry);
-            if (!refusalReported) {
-                refusalReported = true;
-                group.onConnectionsRefused(entry, reason, connections.size());
-            }
-            return;
-        }
-        detector.recordOpenFailure(
-                entry, reason, connections.silence(nowNanos, lastResponseNanos()));
-    }
-
     private void closeSilentConnections(long nowNanos) {
         connections.silentFor(CLOSE_AFTER_SILENCE, nowNanos).forEach(PooledConnection::discard);
     }
@@ -481,14 +486,15 @@
     }
 
     private void closeIdleConnections(long nowNanos) {
-        for (PooledConnection idle : connections.expired(share, isSuspected(), nowNanos)) {
+        for (PooledConnection idle : connections.expired(share, detector.needsProbe(), nowNanos)) {
             share = share.onIdleClosed();
-            idle.discard();
+            idle.discardIfIdle();
         }
     }
 
     private void retireAll() {
+        List<PooledConnection> idle = connections.idle().toList();
         connections.all().forEach(PooledConnection::markRetired);
-        connections.idle().forEach(PooledConnection::discard);
+        idle.forEach(PooledConnection::discard);
     }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/OpeningPlanner.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/OpeningPlanner.java
@@ -39,7 +39,13 @@
         Set<Opening> taken = Collections.newSetFromMap(new IdentityHashMap<>());
         for (ConnectionRequest request : planned) {
             List<InstanceConnectionPool> pools = rankedPools.apply(request).toList();
-            inProgress(request, pools, taken).or(() -> open(request, pools)).ifPresent(taken::add);
+            if (request.acceptsAnyAccount()) {
+                openForStatus(pools);
+            } else {
+                inProgress(request, pools, taken)
+                        .or(() -> open(request, pools))
+                        .ifPresent(taken::add);
+            }
         }
         return planned;
     }
@@ -49,19 +55,19 @@
         return pools.stream()
                 .flatMap(p -> p.openings().stream())
                 .filter(o -> !taken.contains(o))
-                .filter(
-                        o ->
-                                request.acceptsAnyAccount()
-                                        || o.account().equals(request.origin().account()))
+                .filter(o -> o.account().equals(request.origin().account()))
                 .findFirst();
     }
 
+    /** Opens a connection for a status query only if it can't expect one of any account soon. */
+    private static void openForStatus(List<InstanceConnectionPool> pools) {
+        if (pools.stream().noneMatch(InstanceConnectionPool::hasUnpinned)) {
+            pools.stream().findFirst().ifPresent(p -> p.openIfAllowed(Optional.empty()));
+        }
+    }
+
     private static Optional<Opening> open(
             ConnectionRequest request, List<InstanceConnectionPool> pools) {
-        if (request.acceptsAnyAccount()
-                && pools.stream().anyMatch(InstanceConnectionPool::hasUnpinned)) {
-            return Optional.empty();
-        }
         Optional<AccountName> account = request.origin().account();
         if (pools.stream().noneMatch(p -> p.canOpen(account))) {
             pools.stream().findFirst().ifPresent(InstanceConnectionPool::raiseLimit);
--- a/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
@@ -27,6 +27,7 @@
     private boolean busy;
     private boolean pinned;
     private boolean used;
+    private long holderNumber;
     private long busySinceNanos;
     private long idleSinceNanos;
     private boolean retired;
@@ -111,7 +112,7 @@
                     sentAt = null;
                     result.ifPresent(r -> state = r.transactionState());
                     pool.onResult(this, statement, result, requestedAt);
-                    callback.accept(result);
+                    runHolderCallback(() -> callback.accept(result));
                 });
     }
 
@@ -133,6 +134,11 @@
         }
     }
 
+    /** Passes the connection to a request, which holds it until it is released. */
+    void grantTo(ConnectionRequest request) {
+        runHolderCallback(() -> request.onGranted().accept(this));
+    }
+
     /** Queries the status of the instance and then releases the connection. */
     void requestStatus(Runnable callback) {
         pool.sendControlCommand(this, new Statement.QueryStatus(), response -> callback.run());
@@ -147,6 +153,13 @@
         }
     }
 
+    /** Closes the connection unless it has been granted since it was selected as idle. */
+    void discardIfIdle() {
+        if (!busy) {
+            discard();
+        }
+    }
+
     void attach(InstanceConnection newConnection) {
         connection = newConnection;
     }
@@ -170,6 +183,7 @@
     void markBusy(long nowNanos) {
         busy = true;
         busySinceNanos = nowNanos;
+        holderNumber++;
     }
 
     /** Marks the connection as idle; returns whether it has served no request yet. */
@@ -209,4 +223,15 @@
     void setSentAt(ClockReading time) {
         sentAt = time;
     }
+
+    /**
+     * Runs a callback of the holder. If it fails, the holder no longer uses the connection, which
+     * is closed unless the callback has released it.
+     */
+    private void runHolderCallback(Runnable callback) {
+        long holder = holderNumber;
+        if (!pool.runCallback(callback) && busy && holder == holderNumber) {
+            discard();
+        }
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -222,6 +222,10 @@
      * @param quota the quota
      */
     public void setConnectionQuota(ConnectionQuota quota) {
+        if (quota.belowOne() != pools.quota().belowOne()
+                || quota.accountsInUse() != pools.quota().accountsInUse()) {
+            record(EventCode.CONNECTION_SHARING_CHANGED, quota.toString());
+        }
         pools.setQuota(quota);
     }
 
@@ -447,6 +451,10 @@
         leader.quorum().markStopped(id, ClockReading.now(context.clock()));
     }
 
+    void onCallbackFailed(InstanceId id, RuntimeException failure) {
+        record(EventCode.CALLBACK_FAILED, "instance=" + id + " failure=" + failure);
+    }
+
     void onConnectionsRefused(InstanceEntry entry, InstanceConnector.OpenFailure reason, int open) {
         record(
                 EventCode.CONNECTIONS_REFUSED,
--- a/carobstage/src/main/java/org/carobstage/upstream/StatusSchedule.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/StatusSchedule.java
@@ -34,30 +34,44 @@
 
     boolean isStatusDue(InstanceConnectionPool pool, long nowNanos) {
         long requestedNanos = pool.statusRequestedNanos();
+        boolean isLeader = leader.leadership().isLeader(pool.entry().id());
         if (leader.leadership().leader().isEmpty()) {
-            return nowNanos - requestedNanos >= withOpening(SEARCH_INTERVAL).toNanos();
+            return nowNanos - requestedNanos >= withOpening(SEARCH_INTERVAL, pool).toNanos();
         }
-        if (leader.acknowledgedCommits().isOutcomeUnknown()
-                && leader.leadership().isLeader(pool.entry().id())) {
+        if (leader.acknowledgedCommits().isOutcomeUnknown() && isLeader) {
             return nowNanos - requestedNanos >= POSITION_INTERVAL.toNanos();
         }
-        return nowNanos - Math.max(pool.lastResponseNanos(), requestedNanos)
-                >= STATUS_INTERVAL.toNanos();
+        Duration interval =
+                isLeader && pools.quota().belowOne()
+                        ? withOpening(POSITION_INTERVAL, pool)
+                        : STATUS_INTERVAL;
+        return nowNanos - Math.max(pool.lastResponseNanos(), requestedNanos) >= interval.toNanos();
     }
 
+    /**
+     * Returns whether the position is renewed without a request. Where that needs openings, reads
+     * request it themselves, and only the primary is queried to detect its failure.
+     */
     boolean isPositionDue(long lastRequestNanos, long nowNanos) {
-        long interval = withOpening(POSITION_INTERVAL).toNanos();
-        return nowNanos - lastRequestNanos < UNUSED_AFTER.toNanos()
+        return !pools.quota().belowOne()
+                && nowNanos - lastRequestNanos < UNUSED_AFTER.toNanos()
                 && leader.quorum()
                         .newest()
-                        .filter(p -> nowNanos - p.requestedAt().monotonicNanos() < interval)
+                        .filter(
+                                p ->
+                                        nowNanos - p.requestedAt().monotonicNanos()
+                                                < POSITION_INTERVAL.toNanos())
                         .isEmpty();
     }
 
-    /** Lengthens an interval where no connections are kept open for the queries. */
-    private Duration withOpening(Duration interval) {
+    /**
+     * Lengthens an interval where no connections are kept open for the queries; jitter prevents
+     * that all processes open connections at the same time.
+     */
+    private Duration withOpening(Duration interval, InstanceConnectionPool pool) {
         ConnectionQuota quota = pools.quota();
-        Duration opening = OPENING_INTERVAL.multipliedBy(quota.processCount());
-        return quota.belowOne() && opening.compareTo(interval) > 0 ? opening : interval;
+        Duration mean = OPENING_INTERVAL.multipliedBy(quota.processCount());
+        long nanos = (long) (mean.toNanos() * (0.5 + pool.statusJitter()));
+        return quota.belowOne() && nanos > interval.toNanos() ? Duration.ofNanos(nanos) : interval;
     }
 }
