Drop the request in progress when the owner of a shard changes

Cause: a response to a request that was sent to the earlier owner gave tokens in the name of the new one; and the new owner was asked only once that request had timed out. Ruled out: nothing.

--- a/carobstage/src/main/java/org/carobstage/quota/QuotaLimiter.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaLimiter.java
@@ -153,4 +153,9 @@
         QuotaShardClient client = clients.get(QuotaShard.of(account));
         return "account " + shown + ", " + client.describe(account, ClockReading.now(clock));
     }
+
+    /** Returns the number of accounts in memory. */
+    int accountCount() {
+        return clients.values().stream().mapToInt(QuotaShardClient::accountCount).sum();
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/quota/QuotaShardClient.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaShardClient.java
@@ -121,6 +121,7 @@
     void onOwnerChanged(Optional<VmId> newOwner, ClockReading now) {
         checkTime(now);
         inProgress.ifPresent(this::requeue);
+        inProgress = Optional.empty();
         owner = newOwner;
         sentAt = Optional.empty();
         acknowledged = 0;
