--- a/carobstage/src/test/java/org/carobstage/quota/QuotaLimiterTest.java
+++ b/carobstage/src/test/java/org/carobstage/quota/QuotaLimiterTest.java
@@ -126,6 +126,19 @@
         assertThat(decisions).hasSize(before + 1);
     }
 
+    // Guards against tokens that are spent in a later window than the owner counts on.
+    @Test
+    void shouldSpendNoTokenWhenItIsTooOld() {
+        connect();
+        IntStream.range(0, 20).forEach(i -> acquire(1));
+        limiter.onResponse(OWNER, response(last(), 1));
+        limiter.onResponse(OWNER, response(last(), 30));
+        int before = decisions.size();
+        clock.advance(Duration.ofMillis(500));
+        acquire(1);
+        assertThat(decisions).hasSize(before);
+    }
+
     // Guards against a share that is used although the others no longer leave it to this process.
     @Test
     void shouldNotUseShareWhenRegistrationIsNotConfirmed() {
