--- a/carobstage/src/test/java/org/carobstage/quota/QuotaExplorationTest.java
+++ b/carobstage/src/test/java/org/carobstage/quota/QuotaExplorationTest.java
@@ -44,20 +44,7 @@
         List<Schedule> schedules =
                 FAULTS.keySet().stream()
                         .flatMap(a -> FAULTS.keySet().stream().map(b -> List.of(a, b)))
-                        .flatMap(
-                                pair ->
-                                        OFFSETS.stream()
-                                                .flatMap(
-                                                        at ->
-                                                                Stream.of(Load.values())
-                                                                        .map(
-                                                                                l ->
-                                                                                        new Schedule(
-                                                                                                pair,
-                                                                                                List
-                                                                                                        .of(
-                                                                                                                at),
-                                                                                                l))))
+                        .flatMap(QuotaExplorationTest::schedules)
                         .toList();
         assertThat(
                         explore(
@@ -75,6 +62,14 @@
                 .isEmpty();
     }
 
+    private static Stream<Schedule> schedules(List<String> pair) {
+        return OFFSETS.stream().flatMap(at -> schedules(pair, at));
+    }
+
+    private static Stream<Schedule> schedules(List<String> pair, int pause) {
+        return Stream.of(Load.values()).map(load -> new Schedule(pair, List.of(pause), load));
+    }
+
     private static List<String> explore(List<Schedule> schedules) {
         return schedules.parallelStream()
                 .flatMap(s -> s.play().stream().map(violation -> s + ": " + violation))
