Test the settings of account limits and the handover at a planned stop

Without [accounts] no port is opened and no key written; a stopping server gives its shards up at once.

--- a/carobstage/src/main/java/org/carobstage/front/PrometheusExporter.java
+++ b/carobstage/src/main/java/org/carobstage/front/PrometheusExporter.java
@@ -7,9 +7,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.carobstage.model.ServiceName;
+import org.carobstage.quota.QuotaService;
 import org.carobstage.upstream.ServiceGroup;
 
 /**
@@ -25,7 +27,7 @@
     static String export(
             ProxyMetrics metrics,
             Map<ServiceName, ServiceGroup> groups,
-            Map<String, Double> quotaMetrics) {
+            Optional<QuotaService> quota) {
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         metrics.counters().forEach((name, value) -> add(registry, name, value));
         metrics.latencyHistograms()
@@ -49,7 +51,8 @@
                     add(registry, "open_connections" + label, group.openConnectionCount());
                     add(registry, "primary_term" + label, group.leadership().term().number());
                 });
-        quotaMetrics.forEach((name, value) -> add(registry, name, value));
+        quota.map(QuotaService::metrics)
+                .ifPresent(all -> all.forEach((name, value) -> add(registry, name, value)));
         return registry.scrape();
     }
 
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import org.carobstage.discovery.InstanceEntry;
@@ -26,7 +25,6 @@
 import org.carobstage.model.ServiceName;
 import org.carobstage.quota.OperationLimiter;
 import org.carobstage.quota.QuotaService;
-import org.carobstage.quota.QuotaSettings;
 import org.carobstage.route.RouteTable;
 import org.carobstage.runtime.Clock;
 import org.carobstage.store.StoreEntry;
@@ -73,7 +71,17 @@
         this.clock = adapter.clock();
         this.shutdownTimeout = settings.shutdownTimeout();
         this.events = EventLog.of(settings.vm(), clock, MAX_RETAINED_EVENTS);
-        this.quota = settings.quota().map(this::createQuotaService);
+        this.quota =
+                settings.quota()
+                        .map(
+                                s ->
+                                        QuotaService.of(
+                                                s,
+                                                events,
+                                                adapter.metadataStore(),
+                                                clock,
+                                                adapter.peerTransport(),
+                                                () -> routeTable.accounts()));
         this.context =
                 new SessionContext(
                         clock,
@@ -177,7 +185,8 @@
         lastTickNanos = clock.nanoTime();
         lastTickMillis = clock.instant().toEpochMilli();
         adapter.listenForClients(this::openSession).whenComplete(this::onListening);
-        adapter.listenForProbes(() -> ready && !stopping, this::exportMetrics);
+        adapter.listenForProbes(
+                () -> ready && !stopping, () -> PrometheusExporter.export(metrics, groups, quota));
         storeWatcher.start();
         membership.join();
         quota.ifPresent(QuotaService::start);
@@ -262,22 +271,6 @@
         group.put(entry);
     }
 
-    private QuotaService createQuotaService(QuotaSettings settings) {
-        return QuotaService.of(
-                settings,
-                events,
-                clock,
-                adapter.metadataStore(),
-                adapter.peerTransport(),
-                () -> routeTable.accounts(),
-                new SplittableRandom());
-    }
-
-    private String exportMetrics() {
-        Map<String, Double> quotaMetrics = quota.map(QuotaService::metrics).orElseGet(Map::of);
-        return PrometheusExporter.export(metrics, groups, quotaMetrics);
-    }
-
     private ServiceGroup createGroup(ServiceName name) {
         ServiceGroup group = ServiceGroup.of(name, upstream);
         failoverCoordinator.add(group);
--- a/carobstage/src/main/java/org/carobstage/quota/QuotaService.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaService.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -91,22 +92,21 @@
      *
      * @param settings how limits are enforced
      * @param events the event log, which names the VM of the process
-     * @param clock the runtime's clock
      * @param store the metadata store
+     * @param clock the runtime's clock
      * @param transport opens and accepts links to other processes
      * @param accounts returns the current accounts, or empty if there are none
-     * @param random the source of the jitter and of the id of this run
      * @return the service
      */
     public static QuotaService of(
             QuotaSettings settings,
             EventLog events,
-            Clock clock,
             MetadataStore store,
+            Clock clock,
             PeerTransport transport,
-            Supplier<Optional<AccountTable>> accounts,
-            RandomGenerator random) {
-        return new QuotaService(settings, events, clock, store, transport, accounts, random);
+            Supplier<Optional<AccountTable>> accounts) {
+        return new QuotaService(
+                settings, events, clock, store, transport, accounts, new SplittableRandom());
     }
 
     /** Starts to accept links and to send messages. */
--- a/carobstage/src/test/java/org/carobstage/fake/FakePeerNetwork.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakePeerNetwork.java
@@ -54,6 +54,10 @@
         List.copyOf(ends).forEach(End::close);
     }
 
+    public int listenerCount() {
+        return listeners.size();
+    }
+
     public int connectCount() {
         return connectCount;
     }
--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerSettingsTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerSettingsTest.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import org.carobstage.model.Address;
 import org.carobstage.model.VmId;
+import org.carobstage.quota.QuotaPolicy;
+import org.carobstage.quota.QuotaSettings;
 import org.carobstage.settings.ValidationError;
 import org.carobstage.settings.ValidationResult;
 import org.junit.jupiter.api.Test;
@@ -27,6 +29,20 @@
             limit = 6 s
             """;
 
+    private static final String ACCOUNTS =
+            """
+            [accounts]
+            window = 5 s
+            excess = 0.1
+            slack = 20
+            """;
+
+    private static final String PEERS =
+            """
+            [peers]
+            listen = 10.0.0.1:6
+            """;
+
     @Test
     void shouldReadSettings() {
         ProxyServerSettings settings =
@@ -55,4 +71,39 @@
                 .contains("limit")
                 .contains("readiness-listen");
     }
+
+    @Test
+    void shouldReadQuotaSettings() {
+        QuotaSettings quota = read(INI_TEXT + ACCOUNTS + PEERS).quota().orElseThrow();
+
+        assertThat(quota.policy()).isEqualTo(new QuotaPolicy(Duration.ofSeconds(5), 0.1, 20));
+        assertThat(quota.peerAddress()).contains(Address.of("10.0.0.1", 6));
+        assertThat(read(INI_TEXT + ACCOUNTS).quota().orElseThrow().peerAddress()).isEmpty();
+    }
+
+    // Without accounts, no port may be opened.
+    @Test
+    void shouldNotEnforceQuotasWhenThereIsNoAccountsSection() {
+        assertThat(read(INI_TEXT).quota()).isEmpty();
+        assertThat(read(INI_TEXT + PEERS).quota()).isEmpty();
+    }
+
+    // A default in place of a misspelt limit would not be noticed.
+    @Test
+    void shouldReportEachErrorOfQuotaSettings() {
+        String invalid =
+                INI_TEXT
+                        + ACCOUNTS.replace("5 s", "5")
+                                .replace("excess = 0.1", "excess = NaN")
+                                .replace("slack = 20", "slak = 20")
+                        + PEERS.replace("10.0.0.1", "0.0.0.0");
+
+        assertThat(ProxyServerSettings.validate("one.ini", invalid).errors())
+                .extracting(ValidationError::key)
+                .containsExactlyInAnyOrder("window", "excess", "slack", "slak", "listen");
+    }
+
+    private static ProxyServerSettings read(String text) {
+        return ProxyServerSettings.validate("one.ini", text).value().orElseThrow();
+    }
 }
--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
@@ -4,13 +4,21 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.carobstage.account.AccountTable;
+import org.carobstage.account.ClientAccount;
+import org.carobstage.account.RateLimit;
 import org.carobstage.error.CodedException;
 import org.carobstage.fake.FakeService;
+import org.carobstage.model.AccountName;
 import org.carobstage.model.Address;
 import org.carobstage.model.FailureDomain;
 import org.carobstage.model.VmId;
+import org.carobstage.quota.QuotaPolicy;
+import org.carobstage.quota.QuotaSettings;
 import org.carobstage.route.Consistency;
 import org.carobstage.route.Route;
 import org.carobstage.route.RouteTable;
@@ -36,6 +44,20 @@
                     false,
                     Duration.ofSeconds(6));
 
+    private static final ProxyServerSettings SETTINGS_WITH_QUOTA =
+            new ProxyServerSettings(
+                    VmId.of("vm"),
+                    FailureDomain.of("domain-b"),
+                    ANY_ADDRESS,
+                    ANY_ADDRESS,
+                    ANY_ADDRESS,
+                    ANY_ADDRESS,
+                    ANY_ADDRESS,
+                    false,
+                    Duration.ofSeconds(6),
+                    Optional.of(
+                            new QuotaSettings(QuotaPolicy.standard(), Optional.of(ANY_ADDRESS))));
+
     private final FakePlatformAdapter adapter = new FakePlatformAdapter();
     private ProxyServer server;
 
@@ -183,6 +205,40 @@
         server.awaitStop();
     }
 
+    // A deployment without accounts must behave as before they existed.
+    @Test
+    void shouldOpenNoPeerPortWhenAccountsAreNotEnabled() {
+        adapter.clock.advance(Duration.ofSeconds(9));
+
+        assertThat(adapter.peers.listenerCount()).isZero();
+        assertThat(adapter.store.keys("carobstage/quota/")).isEmpty();
+    }
+
+    // Other processes use smaller shares for 3 s if a stopping process keeps its shards.
+    @Test
+    void shouldHandQuotaShardsOverAtOnceWhenStopping() {
+        RouteTable table = routes(2, "drafts");
+        ClientAccount account =
+                new ClientAccount(
+                        AccountName.of("a"), Set.of(), 0, Optional.of(new RateLimit(5, 5)));
+        adapter.routeTable =
+                new RouteTable(
+                        2,
+                        table.routes(),
+                        table.connectionLimits(),
+                        Duration.ofSeconds(3),
+                        Optional.of(AccountTable.of(List.of(account))));
+        adapter.store.put("routes", "2");
+        ProxyServer limited = ProxyServer.launch(SETTINGS_WITH_QUOTA, adapter);
+        adapter.clock.advance(Duration.ofSeconds(8));
+        assertThat(adapter.store.keys("carobstage/quota/")).hasSize(4);
+        limited.stop();
+        adapter.clock.advance(Duration.ofMillis(20));
+
+        assertThat(adapter.store.keys("carobstage/quota/")).isEmpty();
+        assertThat(limited.isStopped()).isFalse();
+    }
+
     private static RouteTable routes(long version, String database) {
         Route route =
                 new Route(
