--- a/carobstage/src/main/java/org/carobstage/peer/PeerLinks.java
+++ b/carobstage/src/main/java/org/carobstage/peer/PeerLinks.java
@@ -267,7 +267,7 @@
 
         @Override
         public void onReady(PeerLink link) {
-            targetOf(link).ifPresent(PeerTarget::onReady);
+            targetOf(link).ifPresent(t -> t.onReady(clock.nanoTime()));
             if (!link.isOutgoing()) {
                 closeEarlierLinksOf(link);
             }
--- a/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
@@ -221,15 +221,12 @@
 
     private Situation situation(QuotaShard shard) {
         long nowNanos = clock.nanoTime();
-        Optional<Long> formerOwnersStopped =
-                eraSinceNanos
-                        .map(since -> since + ERA_DELAY.toNanos())
-                        .filter(stopped -> nowNanos - stopped >= 0);
+        Optional<Long> formerOwnersStop = eraSinceNanos.map(since -> since + ERA_DELAY.toNanos());
         return new Situation(
                 nowNanos,
                 store.era().current(),
                 lease.id(),
-                formerOwnersStopped.filter(stopped -> needed && address.isPresent()),
+                formerOwnersStop.filter(stop -> needed && address.isPresent()),
                 stopping,
                 RendezvousOrder.rank(key(shard), vm, members),
                 (int) claims.values().stream().filter(ShardClaim::isHeldOrCalling).count());
--- a/carobstage/src/test/java/org/carobstage/peer/PeerLinksTest.java
+++ b/carobstage/src/test/java/org/carobstage/peer/PeerLinksTest.java
@@ -109,6 +109,19 @@
         assertThat(server.links.faultCount()).isGreaterThan(4);
     }
 
+    // A peer that accepts each link and closes it at its first message would be tried 30 times a
+    // second, each time with a log line on both sides.
+    @Test
+    void shouldBackOffWhenEachLinkIsClosedForItsFirstMessage() {
+        Peer faulty = connect(PeerHello.of(VmId.of("faulty"), "1"));
+        for (int i = 0; i < 1_000; i++) {
+            faulty.send("malformed");
+            advance(10);
+        }
+
+        assertThat(network.connectCount()).isBetween(8, 25);
+    }
+
     private Peer connect(PeerHello hello) {
         Peer client = new Peer(hello);
         client.links.setTargets(Set.of(SERVER));
