--- a/carobstage/src/test/java/org/carobstage/front/SessionRevocationTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/SessionRevocationTest.java
@@ -23,10 +23,17 @@
     private final List<Consumer<Decision>> decisions = new ArrayList<>();
     private ClientSession session;
 
+    private long earlierCommits;
+
     @BeforeEach
     void open() {
         fixture.applyAccounts("paper=k1");
         session = fixture.openSession("primary", "k1", channel);
+        // Opens the connection of the account, so that later statements are sent at once.
+        fixture.send(session, WRITE);
+        fixture.advanceMillis(100);
+        channel.results.clear();
+        earlierCommits = commitsOfService();
     }
 
     // A client must not keep a session under a key that is not trusted any more.
@@ -229,6 +236,10 @@
     }
 
     private long committed() {
+        return commitsOfService() - earlierCommits;
+    }
+
+    private long commitsOfService() {
         return fixture.service.instance("a").receivedPosition().offset();
     }
 }
