Admit requests by priority where the settings ask for it

Cause: requests wait in the order of deadlines, so that under overload low priority crowds out high priority, one account delays the others, and idle transactions pin all connections to a primary.

Change: with `[admission] order = priority`, RequestOrder ranks the queue by priority, target latency, requests in service by account, retry and deadline. LoadShedding rejects what ranks last, also displacing waiting requests, with a retry time. DispatchPolicy holds low priority back by the QueueingDelay of an instance. TransactionBulkhead leaves the last connection to single statements; IdleTransactionPreemption rolls back transactions that are idle for over 1 s. The default order is unchanged.

Ruled out: retries behind all first attempts of a priority, which starved accounts whose statements an instance with a full queue had refused; one statement of low priority in flight per process at any time, since 31 of them alone are a queue of 230 ms.

--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -46,6 +46,14 @@
     OVERLOAD_STARTED(4004, Level.WARNING),
     /** No statement has been rejected for some time. */
     OVERLOAD_ENDED(4005, Level.INFO),
+    /** Requests were rejected by admission by priority; the detail describes one of them. */
+    REQUESTS_SHED(4006, Level.WARNING),
+    /** A request of low priority waits because statements queue at an instance. */
+    DISPATCH_HELD_BACK(4007, Level.INFO),
+    /** A transaction waits because the last connection is left to single statements. */
+    CONNECTION_RESERVED(4008, Level.INFO),
+    /** An idle transaction was rolled back because a request needed its connection. */
+    TRANSACTION_PREEMPTED(4009, Level.WARNING),
     /** An instance does not respond to this process. */
     INSTANCE_SUSPECTED(3010, Level.WARNING),
     /** A suspected instance responds again. */
--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -19,6 +19,7 @@
 import org.carobstage.sql.TransactionState;
 import org.carobstage.upstream.ConnectionRequest;
 import org.carobstage.upstream.ConnectionRequest.Purpose;
+import org.carobstage.upstream.IdleTransaction;
 import org.carobstage.upstream.PooledConnection;
 import org.carobstage.upstream.ServiceGroup;
 import org.carobstage.upstream.TrackedCommit;
@@ -175,21 +176,22 @@
         }
         ConnectionRequest request =
                 new ConnectionRequest(
-                        usePrimary ? Purpose.PRIMARY_TRANSACTION : Purpose.TRANSACTION,
-                        excludedInstances,
-                        session.sessionVariables(),
-                        statementReceivedAt.monotonicNanos() + route.timeout().toNanos(),
-                        acquired -> {
-                            connectionRequest = Optional.empty();
-                            setUpAndBegin(
-                                    acquired,
-                                    usePrimary ? Optional.empty() : requiredPosition,
-                                    prepared);
-                        },
-                        reason -> {
-                            connectionRequest = Optional.empty();
-                            fail(FailureCode.BUSY, reason);
-                        });
+                                usePrimary ? Purpose.PRIMARY_TRANSACTION : Purpose.TRANSACTION,
+                                excludedInstances,
+                                session.sessionVariables(),
+                                statementReceivedAt.monotonicNanos() + route.timeout().toNanos(),
+                                acquired -> {
+                                    connectionRequest = Optional.empty();
+                                    setUpAndBegin(
+                                            acquired,
+                                            usePrimary ? Optional.empty() : requiredPosition,
+                                            prepared);
+                                },
+                                reason -> {
+                                    connectionRequest = Optional.empty();
+                                    fail(FailureCode.BUSY, reason);
+                                })
+                        .withAttempt(attempts);
         connectionRequest = Optional.of(request);
         group.acquire(request);
     }
@@ -454,6 +456,11 @@
     private void startIdleTimer() {
         Duration timeout = context.routeTable().get().idleTransactionTimeout();
         idleTimer = Optional.of(context.clock().schedule(() -> abort("idle"), timeout));
+        long nowNanos = context.clock().nanoTime();
+        IdleTransaction idle =
+                new IdleTransaction(
+                        nowNanos, nowNanos + timeout.toNanos(), () -> abort("preempted"));
+        connection.ifPresent(c -> c.markTransactionIdle(idle));
     }
 
     private void cancelRetryTimer() {
--- a/carobstage/src/main/java/org/carobstage/front/ProxyMetrics.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyMetrics.java
@@ -22,7 +22,11 @@
     }
 
     void increment(String name) {
-        counters.merge(name, 1L, Long::sum);
+        add(name, 1);
+    }
+
+    void add(String name, long value) {
+        counters.merge(name, value, Long::sum);
     }
 
     void recordStatement(String consistency, String outcome, Duration latency) {
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -80,11 +80,12 @@
                         metrics);
         this.upstream =
                 new UpstreamContext(
-                        clock,
-                        adapter.instanceConnector(),
-                        settings.failureDomain(),
-                        events,
-                        settings.fencingEnforced());
+                                clock,
+                                adapter.instanceConnector(),
+                                settings.failureDomain(),
+                                events,
+                                settings.fencingEnforced())
+                        .withAdmission(settings.admissionOrder(), metrics::add);
         this.membership =
                 new ClusterMembership(
                         settings.vm(),
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServerSettings.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServerSettings.java
@@ -16,6 +16,7 @@
 import org.carobstage.settings.IniReader.Section;
 import org.carobstage.settings.ValidationResult;
 import org.carobstage.settings.ValueParsers;
+import org.carobstage.upstream.AdmissionOrder;
 
 /**
  * The settings of a proxy server.
@@ -30,6 +31,7 @@
  * @param fencingEnforced whether the platform rejects promotion requests with an outdated fencing
  *     token, and a promotion ends the leadership of the former primary at once
  * @param shutdownTimeout the maximum duration of a graceful shutdown
+ * @param admissionOrder the order in which requests for a connection are granted
  */
 public record ProxyServerSettings(
         VmId vm,
@@ -40,7 +42,8 @@
         Address storeAddress,
         Address promotionAddress,
         boolean fencingEnforced,
-        Duration shutdownTimeout) {
+        Duration shutdownTimeout,
+        AdmissionOrder admissionOrder) {
     private static final Duration MAX_SHUTDOWN_TIMEOUT = Duration.ofMinutes(10);
 
     /** Rejects null components. */
@@ -53,6 +56,43 @@
         requireNonNull(storeAddress, "storeAddress is null");
         requireNonNull(promotionAddress, "promotionAddress is null");
         requireNonNull(shutdownTimeout, "shutdownTimeout is null");
+        requireNonNull(admissionOrder, "admissionOrder is null");
+    }
+
+    /**
+     * Creates settings with the default order of admission.
+     *
+     * @param vm the VM that the process runs on
+     * @param failureDomain the failure domain of the VM
+     * @param clientAddress the address that accepts client connections
+     * @param readinessAddress the address that serves readiness probes
+     * @param metricsAddress the address that serves metrics
+     * @param storeAddress the address of the metadata store
+     * @param promotionAddress the address of the service that promotes instances
+     * @param fencingEnforced whether a promotion ends the leadership of the former primary at once
+     * @param shutdownTimeout the maximum duration of a graceful shutdown
+     */
+    public ProxyServerSettings(
+            VmId vm,
+            FailureDomain failureDomain,
+            Address clientAddress,
+            Address readinessAddress,
+            Address metricsAddress,
+            Address storeAddress,
+            Address promotionAddress,
+            boolean fencingEnforced,
+            Duration shutdownTimeout) {
+        this(
+                vm,
+                failureDomain,
+                clientAddress,
+                readinessAddress,
+                metricsAddress,
+                storeAddress,
+                promotionAddress,
+                fencingEnforced,
+                shutdownTimeout,
+                AdmissionOrder.DEADLINE);
     }
 
     /**
@@ -98,6 +138,10 @@
                         .required(
                                 "limit",
                                 ValueParsers.duration(Duration.ZERO, MAX_SHUTDOWN_TIMEOUT));
+        AdmissionOrder admissionOrder =
+                ini.section("admission")
+                        .optional("order", ValueParsers.oneOf(AdmissionOrder.class))
+                        .orElse(AdmissionOrder.DEADLINE);
         Supplier<ProxyServerSettings> settings =
                 () ->
                         new ProxyServerSettings(
@@ -109,7 +153,8 @@
                                 storeAddress,
                                 promotionAddress,
                                 fencingEnforced,
-                                shutdownTimeout);
+                                shutdownTimeout,
+                                admissionOrder);
         return ini.build(settings);
     }
 }
--- a/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
@@ -147,18 +147,19 @@
         ConnectionRequest[] request = new ConnectionRequest[1];
         request[0] =
                 new ConnectionRequest(
-                        usePrimary ? Purpose.PRIMARY : Purpose.ANY_INSTANCE,
-                        excludedInstances,
-                        session.sessionVariables(),
-                        deadlineNanos,
-                        connection -> {
-                            connectionRequests.remove(request[0]);
-                            setUpAndSend(connection, requiredPosition);
-                        },
-                        reason -> {
-                            connectionRequests.remove(request[0]);
-                            reject(reason);
-                        });
+                                usePrimary ? Purpose.PRIMARY : Purpose.ANY_INSTANCE,
+                                excludedInstances,
+                                session.sessionVariables(),
+                                deadlineNanos,
+                                connection -> {
+                                    connectionRequests.remove(request[0]);
+                                    setUpAndSend(connection, requiredPosition);
+                                },
+                                reason -> {
+                                    connectionRequests.remove(request[0]);
+                                    reject(reason);
+                                })
+                        .withAttempt(attempts);
         connectionRequests.add(request[0]);
         group.acquire(request[0]);
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionAdmission.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionAdmission.java
@@ -10,7 +10,7 @@
  * Decides which requests may wait for a connection, and rejects the others at once with a
  * retry-after time.
  */
-final class ConnectionAdmission {
+final class ConnectionAdmission implements AdmissionController {
     /**
      * Queued requests per statement in flight; at 30 to 50 ms a statement they wait 240 to 400 ms.
      */
@@ -25,16 +25,18 @@
         this.recoveryEstimate = requireNonNull(recoveryEstimate, "recoveryEstimate is null");
     }
 
-    int waitingCount() {
+    @Override
+    public int waitingCount() {
         return queue.size();
     }
 
-    /** Removes a request; returns whether it was waiting. */
-    boolean cancel(ConnectionRequest request) {
+    @Override
+    public boolean cancel(ConnectionRequest request) {
         return !queue.removeMatching(r -> r == request).isEmpty();
     }
 
-    void assignConnections(
+    @Override
+    public void assignConnections(
             long nowNanos, Function<ConnectionRequest, Optional<PooledConnection>> connections) {
         queue.assignConnections(nowNanos, connections);
     }
@@ -47,7 +49,8 @@
      * @param nowNanos the current monotonic time in ns
      * @return the reason if the request is rejected
      */
-    Optional<String> admit(ConnectionRequest request, Capacity capacity, long nowNanos) {
+    @Override
+    public Optional<String> admit(ConnectionRequest request, Capacity capacity, long nowNanos) {
         int maxWaiting = Math.max(MIN_WAITERS, WAITERS_PER_STATEMENT * capacity.statementLimit());
         if (queue.size() >= maxWaiting) {
             return Optional.of(
@@ -70,7 +73,8 @@
      * @param capacity the current capacity of the service
      * @param nowNanos the current monotonic time in ns
      */
-    void rejectUnservable(Capacity capacity, long nowNanos) {
+    @Override
+    public void rejectUnservable(Capacity capacity, long nowNanos) {
         queue.removeMatching(r -> cannotBeServed(r, capacity, nowNanos))
                 .forEach(r -> r.onRejected().accept(recoveryEstimate.retryAfterMessage(nowNanos)));
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionDispatcher.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
+import org.carobstage.model.ServiceName;
 import org.carobstage.runtime.Clock;
 import org.carobstage.upstream.ConnectionAdmission.Capacity;
 
@@ -15,20 +16,33 @@
     private final Clock clock;
     private final InstancePools pools;
     private final Supplier<Optional<InstanceConnectionPool>> primaryPool;
-    private final ConnectionAdmission admission;
+    private final AdmissionController admission;
+    private final DispatchControl control;
     private final OpeningPlanner planner = new OpeningPlanner(this::rankedPools);
     private boolean dispatching;
     private boolean dispatchAgain;
+    private boolean roundHadReservation;
 
     ConnectionDispatcher(
-            Clock clock,
+            UpstreamContext context,
+            ServiceName service,
             InstancePools pools,
             Supplier<Optional<InstanceConnectionPool>> primaryPool,
             PrimaryRecoveryEstimate recoveryEstimate) {
-        this.clock = requireNonNull(clock, "clock is null");
+        this.clock = context.clock();
         this.pools = requireNonNull(pools, "pools is null");
         this.primaryPool = requireNonNull(primaryPool, "primaryPool is null");
-        this.admission = new ConnectionAdmission(recoveryEstimate);
+        if (context.admissionOrder() == AdmissionOrder.PRIORITY) {
+            ServedRequests served = ServedRequests.empty();
+            AdmissionMonitor monitor = new AdmissionMonitor(context, service);
+            PriorityAdmission byPriority =
+                    new PriorityAdmission(recoveryEstimate, served, context.jitter(), monitor);
+            this.admission = byPriority;
+            this.control = new PriorityDispatch(clock, byPriority, served, monitor);
+        } else {
+            this.admission = new ConnectionAdmission(recoveryEstimate);
+            this.control = DispatchControl.unlimited();
+        }
     }
 
     /** Requests a connection; the request is granted or rejected at once or later. */
@@ -42,18 +56,24 @@
         admission.cancel(request);
     }
 
-    /** Grants connections to the waiting requests, the earliest deadline first. */
+    /** Grants connections to the waiting requests in their order. */
     void dispatch() {
         dispatchAgain = true;
         if (dispatching) {
             return;
         }
         dispatching = true;
+        boolean mayRepeat = true;
         try {
             while (dispatchAgain) {
                 dispatchAgain = false;
+                roundHadReservation = false;
                 admission.assignConnections(clock.nanoTime(), this::grant);
                 planner.openConnections().forEach(this::rejectIfTooLate);
+                // Once connections are being opened, the remaining idle ones are free again.
+                dispatchAgain |= roundHadReservation && mayRepeat;
+                mayRepeat &= !roundHadReservation;
+                primaryPool.get().ifPresent(control::freeConnection);
             }
         } finally {
             dispatching = false;
@@ -66,7 +86,7 @@
             dispatching = true;
             try {
                 admission.assignConnections(
-                        clock.nanoTime(), r -> pinIfNeeded(r, tryAcquireAt(connection.pool(), r)));
+                        clock.nanoTime(), r -> recordGrant(r, tryAcquireAt(connection.pool(), r)));
             } finally {
                 dispatching = false;
             }
@@ -105,7 +125,7 @@
         if (connection.isEmpty()) {
             accepting.stream().findFirst().ifPresent(p -> p.openIfAllowed(Optional.empty()));
         }
-        return pinIfNeeded(request, connection);
+        return recordGrant(request, connection);
     }
 
     /**
@@ -117,16 +137,22 @@
                 rankedPools(request)
                         .filter(p -> p.hasIdle(request) || p.canOpen(request.origin().account()))
                         .findFirst()
+                        .filter(p -> !isReserved(p, request))
                         .flatMap(p -> p.tryAcquire(request));
         if (connection.isEmpty()) {
             planner.add(request);
         }
-        return pinIfNeeded(request, connection);
+        return recordGrant(request, connection);
     }
 
-    private static Optional<PooledConnection> pinIfNeeded(
+    private Optional<PooledConnection> recordGrant(
             ConnectionRequest request, Optional<PooledConnection> connection) {
         connection.filter(c -> request.pinsConnection()).ifPresent(PooledConnection::pin);
+        connection.ifPresent(
+                c -> {
+                    planner.remove(request);
+                    control.onGranted(request, c);
+                });
         return connection;
     }
 
@@ -135,6 +161,9 @@
     }
 
     private void rejectIfTooLate(ConnectionRequest request) {
+        if (request.needsPrimary() && mayFreeConnection(request)) {
+            return;
+        }
         long remaining = request.deadlineNanos() - clock.nanoTime();
         usablePools(request)
                 .filter(p -> !p.isSuspected())
@@ -144,6 +173,20 @@
                 .ifPresent(wait -> reject(request, wait));
     }
 
+    /** In the order by priority, a request takes no connection that a better ranked one needs. */
+    private boolean isReserved(InstanceConnectionPool pool, ConnectionRequest request) {
+        boolean reserved = control.reservesForOpening() && planner.isReserved(pool, request);
+        roundHadReservation |= reserved;
+        return reserved;
+    }
+
+    private boolean mayFreeConnection(ConnectionRequest request) {
+        return primaryPool
+                .get()
+                .filter(p -> control.mayFreeConnection(p, request.deadlineNanos()))
+                .isPresent();
+    }
+
     private void reject(ConnectionRequest request, Duration wait) {
         if (admission.cancel(request)) {
             request.onRejected()
@@ -156,7 +199,9 @@
     }
 
     private Stream<InstanceConnectionPool> acceptingPools(ConnectionRequest request) {
-        return usablePools(request).filter(p -> request.pinsConnection() || p.canAcceptStatement());
+        return usablePools(request)
+                .filter(p -> request.pinsConnection() || p.canAcceptStatement())
+                .filter(p -> control.mayUse(request, p));
     }
 
     private Stream<InstanceConnectionPool> usablePools(ConnectionRequest request) {
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
@@ -18,6 +18,7 @@
  * @param deadlineNanos the monotonic time in ns at which the statement times out
  * @param onGranted receives the connection
  * @param onRejected receives the reason if no connection is available before the deadline
+ * @param isRetry whether an earlier attempt of the statement has already had a connection
  */
 public record ConnectionRequest(
         RequestOrigin origin,
@@ -26,7 +27,8 @@
         Map<String, String> sessionVariables,
         long deadlineNanos,
         Consumer<PooledConnection> onGranted,
-        Consumer<String> onRejected) {
+        Consumer<String> onRejected,
+        boolean isRetry) {
     /** Rejects null components. */
     public ConnectionRequest {
         requireNonNull(origin, "origin is null");
@@ -37,6 +39,36 @@
         requireNonNull(onRejected, "onRejected is null");
     }
 
+    /**
+     * Creates the request of a first attempt.
+     *
+     * @param origin whom the request serves
+     * @param purpose what the connection is for
+     * @param excludedInstances instances that have rejected the statement
+     * @param sessionVariables the session variables that the connection should preferably have
+     * @param deadlineNanos the monotonic time in ns at which the statement times out
+     * @param onGranted receives the connection
+     * @param onRejected receives the reason if no connection is available before the deadline
+     */
+    public ConnectionRequest(
+            RequestOrigin origin,
+            Purpose purpose,
+            Set<InstanceId> excludedInstances,
+            Map<String, String> sessionVariables,
+            long deadlineNanos,
+            Consumer<PooledConnection> onGranted,
+            Consumer<String> onRejected) {
+        this(
+                origin,
+                purpose,
+                excludedInstances,
+                sessionVariables,
+                deadlineNanos,
+                onGranted,
+                onRejected,
+                false);
+    }
+
     /**
      * Creates a request that serves no client account.
      *
@@ -64,6 +96,24 @@
                 onRejected);
     }
 
+    /**
+     * Returns the same request as that of a later attempt.
+     *
+     * @param attempt the number of the attempt, from 1
+     * @return the request
+     */
+    public ConnectionRequest withAttempt(int attempt) {
+        return new ConnectionRequest(
+                origin,
+                purpose,
+                excludedInstances,
+                sessionVariables,
+                deadlineNanos,
+                onGranted,
+                onRejected,
+                attempt > 1);
+    }
+
     boolean needsPrimary() {
         return purpose == Purpose.PRIMARY || purpose == Purpose.PRIMARY_TRANSACTION;
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/DrainRate.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/DrainRate.java
@@ -10,11 +10,14 @@
     /** An interval this long is a stall, such as a change of primary, and is not counted. */
     private static final Duration STALL = Duration.ofMillis(200);
 
+    private final Duration stall;
     private double intervalNanos;
     private long lastGrantNanos;
     private boolean requestsWaiting;
 
-    private DrainRate() {}
+    private DrainRate(Duration stall) {
+        this.stall = stall;
+    }
 
     /**
      * Creates a rate without samples.
@@ -22,7 +25,17 @@
      * @return the rate
      */
     static DrainRate empty() {
-        return new DrainRate();
+        return withStall(STALL);
+    }
+
+    /**
+     * Creates a rate without samples.
+     *
+     * @param stall the shortest interval that is not counted
+     * @return the rate
+     */
+    static DrainRate withStall(Duration stall) {
+        return new DrainRate(stall);
     }
 
     /**
@@ -34,7 +47,7 @@
      */
     void recordGrant(long nowNanos, boolean waiting) {
         double interval = nowNanos - lastGrantNanos;
-        if (requestsWaiting && interval < STALL.toNanos()) {
+        if (requestsWaiting && interval < stall.toNanos()) {
             intervalNanos =
                     intervalNanos == 0
                             ? interval
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
@@ -332,6 +332,10 @@
         response.status().ifPresent(s -> group.onStatus(entry.id(), s, sentAt));
     }
 
+    PinnedConnections pinnedConnections() {
+        return PinnedConnections.of(connections, share.limit());
+    }
+
     int openConnectionCount() {
         return connections.size();
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/OpeningPlanner.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/OpeningPlanner.java
@@ -29,9 +29,30 @@
 
     /** Adds a request that got no connection in this round; requests are served in this order. */
     void add(ConnectionRequest request) {
+        // The order by priority asks again for the remaining requests after each grant.
+        remove(request);
         waiting.add(request);
     }
 
+    /** Removes a request that has got a connection after it was added. */
+    void remove(ConnectionRequest request) {
+        waiting.removeIf(r -> r == request);
+    }
+
+    /**
+     * Returns whether an idle connection of a pool is left to be closed for an added request of
+     * another account, which precedes the given one and for which no connection is being opened.
+     */
+    boolean isReserved(InstanceConnectionPool pool, ConnectionRequest request) {
+        return waiting.stream()
+                .filter(r -> r.needsPrimary() == request.needsPrimary())
+                .filter(r -> !r.acceptsAnyAccount())
+                .map(r -> r.origin().account())
+                .filter(account -> !account.equals(request.origin().account()))
+                .filter(a -> pool.openings().stream().noneMatch(o -> o.account().equals(a)))
+                .anyMatch(pool::canOpen);
+    }
+
     /** Opens connections for the added requests and returns and removes these. */
     List<ConnectionRequest> openConnections() {
         List<ConnectionRequest> planned = List.copyOf(waiting);
--- a/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
@@ -2,11 +2,13 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.freshness.ClockReading;
@@ -32,6 +34,8 @@
     private boolean retired;
     private TransactionState state = TransactionState.IDLE;
     private ClockReading sentAt;
+    private BiConsumer<StatementResult, Duration> resultObserver = (result, latency) -> {};
+    private Optional<IdleTransaction> idleTransaction = Optional.empty();
 
     PooledConnection(InstanceConnectionPool pool, Optional<AccountName> account) {
         this.pool = requireNonNull(pool, "pool is null");
@@ -103,6 +107,7 @@
             Consumer<Optional<StatementResult>> callback) {
         ClockReading requestedAt = pool.now();
         sentAt = requestedAt;
+        idleTransaction = Optional.empty();
         connection.send(
                 id,
                 required,
@@ -111,10 +116,30 @@
                     sentAt = null;
                     result.ifPresent(r -> state = r.transactionState());
                     pool.onResult(this, statement, result, requestedAt);
+                    result.filter(r -> isQuery(statement))
+                            .ifPresent(r -> resultObserver.accept(r, requestedAt.age(pool.now())));
                     callback.accept(result);
                 });
     }
 
+    /**
+     * Records that the transaction on the connection is idle until its next statement is sent.
+     *
+     * @param transaction the transaction
+     */
+    public void markTransactionIdle(IdleTransaction transaction) {
+        idleTransaction = Optional.of(transaction);
+    }
+
+    Optional<IdleTransaction> idleTransaction() {
+        return idleTransaction;
+    }
+
+    /** Passes the results of the current holder's queries to an observer, with their latencies. */
+    void observeResults(BiConsumer<StatementResult, Duration> observer) {
+        resultObserver = observer;
+    }
+
     /** Releases the connection; an open transaction is rolled back first. */
     public void release() {
         release("");
@@ -178,6 +203,7 @@
         used = true;
         busy = false;
         pinned = false;
+        idleTransaction = Optional.empty();
         idleSinceNanos = nowNanos;
         return isNew;
     }
@@ -209,4 +235,10 @@
     void setSentAt(ClockReading time) {
         sentAt = time;
     }
+
+    private static boolean isQuery(Statement statement) {
+        return statement instanceof Statement.Read
+                || statement instanceof Statement.Write
+                || statement instanceof Statement.Execute;
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/PrimaryRecoveryEstimate.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PrimaryRecoveryEstimate.java
@@ -42,10 +42,14 @@
         return nowNanos - expectedNanos > MAX_DELAY.toNanos() || deadlineNanos - expectedNanos < 0;
     }
 
+    /** Returns the time until a primary is expected; an overdue one may take as long again. */
+    Duration remaining(long nowNanos) {
+        Duration remaining = Duration.ofNanos(expectedNanos - nowNanos);
+        return remaining.toMillis() > 0 ? remaining : PROMOTION_TIME;
+    }
+
     /** Returns the message that gives the client the time after which to retry. */
     String retryAfterMessage(long nowNanos) {
-        long millis = Duration.ofNanos(expectedNanos - nowNanos).toMillis();
-        long retryAfter = millis > 0 ? millis : PROMOTION_TIME.toMillis();
-        return "no primary, retry after " + retryAfter + " ms";
+        return "no primary, retry after " + remaining(nowNanos).toMillis() + " ms";
     }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -45,7 +45,7 @@
         this.schedule = new StatusSchedule(leader, pools);
         this.connections =
                 new ConnectionDispatcher(
-                        context.clock(), pools, this::primaryPool, leader.recoveryEstimate());
+                        context, name, pools, this::primaryPool, leader.recoveryEstimate());
         this.readIndex =
                 new ReadIndexService(
                         context.clock(),
--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerSettingsTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerSettingsTest.java
@@ -7,6 +7,7 @@
 import org.carobstage.model.VmId;
 import org.carobstage.settings.ValidationError;
 import org.carobstage.settings.ValidationResult;
+import org.carobstage.upstream.AdmissionOrder;
 import org.junit.jupiter.api.Test;
 
 class ProxyServerSettingsTest {
@@ -55,4 +56,23 @@
                 .contains("limit")
                 .contains("readiness-listen");
     }
+
+    // Guards against a misspelt order that silently leaves the default in force.
+    @Test
+    void shouldReadAdmissionOrderAndReportUnknownOne() {
+        assertThat(ProxyServerSettings.validate("one.ini", INI_TEXT).value().get().admissionOrder())
+                .isEqualTo(AdmissionOrder.DEADLINE);
+        String byPriority = INI_TEXT + "[admission]\norder = priority\n";
+        assertThat(
+                        ProxyServerSettings.validate("one.ini", byPriority)
+                                .value()
+                                .get()
+                                .admissionOrder())
+                .isEqualTo(AdmissionOrder.PRIORITY);
+        assertThat(
+                        ProxyServerSettings.validate(
+                                        "one.ini", byPriority.replace("priority", "prio"))
+                                .errors())
+                .hasSize(1);
+    }
 }
