--- a/carobstage/src/main/java/org/carobstage/upstream/InstancePools.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstancePools.java
@@ -88,7 +88,7 @@
     }
 
     int openConnectionCount() {
-        return pools.values().stream().mapToInt(InstanceConnectionPool::openConnectionCount).sum();
+        return pools.values().stream().mapToInt(p -> p.connectionUsage().open()).sum();
     }
 
     /** Returns how many statements outside transactions this process may have in flight. */
--- a/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
@@ -29,6 +29,7 @@
     private boolean busy;
     private boolean pinned;
     private boolean used;
+    private long holderNumber;
     private long busySinceNanos;
     private long idleSinceNanos;
     private boolean retired;
@@ -118,7 +119,7 @@
                     pool.onResult(this, statement, result, requestedAt);
                     result.filter(r -> isQuery(statement))
                             .ifPresent(r -> resultObserver.accept(r, requestedAt.age(pool.now())));
-                    callback.accept(result);
+                    runHolderCallback(() -> callback.accept(result));
                 });
     }
 
@@ -158,6 +159,11 @@
         }
     }
 
+    /** Passes the connection to a request, which holds it until it is released. */
+    void grantTo(ConnectionRequest request) {
+        runHolderCallback(() -> request.onGranted().accept(this));
+    }
+
     /** Queries the status of the instance and then releases the connection. */
     void requestStatus(Runnable callback) {
         pool.sendControlCommand(this, new Statement.QueryStatus(), response -> callback.run());
@@ -172,6 +178,13 @@
         }
     }
 
+    /** Closes the connection unless it has been granted since it was selected as idle. */
+    void discardIfIdle() {
+        if (!busy) {
+            discard();
+        }
+    }
+
     void attach(InstanceConnection newConnection) {
         connection = newConnection;
     }
@@ -195,6 +208,7 @@
     void markBusy(long nowNanos) {
         busy = true;
         busySinceNanos = nowNanos;
+        holderNumber++;
     }
 
     /** Marks the connection as idle; returns whether it has served no request yet. */
@@ -241,4 +255,15 @@
                 || statement instanceof Statement.Write
                 || statement instanceof Statement.Execute;
     }
+
+    /**
+     * Runs a callback of the holder. If it fails, the holder no longer uses the connection, which
+     * is closed unless the callback has released it.
+     */
+    private void runHolderCallback(Runnable callback) {
+        long holder = holderNumber;
+        if (!pool.runCallback(callback) && busy && holder == holderNumber) {
+            discard();
+        }
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/PriorityDispatch.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PriorityDispatch.java
@@ -47,23 +47,23 @@
     @Override
     public void freeConnection(InstanceConnectionPool primary) {
         preempted.removeIf(c -> !c.isOpen() || !c.isPinned());
-        PinnedConnections pinned = primary.pinnedConnections();
+        ConnectionUsage usage = primary.connectionUsage();
         List<WaitingRequest> waiting =
                 admission.waiting().stream().filter(w -> w.request().needsPrimary()).toList();
         long nowNanos = clock.nanoTime();
         IdleTransactionPreemption.select(
-                        pinned.idleTransactions(),
+                        usage.idleTransactions(),
                         waiting,
-                        new Pins(pinned.limit(), pinned.size(), preempted.size()),
+                        new Pins(usage.limit(), usage.pinned().size(), preempted.size()),
                         nowNanos,
                         primary.averageLatency())
-                .ifPresent(t -> preempt(t, pinned.connections(), nowNanos));
+                .ifPresent(t -> preempt(t, usage.pinned(), nowNanos));
     }
 
     @Override
     public boolean mayFreeConnection(InstanceConnectionPool primary, long deadlineNanos) {
         return IdleTransactionPreemption.mayOccurBefore(
-                deadlineNanos, primary.pinnedConnections().idleTransactions());
+                deadlineNanos, primary.connectionUsage().idleTransactions());
     }
 
     @Override
@@ -108,10 +108,10 @@
                 admission.waiting().stream()
                         .map(WaitingRequest::request)
                         .anyMatch(r -> r.needsPrimary() && !r.pinsConnection());
-        PinnedConnections pinned = pool.pinnedConnections();
+        ConnectionUsage usage = pool.connectionUsage();
         boolean allowed =
                 TransactionBulkhead.allowsTransaction(
-                        pinned.limit(), pinned.size(), statementsWaiting);
+                        usage.limit(), usage.pinned().size(), statementsWaiting);
         if (!allowed) {
             monitor.recordReserved(request, pool);
         }
--- a/carobstage/src/test/java/org/carobstage/upstream/SimulatedLoad.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/SimulatedLoad.java
@@ -32,6 +32,10 @@
     final List<Operation> operations = new ArrayList<>();
     private final List<ServiceGroup> processes;
     private final Random random = new Random(1);
+
+    /** A source of its own, so that the load is the same whatever the processes draw. */
+    private final Random jitter = new Random(2);
+
     private boolean retrying;
     private int preempted;
 
@@ -43,7 +47,7 @@
                                 FailureDomain.of("domain"),
                                 EventLog.of(VmId.of("vm"), clock, 1),
                                 false,
-                                random::nextDouble)
+                                jitter::nextDouble)
                         .withAdmission(order, this::count);
         processes =
                 IntStream.range(0, PROCESSES)
