--- a/carobstage/src/main/java/org/carobstage/front/ProxyServerSettings.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServerSettings.java
@@ -20,6 +20,7 @@
 import org.carobstage.settings.IniReader.Section;
 import org.carobstage.settings.ValidationResult;
 import org.carobstage.settings.ValueParsers;
+import org.carobstage.upstream.AdmissionOrder;
 
 /**
  * The settings of a proxy server.
@@ -35,6 +36,7 @@
  *     token, and a promotion ends the leadership of the former primary at once
  * @param shutdownTimeout the maximum duration of a graceful shutdown
  * @param quota how account limits are enforced, or empty if they are not
+ * @param admissionOrder the order in which requests for a connection are granted
  */
 public record ProxyServerSettings(
         VmId vm,
@@ -46,7 +48,8 @@
         Address promotionAddress,
         boolean fencingEnforced,
         Duration shutdownTimeout,
-        Optional<QuotaSettings> quota) {
+        Optional<QuotaSettings> quota,
+        AdmissionOrder admissionOrder) {
     private static final Duration MAX_SHUTDOWN_TIMEOUT = Duration.ofMinutes(10);
     private static final Duration MIN_QUOTA_WINDOW = Duration.ofSeconds(1);
     private static final Duration MAX_QUOTA_WINDOW = Duration.ofHours(1);
@@ -67,10 +70,11 @@
         requireNonNull(promotionAddress, "promotionAddress is null");
         requireNonNull(shutdownTimeout, "shutdownTimeout is null");
         requireNonNull(quota, "quota is null");
+        requireNonNull(admissionOrder, "admissionOrder is null");
     }
 
     /**
-     * Creates settings that do not enforce account limits.
+     * Creates settings that enforce no account limits, with the default order of admission.
      *
      * @param vm the VM that the process runs on
      * @param failureDomain the failure domain of the VM
@@ -102,7 +106,8 @@
                 promotionAddress,
                 fencingEnforced,
                 shutdownTimeout,
-                Optional.empty());
+                Optional.empty(),
+                AdmissionOrder.DEADLINE);
     }
 
     /**
@@ -149,6 +154,10 @@
                                 "limit",
                                 ValueParsers.duration(Duration.ZERO, MAX_SHUTDOWN_TIMEOUT));
         Optional<QuotaSettings> quota = readQuota(ini);
+        AdmissionOrder admissionOrder =
+                ini.section("admission")
+                        .optional("order", ValueParsers.oneOf(AdmissionOrder.class))
+                        .orElse(AdmissionOrder.DEADLINE);
         Supplier<ProxyServerSettings> settings =
                 () ->
                         new ProxyServerSettings(
@@ -161,7 +170,8 @@
                                 promotionAddress,
                                 fencingEnforced,
                                 shutdownTimeout,
-                                quota);
+                                quota,
+                                admissionOrder);
         return ini.build(settings);
     }
 
--- a/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
@@ -158,19 +158,20 @@
         ConnectionRequest[] request = new ConnectionRequest[1];
         request[0] =
                 new ConnectionRequest(
-                        operation.origin(receivedAt.monotonicNanos()),
-                        usePrimary ? Purpose.PRIMARY : Purpose.ANY_INSTANCE,
-                        excludedInstances,
-                        session.sessionVariables(),
-                        deadlineNanos,
-                        connection -> {
-                            connectionRequests.remove(request[0]);
-                            setUpAndSend(connection, requiredPosition);
-                        },
-                        reason -> {
-                            connectionRequests.remove(request[0]);
-                            reject(reason);
-                        });
+                                operation.origin(receivedAt.monotonicNanos()),
+                                usePrimary ? Purpose.PRIMARY : Purpose.ANY_INSTANCE,
+                                excludedInstances,
+                                session.sessionVariables(),
+                                deadlineNanos,
+                                connection -> {
+                                    connectionRequests.remove(request[0]);
+                                    setUpAndSend(connection, requiredPosition);
+                                },
+                                reason -> {
+                                    connectionRequests.remove(request[0]);
+                                    reject(reason);
+                                })
+                        .withAttempt(attempts);
         connectionRequests.add(request[0]);
         group.acquire(request[0]);
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
@@ -347,8 +347,8 @@
         }
     }
 
-    int openConnectionCount() {
-        return connections.size();
+    ConnectionUsage connectionUsage() {
+        return ConnectionUsage.of(connections, share.limit());
     }
 
     private InstanceSelector.Candidate toCandidate(int runningCount, Duration opening) {
--- a/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
@@ -2,11 +2,13 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.freshness.ClockReading;
@@ -33,6 +35,8 @@
     private boolean retired;
     private TransactionState state = TransactionState.IDLE;
     private ClockReading sentAt;
+    private BiConsumer<StatementResult, Duration> resultObserver = (result, latency) -> {};
+    private Optional<IdleTransaction> idleTransaction = Optional.empty();
 
     PooledConnection(InstanceConnectionPool pool, Optional<AccountName> account) {
         this.pool = requireNonNull(pool, "pool is null");
@@ -104,6 +108,7 @@
             Consumer<Optional<StatementResult>> callback) {
         ClockReading requestedAt = pool.now();
         sentAt = requestedAt;
+        idleTransaction = Optional.empty();
         connection.send(
                 id,
                 required,
@@ -112,10 +117,30 @@
                     sentAt = null;
                     result.ifPresent(r -> state = r.transactionState());
                     pool.onResult(this, statement, result, requestedAt);
+                    result.filter(r -> isQuery(statement))
+                            .ifPresent(r -> resultObserver.accept(r, requestedAt.age(pool.now())));
                     runHolderCallback(() -> callback.accept(result));
                 });
     }
 
+    /**
+     * Records that the transaction on the connection is idle until its next statement is sent.
+     *
+     * @param transaction the transaction
+     */
+    public void markTransactionIdle(IdleTransaction transaction) {
+        idleTransaction = Optional.of(transaction);
+    }
+
+    Optional<IdleTransaction> idleTransaction() {
+        return idleTransaction;
+    }
+
+    /** Passes the results of the current holder's queries to an observer, with their latencies. */
+    void observeResults(BiConsumer<StatementResult, Duration> observer) {
+        resultObserver = observer;
+    }
+
     /** Releases the connection; an open transaction is rolled back first. */
     public void release() {
         release("");
@@ -192,6 +217,7 @@
         used = true;
         busy = false;
         pinned = false;
+        idleTransaction = Optional.empty();
         idleSinceNanos = nowNanos;
         return isNew;
     }
@@ -224,6 +250,12 @@
         sentAt = time;
     }
 
+    private static boolean isQuery(Statement statement) {
+        return statement instanceof Statement.Read
+                || statement instanceof Statement.Write
+                || statement instanceof Statement.Execute;
+    }
+
     /**
      * Runs a callback of the holder. If it fails, the holder no longer uses the connection, which
      * is closed unless the callback has released it.
--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerSettingsTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerSettingsTest.java
@@ -9,6 +9,7 @@
 import org.carobstage.quota.QuotaSettings;
 import org.carobstage.settings.ValidationError;
 import org.carobstage.settings.ValidationResult;
+import org.carobstage.upstream.AdmissionOrder;
 import org.junit.jupiter.api.Test;
 
 class ProxyServerSettingsTest {
@@ -106,4 +107,23 @@
     private static ProxyServerSettings read(String text) {
         return ProxyServerSettings.validate("one.ini", text).value().orElseThrow();
     }
+
+    // Guards against a misspelt order that silently leaves the default in force.
+    @Test
+    void shouldReadAdmissionOrderAndReportUnknownOne() {
+        assertThat(ProxyServerSettings.validate("one.ini", INI_TEXT).value().get().admissionOrder())
+                .isEqualTo(AdmissionOrder.DEADLINE);
+        String byPriority = INI_TEXT + "[admission]\norder = priority\n";
+        assertThat(
+                        ProxyServerSettings.validate("one.ini", byPriority)
+                                .value()
+                                .get()
+                                .admissionOrder())
+                .isEqualTo(AdmissionOrder.PRIORITY);
+        assertThat(
+                        ProxyServerSettings.validate(
+                                        "one.ini", byPriority.replace("priority", "prio"))
+                                .errors())
+                .hasSize(1);
+    }
 }
--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
@@ -24,6 +24,7 @@
 import org.carobstage.route.Route;
 import org.carobstage.route.RouteTable;
 import org.carobstage.sql.Statement;
+import org.carobstage.upstream.AdmissionOrder;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -57,7 +58,8 @@
                     false,
                     Duration.ofSeconds(6),
                     Optional.of(
-                            new QuotaSettings(QuotaPolicy.standard(), Optional.of(ANY_ADDRESS))));
+                            new QuotaSettings(QuotaPolicy.standard(), Optional.of(ANY_ADDRESS))),
+                    AdmissionOrder.DEADLINE);
 
     private final FakePlatformAdapter adapter = new FakePlatformAdapter();
     private ProxyServer server;
