--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -11,7 +11,7 @@
 import org.carobstage.model.LogPosition;
 import org.carobstage.route.Consistency;
 import org.carobstage.route.Route;
-import org.carobstage.runtime.Clock;
+import org.carobstage.runtime.TimerSlot;
 import org.carobstage.sql.Failure;
 import org.carobstage.sql.FailureCode;
 import org.carobstage.sql.Statement;
@@ -43,9 +43,9 @@
     private final Set<InstanceId> excludedInstances = new HashSet<>();
     private Optional<PooledConnection> connection = Optional.empty();
     private Optional<ConnectionRequest> connectionRequest = Optional.empty();
-    private Optional<Clock.Timer> statementTimer = Optional.empty();
-    private Optional<Clock.Timer> idleTimer = Optional.empty();
-    private Optional<Clock.Timer> retryTimer = Optional.empty();
+    private final TimerSlot statementTimer = TimerSlot.empty();
+    private final TimerSlot idleTimer = TimerSlot.empty();
+    private final TimerSlot retryTimer = TimerSlot.empty();
     private Optional<Consumer<StatementResult>> resultCallback = Optional.empty();
     private Optional<TrackedCommit> inFlightCommit = Optional.empty();
     private final PrimaryConfirmation confirmation;
@@ -100,7 +100,7 @@
             Statement statement,
             Optional<PreparedStatement> prepared,
             Consumer<StatementResult> callback) {
-        idleTimer.ifPresent(Clock.Timer::cancel);
+        idleTimer.cancel();
         resultCallback = Optional.of(callback);
         currentStatement = statement;
         currentPrepared = prepared;
@@ -108,7 +108,7 @@
         awaitingResult = false;
         attempts = 0;
         statementReceivedAt = ClockReading.now(context.clock());
-        statementTimer = Optional.of(context.clock().schedule(this::onTimeout, route.timeout()));
+        statementTimer.set(context.clock().schedule(this::onTimeout, route.timeout()));
         if (connection.isPresent()) {
             setUpAndSend(connection.get(), prepared);
         } else {
@@ -131,7 +131,7 @@
         if (!committing) {
             connection.ifPresent(pooled -> releaseOrDiscard(pooled, id));
         }
-        cancelRetryTimer();
+        retryTimer.cancel();
         resultCallback = Optional.empty();
     }
 
@@ -156,7 +156,7 @@
         endReason = Optional.of(reason);
         if (resultCallback.isPresent() && !awaitingResult) {
             connectionRequest.ifPresent(group::cancel);
-            if (retryTimer.isEmpty()) {
+            if (!retryTimer.isPending()) {
                 connection.ifPresent(PooledConnection::discard);
             }
             fail(FailureCode.ROLLED_BACK, reason.text());
@@ -165,7 +165,7 @@
 
     /** Discards the connection, instead of reusing it, if a statement may be in progress on it. */
     private void releaseOrDiscard(PooledConnection pooled, String id) {
-        if (resultCallback.isPresent() && retryTimer.isEmpty()) {
+        if (resultCallback.isPresent() && !retryTimer.isPending()) {
             pooled.discard();
         } else {
             pooled.release(id);
@@ -405,15 +405,14 @@
                         + pooled.instance().id()
                         + " code=BUSY");
         Duration delay = BUSY_RETRY_DELAY.multipliedBy(Math.min(attempts, MAX_ATTEMPTS));
-        retryTimer =
-                Optional.of(
-                        context.clock()
-                                .schedule(
-                                        () -> {
-                                            retryTimer = Optional.empty();
-                                            setUpAndSend(pooled, currentPrepared);
-                                        },
-                                        delay));
+        retryTimer.set(
+                context.clock()
+                        .schedule(
+                                () -> {
+                                    retryTimer.clear();
+                                    setUpAndSend(pooled, currentPrepared);
+                                },
+                                delay));
     }
 
     private void onTimeout() {
@@ -434,7 +433,7 @@
                 awaitingResult && currentStatement instanceof Statement.Commit && hasWritten;
         boolean neverBegun = connection.isEmpty();
         inFlightCommit.ifPresent(TrackedCommit::abandon);
-        if (retryTimer.isEmpty()) {
+        if (!retryTimer.isPending()) {
             connection.ifPresent(PooledConnection::discard);
         }
         fail(
@@ -466,9 +465,9 @@
     private void deliver(StatementResult result) {
         Consumer<StatementResult> callback = resultCallback.orElseThrow();
         resultCallback = Optional.empty();
-        statementTimer.ifPresent(Clock.Timer::cancel);
+        statementTimer.cancel();
         operation.cancel();
-        cancelRetryTimer();
+        retryTimer.cancel();
         if (!ended && !failed) {
             startIdleTimer();
         }
@@ -481,7 +480,7 @@
 
     private void startIdleTimer() {
         Duration timeout = context.routeTable().get().idleTransactionTimeout();
-        idleTimer = Optional.of(context.clock().schedule(() -> abort("idle"), timeout));
+        idleTimer.set(context.clock().schedule(() -> abort("idle"), timeout));
         long nowNanos = context.clock().nanoTime();
         IdleTransaction idle =
                 new IdleTransaction(
@@ -489,14 +488,9 @@
         connection.ifPresent(c -> c.markTransactionIdle(idle));
     }
 
-    private void cancelRetryTimer() {
-        retryTimer.ifPresent(Clock.Timer::cancel);
-        retryTimer = Optional.empty();
-    }
-
     private void cancelTimers() {
-        idleTimer.ifPresent(Clock.Timer::cancel);
-        statementTimer.ifPresent(Clock.Timer::cancel);
+        idleTimer.cancel();
+        statementTimer.cancel();
     }
 
     private void log(EventCode code, String detail) {
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -22,6 +22,7 @@
 import org.carobstage.model.ServiceName;
 import org.carobstage.quota.OperationLimiter;
 import org.carobstage.quota.QuotaService;
+import org.carobstage.quota.QuotaSettings;
 import org.carobstage.route.RouteTable;
 import org.carobstage.runtime.Clock;
 import org.carobstage.runtime.FailureIsolation;
@@ -71,24 +72,8 @@
         this.clock = adapter.clock();
         this.shutdownTimeout = settings.shutdownTimeout();
         this.events = EventLog.of(settings.vm(), clock, MAX_RETAINED_EVENTS);
-        this.isolation =
-                FailureIsolation.of(
-                        (task, e) ->
-                                events.record(
-                                        EventCode.TASK_FAILED,
-                                        EventScope.empty(),
-                                        task + " failed: " + e));
-        this.quota =
-                settings.quota()
-                        .map(
-                                s ->
-                                        QuotaService.of(
-                                                s,
-                                                events,
-                                                adapter.metadataStore(),
-                                                clock,
-                                                adapter.peerTransport(),
-                                                () -> routeTable.accounts()));
+        this.isolation = FailureIsolation.of(this::recordTaskFailure);
+        this.quota = settings.quota().map(this::createQuotaService);
         this.context =
                 new SessionContext(
                         clock,
@@ -190,6 +175,20 @@
         adapter.close();
     }
 
+    private QuotaService createQuotaService(QuotaSettings quotaSettings) {
+        return QuotaService.of(
+                quotaSettings,
+                events,
+                adapter.metadataStore(),
+                clock,
+                adapter.peerTransport(),
+                () -> routeTable.accounts());
+    }
+
+    private void recordTaskFailure(String task, RuntimeException failure) {
+        events.record(EventCode.TASK_FAILED, EventScope.empty(), task + " failed: " + failure);
+    }
+
     private void start() {
         lastTickNanos = clock.nanoTime();
         lastTickMillis = clock.instant().toEpochMilli();
