Delete the key of a failover lease that has no holder

Cause: a store that was restored from a copy gives out lease ids again. The key of a failover lease that was written late, after the restore, was bound to the lease of another process's membership. It never expired, no process took itself for the holder, and the store accepted no withdrawal of a vote: all processes kept their votes and sent the primary no writes. The same process also revoked the lease id when its call had timed out, which ended the membership of another process, and would have taken a late success in the new era for its own lease.

Change: the value of the key names the holder, its run and the era of the grant. A key of an earlier era, or one that names this process and run although it does not hold the lease, is deleted after the TTL of a lease, on condition of its revision. A lease id of an earlier era is neither held nor revoked. FakeMetadataStore gives out lease ids again after a restore, as the store does.

Two tests that read the holder from the key's value now take its first word.

--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -76,6 +76,8 @@
     INSTANCE_STATUS_CHANGED(3023, Level.INFO),
     /** An instance without an entry may hold commits, or is no longer taken to hold any. */
     REPLICA_SET_CHANGED(3024, Level.INFO),
+    /** The key of a failover lease that has no holder is deleted. */
+    FAILOVER_LEASE_VOID(3025, Level.WARNING),
     /** The store responds again. */
     STORE_REGAINED(2020, Level.INFO),
     /** The store does not respond or rejects calls. */
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -51,7 +51,7 @@
     private final FailoverContext context;
     private final Map<ServiceName, State> states = new TreeMap<>();
     private final FailoverVotes votes = FailoverVotes.empty();
-    private final Map<ServiceName, StoreEntry> leaseHolders = new HashMap<>();
+    private final ObservedLeases leases;
     private final Map<ServiceName, PendingPromotion> pendingPromotions = new HashMap<>();
     private final Set<ServiceName> servicesToQuery = new HashSet<>();
     private Set<VmId> lastMembers = Set.of();
@@ -60,6 +60,7 @@
 
     private FailoverCoordinator(FailoverContext context) {
         this.context = context;
+        this.leases = new ObservedLeases(context);
         this.membersStableSince = ClockReading.now(context.clock());
     }
 
@@ -87,7 +88,7 @@
                     ServiceName.of(entry.key().substring(FailoverKeys.LEASE_PREFIX.length()));
             entry.value()
                     .ifPresentOrElse(
-                            vm -> leaseHolders.put(service, entry), () -> onLeaseEnded(service));
+                            holder -> leases.put(service, entry), () -> onLeaseEnded(service));
         } else if (entry.key().startsWith(FailoverKeys.PROMOTION_PREFIX)) {
             ServiceName service =
                     ServiceName.of(entry.key().substring(FailoverKeys.PROMOTION_PREFIX.length()));
@@ -181,7 +182,7 @@
         state.lastPrimary = primary.or(() -> state.lastPrimary);
         Optional<InstanceId> suspected =
                 primary.filter(id -> group.isSuspected(id) || findInstance(group, id).isEmpty());
-        boolean leaseObserved = leaseHolders.containsKey(group.name());
+        boolean leaseObserved = leases.contains(group.name());
         boolean unfinished = isUnfinished(group.name(), primary, leaseObserved);
         boolean agreed = primary.filter(p -> hasEnoughVotes(group, p, members)).isPresent();
         boolean replaced = unfinished || leaseObserved && agreed;
@@ -192,6 +193,8 @@
                     group, suspected, agreed || unfinished, lease, leaseObserved || unfinished);
         }
         removeExpiredPromotion(group.name(), members);
+        Duration delay = Duration.ofNanos(leaseAttemptDelay(group.name(), members));
+        leases.deleteVoid(group.name(), state.lease, delay);
         if (servicesToQuery.remove(group.name())) {
             group.requestAllStatuses();
         }
@@ -215,7 +218,7 @@
         boolean holdsLease = state.lease.isHeld();
         boolean isTurn =
                 nowNanos - state.failoverDueSince.get() >= leaseAttemptDelay(group.name(), members);
-        if (canStart && (holdsLease || isTurn && !leaseHolders.containsKey(group.name()))) {
+        if (canStart && (holdsLease || isTurn && !leases.contains(group.name()))) {
             boolean planned = suspected.isEmpty() && !unfinished;
             start(group, state, primary.get(), planned, members);
         }
@@ -327,7 +330,7 @@
 
     /** Schedules a status query, since the holder may have crashed and left replicas paused. */
     private void onLeaseEnded(ServiceName service) {
-        leaseHolders.remove(service);
+        leases.remove(service);
         servicesToQuery.add(service);
     }
 
@@ -424,7 +427,7 @@
          * the local copy.
          */
         private boolean isLeaseObserved() {
-            return state.lease.isHeldAs(leaseHolders.get(group.name()));
+            return state.lease.isHeldAs(leases.find(group.name()));
         }
 
         private Duration membersStableFor() {
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
@@ -32,6 +32,7 @@
 
     private final FailoverContext context;
     private final ServiceName service;
+    private final String run;
     private Optional<LeaseId> lease = Optional.empty();
     private StoreRevision acquiredAt = StoreRevision.NONE;
     private ClockReading renewedAt;
@@ -41,6 +42,7 @@
     FailoverLease(FailoverContext context, ServiceName service) {
         this.context = context;
         this.service = service;
+        this.run = Long.toString(context.clock().instant().toEpochMilli());
     }
 
     boolean isHeld() {
@@ -51,10 +53,15 @@
     /**
      * Returns whether an observed entry is that of the lease held now, not of an earlier one.
      *
-     * @param entry the entry, or null if none was observed
+     * @param entry the entry, or empty if none was observed
      */
-    boolean isHeldAs(StoreEntry entry) {
-        return isHeld() && entry != null && entry.revision().equals(acquiredAt);
+    boolean isHeldAs(Optional<StoreEntry> entry) {
+        return isHeld() && entry.filter(e -> e.revision().equals(acquiredAt)).isPresent();
+    }
+
+    /** Returns whether an entry names this process as the holder, although it is not. */
+    boolean isUnheldEntry(LeaseHolder holder, StoreEntry entry) {
+        return holder.isSameRun(holder()) && !isHeldAs(Optional.of(entry));
     }
 
     /** Returns whether no promotion was requested with the token in an earlier failover. */
@@ -115,13 +122,19 @@
             ClockReading requestedAt,
             Runnable onAcquired,
             Runnable onNotAcquired) {
+        LeaseHolder holder = holder();
         StoreWrite putHolder =
-                StoreWrite.putIfAbsent(FailoverKeys.lease(service), context.vm().value(), granted);
+                StoreWrite.putIfAbsent(FailoverKeys.lease(service), holder.format(), granted);
         context.store()
                 .write(
                         putHolder,
                         response -> {
-                            if (response instanceof StoreResponse.Success<StoreRevision> success) {
+                            // A restored store may have granted the id to another process.
+                            boolean sameEra = holder.era() == context.store().era().current();
+                            if (sameEra
+                                    && response
+                                            instanceof
+                                            StoreResponse.Success<StoreRevision> success) {
                                 lease = Optional.of(granted);
                                 usedForPromotion = false;
                                 acquiredAt = success.value();
@@ -133,7 +146,9 @@
                                 scheduleRenewal();
                                 onAcquired.run();
                             } else {
-                                context.store().revokeLease(granted, revocation -> {});
+                                if (sameEra) {
+                                    context.store().revokeLease(granted, revocation -> {});
+                                }
                                 onNotAcquired.run();
                             }
                         });
@@ -166,6 +181,10 @@
         context.store().write(write, response -> {});
     }
 
+    private LeaseHolder holder() {
+        return new LeaseHolder(context.vm(), run, context.store().era().current());
+    }
+
     private void scheduleRenewal() {
         context.clock()
                 .schedule(
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverAfterRestoreTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverAfterRestoreTest.java
@@ -2,8 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.carobstage.fake.FakeInstance;
+import org.carobstage.fake.MessageFilter.Fate;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
 import org.junit.jupiter.api.Test;
@@ -91,6 +94,36 @@
         assertThat(fixture.service.receivedPromotionRequests()).isEmpty();
     }
 
+    // The key of a lease whose id was given out again never expires, and every vote is kept.
+    @Test
+    void shouldResumeWritesWhenLeaseIsWrittenLateUnderIdThatWasGivenOutAgain() {
+        fixture.store.copy();
+        List<String> late = new ArrayList<>();
+        fixture.filter =
+                message -> {
+                    boolean first =
+                            late.isEmpty() && message.endsWith("WRITE carobstage/failover/forms");
+                    if (first) {
+                        late.add(message);
+                    }
+                    return first ? Fate.late(Duration.ofSeconds(2)) : Fate.DELIVERED;
+                };
+        fixture.instance("a").stopResponding();
+        while (late.isEmpty()) {
+            fixture.advanceWriting(50);
+        }
+        fixture.store.restore();
+        fixture.instance("a").recover();
+        fixture.advanceWriting(3_000);
+        assertThat(fixture.store.get("carobstage/failover/forms")).isPresent();
+        fixture.advanceWriting(10_000);
+
+        assertThat(fixture.store.get("carobstage/failover/forms")).isEmpty();
+        assertThat(fixture.storedVotes()).isEmpty();
+        assertThat(fixture.processes)
+                .allMatch(p -> p.group.tryAcquireWritePermission(InstanceId.of("a")));
+    }
+
     @Test
     void shouldRememberPendingRequestThatRestoredStoreHasLost() {
         fixture.store.copy();
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverLeaseTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverLeaseTest.java
@@ -39,9 +39,9 @@
         clock.advance(Duration.ofMillis(100));
         StoreRevision second = acquire();
 
-        assertThat(lease.isHeldAs(entry(first))).isFalse();
-        assertThat(lease.isHeldAs(entry(second))).isTrue();
-        assertThat(lease.isHeldAs(null)).isFalse();
+        assertThat(lease.isHeldAs(Optional.of(entry(first)))).isFalse();
+        assertThat(lease.isHeldAs(Optional.of(entry(second)))).isTrue();
+        assertThat(lease.isHeldAs(Optional.empty())).isFalse();
     }
 
     private StoreRevision acquire() {
--- a/carobstage/src/test/java/org/carobstage/failover/LostCommitByPromotionTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/LostCommitByPromotionTest.java
@@ -36,7 +36,7 @@
     }
 
     private int leaseHolder() {
-        String holder = fixture.store.get("carobstage/failover/forms").orElseThrow();
+        String holder = fixture.store.get("carobstage/failover/forms").orElseThrow().split(" ")[0];
         return Integer.parseInt(holder.substring("vm-".length()));
     }
 
--- a/carobstage/src/test/java/org/carobstage/failover/UnansweredPromotionTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/UnansweredPromotionTest.java
@@ -23,7 +23,7 @@
         fixture.filter = message -> isPromotion(message) ? Fate.LOST : Fate.DELIVERED;
         fixture.instance("a").stopResponding();
         FakeInstance target = awaitRequest(fixture);
-        String holder = fixture.store.get("carobstage/failover/forms").orElseThrow();
+        String holder = fixture.store.get("carobstage/failover/forms").orElseThrow().split(" ")[0];
         fixture.restart(Integer.parseInt(holder.substring("vm-".length())));
         fixture.instance("a").recover();
         fixture.filter =
--- a/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
@@ -39,6 +39,7 @@
     private Map<String, Value> copiedValues = Map.of();
     private Map<LeaseId, Long> copiedLeases = Map.of();
     private long copiedRevision;
+    private long copiedNextLeaseId;
     private long historyStart = 1;
     private long nextLeaseId = 100;
 
@@ -91,15 +92,17 @@
         copiedValues = new TreeMap<>(values);
         copiedLeases = new HashMap<>(leases);
         copiedRevision = revision;
+        copiedNextLeaseId = nextLeaseId;
     }
 
     /**
-     * Restores the copy: later writes and leases are lost, revisions are assigned again, and every
-     * process learns of the next era with its next response.
+     * Restores the copy: later writes and leases are lost, revisions and lease ids are assigned
+     * again, and every process learns of the next era with its next response.
      */
     public void restore() {
         era++;
         revision = copiedRevision;
+        nextLeaseId = copiedNextLeaseId;
         historyStart = revision + 1;
         values.clear();
         values.putAll(copiedValues);
