Revoke a failover lease only if its era is confirmed

Cause: a store that was restored gives out lease ids again. A process that had not seen the new era revoked its lease id after a write without an answer, or at the end of a failover in which it could not renew, and so ended the membership of another process. The check of the era only helped once the era was known.

Change: the id is revoked after a response, or while the lease is held, that is, renewed within 2.7 s. Otherwise it expires after its TTL of 3 s.

After a write of the key without an answer, the next attempt may have to wait for the rest of the TTL.

Ruled out: deleting the key by its revision instead, since the store compares numbers that a restored store assigns again. A restore that is less than 2.7 s old and not seen yet is not covered.

--- a/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
@@ -106,13 +106,16 @@
 
     /**
      * Releases the lease. It expires after its TTL if a promotion was requested under it. Otherwise
-     * it is revoked at once, so that writes may go to the old primary again.
+     * it is revoked at once, so that writes may go to the old primary again. A lease that is not
+     * held any more is left to expire: the store may have been restored since, and its id may be
+     * that of another process's lease.
      */
     void release(boolean promotionRequested) {
         inUse = false;
         usedForPromotion |= promotionRequested;
         if (!usedForPromotion) {
-            lease.ifPresent(id -> context.store().revokeLease(id, response -> {}));
+            lease.filter(id -> isHeld())
+                    .ifPresent(id -> context.store().revokeLease(id, response -> {}));
             lease = Optional.empty();
         }
     }
@@ -146,7 +149,9 @@
                                 scheduleRenewal();
                                 onAcquired.run();
                             } else {
-                                if (sameEra) {
+                                // Only a response shows that the era has not changed.
+                                boolean answered = !(response instanceof StoreResponse.NoAnswer);
+                                if (sameEra && answered) {
                                     context.store().revokeLease(granted, revocation -> {});
                                 }
                                 onNotAcquired.run();
