Confirm the key of a lease without a holder before deleting it

Cause: the deletion expects the revision of the key, but the store compares only its number. A process that has not seen that the store was restored could delete the key of a live holder that was assigned the same number. FakeMetadataStore compared the era as well, so no test could show it.

Change: the key is listed first. The response tells the era, and the key is deleted only if the same value is stored at the same revision. FakeMetadataStore compares numbers in the store, and eras only as far as the client knows them.

Ruled out: skipping the deletion while the watch reports no response, which it notices only after 4 s.

--- a/carobstage/src/main/java/org/carobstage/failover/ObservedLeases.java
+++ b/carobstage/src/main/java/org/carobstage/failover/ObservedLeases.java
@@ -7,7 +7,9 @@
 import org.carobstage.event.EventCode;
 import org.carobstage.freshness.ClockReading;
 import org.carobstage.model.ServiceName;
+import org.carobstage.store.MetadataStore.Page;
 import org.carobstage.store.StoreEntry;
+import org.carobstage.store.StoreResponse;
 import org.carobstage.store.StoreWrite;
 
 /**
@@ -64,13 +66,27 @@
                     EventCode.FAILOVER_LEASE_VOID,
                     service,
                     "value=" + entry.value().orElse("none") + " at=" + entry.revision());
-            context.store()
-                    .write(
-                            StoreWrite.delete(entry.key()).onlyIf(entry.key(), entry.revision()),
-                            response -> {});
+            deleteIfStillStored(entry);
         }
     }
 
+    /**
+     * Lists the key before deleting it, since the response tells the era. In an era that is not
+     * known yet, the key of a holder may have the same revision number.
+     */
+    private void deleteIfStillStored(StoreEntry entry) {
+        StoreWrite delete = StoreWrite.delete(entry.key()).onlyIf(entry.key(), entry.revision());
+        context.store()
+                .list(
+                        Optional.of(FailoverKeys.LEASE_PREFIX),
+                        response -> {
+                            if (response instanceof StoreResponse.Success<Page> page
+                                    && page.value().entries().contains(entry)) {
+                                context.store().write(delete, deleted -> {});
+                            }
+                        });
+    }
+
     private static boolean isVoid(StoreEntry entry, FailoverLease own) {
         return entry.value()
                 .flatMap(LeaseHolder::parse)
--- a/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
@@ -256,16 +256,21 @@
 
         @Override
         public void write(StoreWrite change, Consumer<StoreResponse<StoreRevision>> callback) {
+            if (expectsLostRevision(change)) {
+                callback.accept(new StoreResponse.Mismatch<>());
+                return;
+            }
             respondLater(
                     filter.fateOf(nameOf(change)),
-                    callback,
+                    response ->
+                            callback.accept(expectsLostRevision(change) ? unreachable() : response),
                     () -> {
                         boolean conditionsHold =
                                 change.conditions().stream()
                                         .allMatch(
                                                 condition ->
                                                         revisionOf(condition.key())
-                                                                .equals(condition.revision()));
+                                                                == condition.revision().number());
                         boolean leasesExist =
                                 change.puts().stream()
                                         .map(StoreWrite.Put::lease)
@@ -335,10 +340,17 @@
             return (put.value().equals("withdrawn") ? "WITHDRAW " : "WRITE ") + put.key();
         }
 
-        private StoreRevision revisionOf(String key) {
+        /** The client compares eras as far as it knows them; the store compares only numbers. */
+        private boolean expectsLostRevision(StoreWrite change) {
+            return change.conditions().stream()
+                    .map(StoreWrite.Condition::revision)
+                    .anyMatch(r -> !r.equals(StoreRevision.NONE) && r.era() != storeEra.current());
+        }
+
+        private long revisionOf(String key) {
             return Optional.ofNullable(values.get(key))
-                    .map(value -> new StoreRevision(era, value.revision()))
-                    .orElse(StoreRevision.NONE);
+                    .map(Value::revision)
+                    .orElse(StoreRevision.NONE.number());
         }
 
         private <T> StoreResponse<T> respond(StoreResponse<T> response) {
