--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -90,6 +90,8 @@
     CONNECTION_SHARING_CHANGED(3025, Level.INFO),
     /** The receiver of a connection or of a response failed. */
     CALLBACK_FAILED(3026, Level.WARNING),
+    /** The key of a failover lease that has no holder is deleted. */
+    FAILOVER_LEASE_VOID(3027, Level.WARNING),
     /** The store responds again. */
     STORE_REGAINED(2020, Level.INFO),
     /** The store does not respond or rejects calls. */
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionSet.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionSet.java
@@ -47,6 +47,16 @@
         return (int) connections.stream().filter(PooledConnection::isBusy).count();
     }
 
+    /** Returns whether a write or commit has no result yet. */
+    boolean hasWritesInFlight() {
+        return connections.stream().anyMatch(PooledConnection::hasWriteInFlight);
+    }
+
+    /** Resets the connections on which a write or commit has no result yet. */
+    void discardWritesInFlight() {
+        all().filter(PooledConnection::hasWriteInFlight).forEach(PooledConnection::discard);
+    }
+
     /** Returns how many statements outside transactions are running. */
     int statementCount() {
         return (int) connections.stream().filter(c -> c.isBusy() && !c.isPinned()).count();
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
@@ -347,6 +347,10 @@
         }
     }
 
+    ConnectionSet connections() {
+        return connections;
+    }
+
     ConnectionUsage connectionUsage() {
         return ConnectionUsage.of(connections, share.limit());
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
@@ -37,6 +37,7 @@
     private ClockReading sentAt;
     private BiConsumer<StatementResult, Duration> resultObserver = (result, latency) -> {};
     private Optional<IdleTransaction> idleTransaction = Optional.empty();
+    private boolean writeInFlight;
 
     PooledConnection(InstanceConnectionPool pool, Optional<AccountName> account) {
         this.pool = requireNonNull(pool, "pool is null");
@@ -109,12 +110,14 @@
         ClockReading requestedAt = pool.now();
         sentAt = requestedAt;
         idleTransaction = Optional.empty();
+        writeInFlight = statement.isWriteOrCommit() || statement instanceof Statement.Execute;
         connection.send(
                 id,
                 required,
                 statement,
                 result -> {
                     sentAt = null;
+                    writeInFlight = false;
                     result.ifPresent(r -> state = r.transactionState());
                     pool.onResult(this, statement, result, requestedAt);
                     result.filter(r -> isQuery(statement))
@@ -242,6 +245,11 @@
         return retired;
     }
 
+    /** Returns whether a statement that may be a write or a commit has no result yet. */
+    boolean hasWriteInFlight() {
+        return writeInFlight;
+    }
+
     Optional<ClockReading> sentAt() {
         return Optional.ofNullable(sentAt);
     }
--- a/carobstage/src/test/java/org/carobstage/fake/FakeConnection.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeConnection.java
@@ -42,6 +42,9 @@
     boolean stalled;
     private boolean closed;
 
+    /** A process resets a connection that it closes while statements have no result. */
+    private boolean resetByPeer;
+
     FakeConnection(
             FakeInstance instance,
             InstanceConnector.Listener listener,
@@ -123,6 +126,7 @@
     @Override
     public void close() {
         List<PendingStatement> unread = List.copyOf(pendingStatements);
+        resetByPeer |= !unread.isEmpty();
         reset();
         if (instance.unresponsive && !stalled) {
             unread.stream().map(PendingStatement::withoutCallback).forEach(pendingStatements::add);
@@ -130,7 +134,7 @@
         }
     }
 
-    /** Executes what has arrived. */
+    /** Executes what has arrived, also on a connection that was closed meanwhile. */
     void scheduleAll() {
         pendingStatements.forEach(
                 s -> service.clock.schedule(this::executeNext, Duration.ofMillis(1)));
@@ -161,7 +165,7 @@
 
     private void endCommit(PendingStatement pending, StatementResult result, boolean acknowledged) {
         if (acknowledged) {
-            service.onCommitAcknowledged(commitPosition.orElseThrow());
+            service.onCommitAcknowledged(commitPosition.orElseThrow(), !resetByPeer);
         }
         commitPosition = Optional.empty();
         if (!acknowledged) {
