Register shares under long leases and withhold them from a new owner

Cause: an owner took the members from keys that last 3 s, while a process uses its equal share for 15 s without the store. A process that started while all others had lost the store found an empty list and granted the whole rate beside their shares. Processes that had lost the store also divided the rate without those that started later.

Change: QuotaMembers keeps carobstage/quota-members/<vm> under a lease of 18 s, renewed every 3 s while an account has a limit. Its stage is NEW, after 16 s ESTABLISHED and after 5 s more SHARING; a share is used only in SHARING. An owner grants counted / established of the rate, and all of it if no member is established. A successor on a VM inherits the stage and may use the share 650 ms after its start. Registration counts from the call that granted or renewed the lease, no longer from the later write.

Tests: the two tests of a start without the store exceeded the bound before and pass now. QuotaServiceTest starts 25 s after the launch, since new processes have no share earlier. QuotaPlay models the stages, and the exploration runs faults for up to 9 s.

Ruled out: the successor taking over the shard key of its predecessor, because a predecessor that was only frozen could still grant. Not covered: the keys are lost with the history of the store while all other processes can't reach it and a new process starts.

--- a/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
@@ -11,7 +11,6 @@
 import org.carobstage.event.EventCode;
 import org.carobstage.event.EventLog;
 import org.carobstage.event.EventScope;
-import org.carobstage.freshness.ClockReading;
 import org.carobstage.model.VmId;
 import org.carobstage.runtime.Clock;
 import org.carobstage.store.LeaseId;
@@ -54,7 +53,6 @@
     private final Set<VmId> members = new TreeSet<>();
     private final Map<VmId, String> runs = new HashMap<>();
     private Optional<LeaseId> lease = Optional.empty();
-    private Optional<ClockReading> registeredAt = Optional.empty();
     private int quotaMemberCount = 1;
     private final long startNanos;
     private long decreaseStartNanos;
@@ -121,11 +119,6 @@
         return lease;
     }
 
-    /** Returns when the call was sent that registered this process or renewed it last. */
-    Optional<ClockReading> registeredAt() {
-        return registeredAt;
-    }
-
     Set<VmId> members() {
         return members;
     }
@@ -193,13 +186,11 @@
     }
 
     private void register(LeaseId grantedLease) {
-        ClockReading requestedAt = ClockReading.now(clock);
         store.write(
                 StoreWrite.put(MEMBER_KEY_PREFIX + vm, run, grantedLease),
                 response -> {
                     if (response instanceof StoreResponse.Success<StoreRevision>) {
                         lease = Optional.of(grantedLease);
-                        registeredAt = Optional.of(requestedAt);
                         clock.schedule(() -> renew(grantedLease), RENEWAL_INTERVAL);
                     } else {
                         clock.schedule(this::join, RETRY_DELAY);
@@ -211,7 +202,6 @@
         if (leaving || !lease.equals(Optional.of(leaseId))) {
             return;
         }
-        ClockReading requestedAt = ClockReading.now(clock);
         store.renewLease(
                 leaseId,
                 response -> {
@@ -223,9 +213,6 @@
                         return;
                     }
                     boolean success = response instanceof StoreResponse.Success<LeaseId>;
-                    if (success) {
-                        registeredAt = Optional.of(requestedAt);
-                    }
                     clock.schedule(() -> renew(leaseId), success ? RENEWAL_INTERVAL : RETRY_DELAY);
                 });
     }
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -341,7 +341,7 @@
     }
 
     private void updateQuotaMembers() {
-        quota.ifPresent(q -> q.onMembers(membership.members(), membership.registeredAt()));
+        quota.ifPresent(q -> q.onMembers(membership.members()));
     }
 
     private boolean hasConnections() {
--- a/carobstage/src/main/java/org/carobstage/quota/CountedPeers.java
+++ b/carobstage/src/main/java/org/carobstage/quota/CountedPeers.java
@@ -51,19 +51,18 @@
         long monotonic = Math.max(0, now.monotonicNanos() - last.monotonicNanos());
         long elapsed = Math.max(monotonic, last.age(now).toNanos());
         long end = age + elapsed;
-        int all = divisor(members);
         // A suspension may have been at any point of the interval: peers count as if it was first.
         long position = elapsed - monotonic > CLOCK_NOISE_NANOS ? end : age;
         long remaining = monotonic;
         while (!counted.isEmpty() && counted.first().countedUntil <= end) {
             Peer peer = counted.first();
             long step = Math.min(remaining, Math.max(0, peer.countedUntil - position));
-            fill(step, all);
+            fill(step, members);
             remaining -= step;
             position += step;
             counted.remove(peer);
         }
-        fill(remaining, all);
+        fill(remaining, members);
         age = end;
         last = now;
         while (!heard.isEmpty() && heard.first().heardAt + COUNTED_FOR.toNanos() <= age) {
@@ -106,19 +105,22 @@
 
     /** Converts a time until a bucket is filled to real time. */
     Duration toRealTime(Duration fillTime, Set<VmId> members) {
-        double factor = (double) divisor(members) / Math.max(1, counted.size());
-        double nanos = Math.min(fillTime.toNanos() * factor, TokenBucket.LONGEST_WAIT.toNanos());
+        double part = Math.max(part(members), 1.0 / Math.max(1, members.size()));
+        double nanos = Math.min(fillTime.toNanos() / part, TokenBucket.LONGEST_WAIT.toNanos());
         return Duration.ofNanos((long) Math.ceil(nanos));
     }
 
-    private void fill(long nanos, int all) {
-        fillNanos += (long) ((double) nanos * counted.size() / all);
+    private void fill(long nanos, Set<VmId> members) {
+        fillNanos += (long) (nanos * part(members));
     }
 
-    /** Counts peers whose registration is not known here yet as members too. */
-    private int divisor(Set<VmId> members) {
-        long unknown = counted.stream().filter(peer -> !members.contains(peer.vm)).count();
-        return Math.max(1, members.size() + (int) unknown);
+    /**
+     * Returns the part of the rate that no process uses by its share. Only members have one, so
+     * without any the whole rate is granted.
+     */
+    private double part(Set<VmId> members) {
+        long counting = counted.stream().filter(peer -> members.contains(peer.vm)).count();
+        return members.isEmpty() ? 1 : (double) counting / members.size();
     }
 
     private record Response(long sequence, long sentAt) {}
--- a/carobstage/src/main/java/org/carobstage/quota/GrantLedger.java
+++ b/carobstage/src/main/java/org/carobstage/quota/GrantLedger.java
@@ -39,10 +39,10 @@
     }
 
     /**
-     * Sets the processes that are registered in the store. One that has left is counted for a while
+     * Sets the processes that may use an equal share. One that has left is counted for a while
      * longer, because it may still be running.
      *
-     * @param members the members, including this process
+     * @param members the members; the whole rate is granted if there are none
      * @param now the current reading
      */
     public void onMembers(Set<VmId> members, ClockReading now) {
--- a/carobstage/src/main/java/org/carobstage/quota/Membership.java
+++ b/carobstage/src/main/java/org/carobstage/quota/Membership.java
@@ -48,6 +48,10 @@
         confirmed = Optional.of(requestedAt);
     }
 
+    void onReplaced() {
+        confirmed = Optional.empty();
+    }
+
     boolean isConfirmed(ClockReading now) {
         return confirmed
                 .filter(at -> at.age(now).compareTo(SHARE_AFTER_REGISTRATION) < 0)
--- a/carobstage/src/main/java/org/carobstage/quota/OwnershipLease.java
+++ b/carobstage/src/main/java/org/carobstage/quota/OwnershipLease.java
@@ -9,23 +9,22 @@
 import org.carobstage.store.StoreResponse;
 
 /**
- * The store lease of all shards that this process owns. Its age counts from when its grant or
- * renewal was requested, by the clock that shows more. It does not outlive the era of the store.
+ * A store lease of this process, such as that of the shards that it owns. Its age counts from when
+ * its grant or renewal was requested, by the clock that shows more. It does not outlive the era of
+ * the store.
  */
 final class OwnershipLease {
     /** The time that a shard has no owner after its owner was killed. */
     static final Duration TTL = Duration.ofMillis(3_000);
 
-    private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(1_000);
-    private static final Duration RETRY_DELAY = Duration.ofMillis(500);
-
-    /** The owner stops this long before the lease expires, to allow for a grant in transit. */
-    private static final Duration SAFETY_MARGIN = Duration.ofMillis(300);
+    /** The owner stops 300 ms before the lease expires, to allow for a grant in transit. */
+    static final Timing SHARDS = new Timing(TTL, Duration.ofMillis(1_000), Duration.ofMillis(300));
 
-    private static final Duration USABLE_TIME = TTL.minus(SAFETY_MARGIN);
+    private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
     private final MetadataStore store;
     private final Clock clock;
+    private final Timing timing;
     private final Runnable onChanged;
     private Optional<LeaseId> id = Optional.empty();
     private ClockReading renewedAt;
@@ -38,9 +37,11 @@
      *
      * @param store grants the lease
      * @param clock the runtime's clock
+     * @param timing how long the lease lasts
      * @param onChanged runs after the lease was granted, renewed or lost
      */
-    OwnershipLease(MetadataStore store, Clock clock, Runnable onChanged) {
+    OwnershipLease(MetadataStore store, Clock clock, Timing timing, Runnable onChanged) {
+        this.timing = timing;
         this.store = store;
         this.clock = clock;
         this.onChanged = onChanged;
@@ -50,14 +51,19 @@
     /** Returns the lease if it can still be relied on. */
     Optional<LeaseId> id() {
         return id.filter(
-                lease -> renewedAt.age(ClockReading.now(clock)).compareTo(USABLE_TIME) < 0);
+                lease -> renewedAt.age(ClockReading.now(clock)).compareTo(timing.usable()) < 0);
     }
 
     /** Returns the reading at which the lease can no longer be relied on, by either clock. */
     ClockReading until() {
         return new ClockReading(
-                renewedAt.monotonicNanos() + USABLE_TIME.toNanos(),
-                renewedAt.epochNanos() + USABLE_TIME.toNanos());
+                renewedAt.monotonicNanos() + timing.usable().toNanos(),
+                renewedAt.epochNanos() + timing.usable().toNanos());
+    }
+
+    /** Returns when the call was sent that has granted or renewed a lease last. */
+    Optional<ClockReading> renewedAt() {
+        return Optional.ofNullable(renewedAt);
     }
 
     /** Requests the lease or renews it, if that is due. */
@@ -91,7 +97,7 @@
         long era = store.era().current();
         calling = true;
         store.grantLease(
-                TTL,
+                timing.ttl,
                 response -> {
                     calling = false;
                     boolean granted = response instanceof StoreResponse.Success<LeaseId>;
@@ -134,7 +140,20 @@
     }
 
     private void scheduleNext(boolean success) {
-        Duration delay = success ? RENEWAL_INTERVAL : RETRY_DELAY;
+        Duration delay = success ? timing.renewalInterval : RETRY_DELAY;
         nextCallNanos = clock.nanoTime() + delay.toNanos();
     }
+
+    /**
+     * How long a lease lasts.
+     *
+     * @param ttl the time after which the store ends it unless it is renewed
+     * @param renewalInterval the interval at which it is renewed
+     * @param safetyMargin the time before its end from which it is not relied on
+     */
+    record Timing(Duration ttl, Duration renewalInterval, Duration safetyMargin) {
+        private Duration usable() {
+            return ttl.minus(safetyMargin);
+        }
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/quota/QuotaLimiter.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaLimiter.java
@@ -113,9 +113,9 @@
     }
 
     /**
-     * Confirms that this process is registered in the store. The equal share is used only for 15 s
-     * after the last confirmation, because the others divide it among themselves once the
-     * registration of this process is gone for longer.
+     * Confirms that this process is registered in the store for an equal share. The equal share is
+     * used only for 15 s after the last confirmation, because the others divide it among themselves
+     * once the registration of this process is gone for longer.
      *
      * @param requestedAt the reading before the successful call to the store (registration or
      *     renewal of its lease) was sent
@@ -125,6 +125,12 @@
         membership.onRegistered(requestedAt);
     }
 
+    /** Ends the use of the equal share, which a later process on this VM has. */
+    public void onReplaced() {
+        onTick();
+        membership.onReplaced();
+    }
+
     /**
      * Returns the counters by shard.
      *
--- a/carobstage/src/main/java/org/carobstage/quota/QuotaService.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaService.java
@@ -48,11 +48,15 @@
     private final GrantLedger ledger;
     private final QuotaLimiter limiter;
     private final ShardOwnership ownership;
+    private final QuotaMembers members;
     private final PeerLinks links;
     private final Map<VmId, Long> memberSeenNanos = new HashMap<>();
     private final Map<QuotaShard, Optional<ShardOwner>> owners = new HashMap<>();
     private final Map<QuotaShard, StandalonePeriod> standalone = new LinkedHashMap<>();
     private final Map<QuotaShard, Long> grants = new HashMap<>();
+    private Set<VmId> knownMembers = Set.of();
+    private Set<VmId> knownEstablished = Set.of();
+    private Optional<ClockReading> knownRegistration = Optional.empty();
     private boolean closed;
 
     private QuotaService(
@@ -75,6 +79,7 @@
         this.ledger = GrantLedger.of(this::limit);
         this.limiter = QuotaLimiter.of(vm, settings.policy(), this::limit, this::send, clock);
         this.ownership = ShardOwnership.of(vm, run, store, clock, events, new OwnershipListener());
+        this.members = QuotaMembers.of(vm, run, store, clock);
         this.links =
                 PeerLinks.of(
                         transport,
@@ -135,32 +140,29 @@
     public void onStoreChange(StoreEntry entry) {
         ownership.onStoreChange(entry);
         runLater(this::updateOwners);
+        try {
+            members.onStoreChange(entry);
+        } finally {
+            updateMembers();
+        }
     }
 
     /** Records that the keys of the store were listed. */
     public void onStoreListed() {
         ownership.onListed();
+        members.onListed();
     }
 
     /**
      * Sets the processes that are registered in the store.
      *
-     * @param members the members, including this process
-     * @param registeredAt when the call was sent that confirmed the registration of this process
-     *     last, or empty if it is not registered
+     * @param registered the members, including this process
      */
-    public void onMembers(Set<VmId> members, Optional<ClockReading> registeredAt) {
+    public void onMembers(Set<VmId> registered) {
         long nowNanos = clock.nanoTime();
-        members.forEach(member -> memberSeenNanos.put(member, nowNanos));
+        registered.forEach(member -> memberSeenNanos.put(member, nowNanos));
         memberSeenNanos.values().removeIf(seen -> nowNanos - seen > MEMBER_RETENTION.toNanos());
-        ownership.setMembers(members);
-        ledger.onMembers(members, ClockReading.now(clock));
-        Set<VmId> registered = Set.copyOf(members);
-        runLater(
-                () -> {
-                    limiter.onMembers(registered);
-                    registeredAt.ifPresent(limiter::onRegistered);
-                });
+        ownership.setMembers(registered);
     }
 
     /** Hands the shards of this process over; its operations are still decided. */
@@ -174,6 +176,7 @@
     public void close() {
         closed = true;
         ownership.stop();
+        members.end();
         links.close();
     }
 
@@ -233,8 +236,11 @@
             return;
         }
         clock.schedule(this::tickLinks, LINK_TICK_INTERVAL);
-        ownership.setNeeded(isAnyAccountLimited());
+        boolean needed = isAnyAccountLimited();
+        ownership.setNeeded(needed);
         ownership.tick();
+        members.tick(needed);
+        confirmRegistration();
         links.tick();
         long nowNanos = clock.nanoTime();
         standalone.forEach((shard, period) -> recordStandalone(shard, period, nowNanos));
@@ -249,6 +255,30 @@
         clock.schedule(task, Duration.ZERO);
     }
 
+    private void updateMembers() {
+        Set<VmId> all = members.all();
+        Set<VmId> established = members.established();
+        if (all.equals(knownMembers) && established.equals(knownEstablished)) {
+            return;
+        }
+        knownMembers = all;
+        knownEstablished = established;
+        ledger.onMembers(established, ClockReading.now(clock));
+        runLater(() -> limiter.onMembers(all));
+    }
+
+    private void confirmRegistration() {
+        if (members.isReplaced()) {
+            runLater(limiter::onReplaced);
+            return;
+        }
+        Optional<ClockReading> registeredAt = members.registeredAt();
+        if (!registeredAt.equals(knownRegistration)) {
+            knownRegistration = registeredAt;
+            registeredAt.ifPresent(at -> runLater(() -> limiter.onRegistered(at)));
+        }
+    }
+
     private void updateOwners() {
         for (QuotaShard shard : QuotaShard.all()) {
             Optional<ShardOwner> owner = ownership.owner(shard);
--- a/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
@@ -63,7 +63,8 @@
         this.clock = requireNonNull(clock, "clock is null");
         this.events = requireNonNull(events, "events is null");
         this.listener = requireNonNull(listener, "listener is null");
-        this.lease = new OwnershipLease(store, clock, () -> update("lease lost"));
+        this.lease =
+                new OwnershipLease(store, clock, OwnershipLease.SHARDS, () -> update("lease lost"));
         QuotaShard.all().forEach(shard -> claims.put(shard, new ShardClaim(vm, run)));
         store.era().addListener(era -> onRestored());
     }
--- a/carobstage/src/main/java/org/carobstage/quota/StandaloneShare.java
+++ b/carobstage/src/main/java/org/carobstage/quota/StandaloneShare.java
@@ -24,13 +24,13 @@
     /** Longer by 50 ms than the owner counts a process, as their clocks may run differently. */
     static final Duration EXCLUSION = CountedPeers.COUNTED_FOR.plusMillis(50);
 
-    /** Longer than the 3 s within which other processes learn of a new member. */
-    static final Duration AFTER_START = Duration.ofSeconds(5);
-
     private final VmId self;
     private final QuotaPolicy policy;
     private final Membership membership;
+
+    /** An owner may still count an earlier process on this VM. */
     private final long startedAtNanos;
+
     private final Map<AccountName, TokenBucket> buckets = new HashMap<>();
     private final Map<AccountName, Long> permittedAtNanos = new HashMap<>();
     private final Map<AccountName, Integer> ranks = new HashMap<>();
@@ -43,7 +43,7 @@
         this.policy = policy;
         this.membership = membership;
         this.startedAtNanos = startedAtNanos;
-        this.usableAtNanos = startedAtNanos + AFTER_START.toNanos();
+        this.usableAtNanos = startedAtNanos + EXCLUSION.toNanos();
     }
 
     static StandaloneShare of(
--- a/carobstage/src/test/java/org/carobstage/quota/QuotaExplorationTest.java
+++ b/carobstage/src/test/java/org/carobstage/quota/QuotaExplorationTest.java
@@ -34,7 +34,7 @@
     private static final RateLimit LIMIT = new RateLimit(40, 20);
     private static final RateLimit LOWERED = new RateLimit(10, 5);
     private static final int PROCESSES = 5;
-    private static final List<Integer> OFFSETS = List.of(0, 300, 900, 2_500, 4_500);
+    private static final List<Integer> OFFSETS = List.of(0, 300, 900, 2_500, 4_500, 9_000);
 
     private static final Map<String, Consumer<QuotaPlay>> FAULTS = faults();
 
@@ -102,7 +102,7 @@
             play.advance(5_400, run);
             for (int i = 0; i < faults.size(); i++) {
                 FAULTS.get(faults.get(i)).accept(play);
-                play.advance(i < pauses.size() ? pauses.get(i) : 3_500, run);
+                play.advance(i < pauses.size() ? pauses.get(i) : 9_000, run);
             }
             heal(play);
             long healed = play.now();
--- a/carobstage/src/test/java/org/carobstage/quota/QuotaFleet.java
+++ b/carobstage/src/test/java/org/carobstage/quota/QuotaFleet.java
@@ -31,6 +31,7 @@
     static final QuotaShard SHARD = QuotaShard.of(ACCOUNT);
     private static final RateLimit LIMIT = new RateLimit(40, 10);
     private static final QuotaPolicy POLICY = QuotaPolicy.standard();
+    private static final Duration MEMBER_LEASE = Duration.ofSeconds(3);
     private static final Duration LONGEST_DECISION = Duration.ofMillis(400);
 
     final ManualClock clock = ManualClock.of(Instant.EPOCH);
@@ -100,6 +101,15 @@
         return clock.nanoTime() / 1_000_000;
     }
 
+    /** Returns the processes whose membership lease in the store has not ended. */
+    private Set<VmId> registeredMembers() {
+        ClockReading now = ClockReading.now(clock);
+        return processes.values().stream()
+                .filter(p -> p.registeredAt.age(now).compareTo(MEMBER_LEASE) < 0)
+                .map(p -> p.vm)
+                .collect(Collectors.toSet());
+    }
+
     private void assertBound() {
         long window = POLICY.window().toMillis();
         double bound =
@@ -125,6 +135,9 @@
         final QuotaService service;
         private final Address address;
         private final PausableClock ownClock = new PausableClock();
+        private boolean storeReachable = true;
+        private ClockReading registeredAt = ClockReading.now(clock);
+        private Set<VmId> knownMembers = Set.of();
 
         private Process(VmId vm, Address address) {
             this.vm = vm;
@@ -154,9 +167,17 @@
 
         private void tick() {
             ownClock.schedule(this::tick, Duration.ofMillis(50));
-            service.onMembers(
-                    processes.keySet().stream().collect(Collectors.toSet()),
-                    Optional.of(ClockReading.now(clock)));
+            if (storeReachable) {
+                registeredAt = ClockReading.now(clock);
+                knownMembers = registeredMembers();
+            }
+            service.onMembers(knownMembers);
+        }
+
+        /** Cuts the process off from the store, or reconnects it. */
+        void setStoreReachable(boolean reachable) {
+            storeReachable = reachable;
+            client.setReachable(reachable);
         }
 
         boolean isOwner() {
@@ -175,12 +196,12 @@
         /** Stops the execution of the process; its clocks go on. */
         void pause() {
             ownClock.paused = true;
-            client.setReachable(false);
+            setStoreReachable(false);
             setLinksSilent(true);
         }
 
         void resume() {
-            client.setReachable(true);
+            setStoreReachable(true);
             setLinksSilent(false);
             ownClock.resume();
         }
--- a/carobstage/src/test/java/org/carobstage/quota/QuotaPlay.java
+++ b/carobstage/src/test/java/org/carobstage/quota/QuotaPlay.java
@@ -26,6 +26,11 @@
     /** Members stay known for as long as they may use their share. */
     private static final int MEMBER_LEASE_MILLIS = 18_000;
 
+    /** The times from the registration until owners withhold a share, and until it is used. */
+    private static final int ESTABLISHED_MILLIS = 16_000;
+
+    private static final int SHARING_MILLIS = 21_000;
+
     /** An owner stops this much before its lease ends. */
     private static final int LEASE_MARGIN_MILLIS = 200;
 
@@ -37,6 +42,7 @@
     final Map<QuotaShard, Ownership> owners = new HashMap<>();
     final Map<String, Long> marks = new HashMap<>();
     private final Map<VmId, Long> registered = new HashMap<>();
+    private final Map<VmId, Long> announced = new HashMap<>();
     private final PriorityQueue<Delivery> deliveries =
             new PriorityQueue<>(
                     Comparator.comparingLong(Delivery::at).thenComparingLong(Delivery::number));
@@ -51,6 +57,7 @@
         this.policy = policy;
         this.stepMillis = stepMillis;
         IntStream.range(0, count).forEach(i -> join());
+        processes.forEach(p -> announced.put(p.id, -(long) SHARING_MILLIS));
     }
 
     Process join() {
@@ -125,11 +132,17 @@
         }
     }
 
+    /** Returns whether a process that is not registered has to begin as a new one. */
+    private boolean isLapsed(VmId id) {
+        return find(id).filter(p -> now - p.renewedAt < 15_000).isEmpty();
+    }
+
     private void updateStore() {
         processes.stream()
                 .filter(p -> p.isRunning() && p.storeReachable && now >= p.renewAt)
                 .forEach(Process::renew);
         registered.values().removeIf(end -> end <= now);
+        announced.keySet().removeIf(id -> !registered.containsKey(id) && isLapsed(id));
         if (!registered.keySet().equals(members)) {
             members = Set.copyOf(registered.keySet());
         }
@@ -198,7 +211,9 @@
         long frozenUntil;
         long suspendedUntil;
         private Set<VmId> knownMembers = Set.of();
+        private Set<VmId> knownEstablished = Set.of();
         private long renewAt;
+        private long renewedAt;
 
         private Process(String id) {
             this.id = VmId.of(id);
@@ -215,11 +230,15 @@
                             (owner, request) -> find(owner).ifPresent(to -> request(to, request)),
                             clock);
             knownMembers = Set.of();
+            knownEstablished = Set.of();
             knownOwners.clear();
             received.clear();
             alive = true;
             stopping = false;
             renewAt = 0;
+            if (!registered.containsKey(this.id)) {
+                announced.remove(this.id);
+            }
         }
 
         void kill() {
@@ -302,9 +321,12 @@
 
         private void renew() {
             renewAt = now + 1_000;
+            renewedAt = now;
             ClockReading reading = ClockReading.now(clock);
             registered.put(id, now + MEMBER_LEASE_MILLIS);
-            limiter.onRegistered(reading);
+            if (now - announced.computeIfAbsent(id, i -> now) >= SHARING_MILLIS) {
+                limiter.onRegistered(reading);
+            }
             owners.forEach(
                     (shard, owner) -> {
                         if (owner.run == ledger) {
@@ -329,7 +351,14 @@
             if (knownMembers != members) {
                 knownMembers = members;
                 limiter.onMembers(members);
-                ledger.onMembers(members, ClockReading.now(clock));
+            }
+            Set<VmId> established =
+                    members.stream()
+                            .filter(m -> now - announced.get(m) >= ESTABLISHED_MILLIS)
+                            .collect(Collectors.toSet());
+            if (!established.equals(knownEstablished)) {
+                knownEstablished = established;
+                ledger.onMembers(established, ClockReading.now(clock));
             }
             shards.forEach(
                     shard -> {
--- a/carobstage/src/test/java/org/carobstage/quota/QuotaServiceTest.java
+++ b/carobstage/src/test/java/org/carobstage/quota/QuotaServiceTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import org.carobstage.event.EventCode;
+import org.carobstage.model.VmId;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -17,7 +18,7 @@
 
     @BeforeEach
     void start() {
-        fleet.clock.advance(Duration.ofSeconds(6));
+        fleet.clock.advance(Duration.ofSeconds(25));
     }
 
     // The operations of an account may all arrive at one process, which is not its owner.
@@ -103,9 +104,9 @@
     @Test
     void shouldKeepBoundWhenStoreIsAwayAndReturns() {
         fleet.runWithLoad(SECONDS_5);
-        fleet.processes.values().forEach(p -> p.client.setReachable(false));
+        fleet.processes.values().forEach(p -> p.setStoreReachable(false));
         fleet.runWithLoad(Duration.ofSeconds(9));
-        fleet.processes.values().forEach(p -> p.client.setReachable(true));
+        fleet.processes.values().forEach(p -> p.setStoreReachable(true));
         fleet.runWithLoad(Duration.ofSeconds(9));
 
         assertThat(fleet.permittedIn(Duration.ofSeconds(3))).isBetween(100L, 140L);
@@ -133,6 +134,48 @@
         assertThat(fleet.permittedIn(Duration.ofSeconds(3))).isBetween(100L, 140L);
     }
 
+    // A new owner finds no membership key of processes that have lost the store and use their
+    // shares.
+    @Test
+    void shouldKeepBoundWhenOneStartsWhileAllOthersHaveLostStore() {
+        fleet.runWithLoad(SECONDS_5);
+        List.copyOf(fleet.processes.values()).forEach(p -> p.setStoreReachable(false));
+        fleet.runWithLoad(Duration.ofSeconds(4));
+        fleet.launch(VmId.of("vm-new"));
+        fleet.runWithLoad(Duration.ofSeconds(16));
+    }
+
+    // Processes that have lost the store divide the rate without those that have started since.
+    @Test
+    void shouldKeepBoundWhenManyStartAfterOthersHaveLostStore() {
+        fleet.runWithLoad(SECONDS_5);
+        List.copyOf(fleet.processes.values()).forEach(p -> p.setStoreReachable(false));
+        for (int i = 0; i < 8; i++) {
+            fleet.launch(VmId.of("vm-new-" + i));
+        }
+        fleet.runWithLoad(Duration.ofSeconds(30));
+    }
+
+    // All processes that are killed and restarted must not reject their clients for seconds.
+    @Test
+    void shouldPermitSoonWhenAllProcessesAreKilledAndRestarted() {
+        fleet.runWithLoad(SECONDS_5);
+        for (QuotaFleet.Process killed : List.copyOf(fleet.processes.values())) {
+            killed.pause();
+            fleet.launch(killed.vm);
+        }
+        Duration rejected = Duration.ZERO;
+        while (fleet.permittedIn(Duration.ofMillis(20)) == 0 || rejected.isZero()) {
+            fleet.runWithLoad(Duration.ofMillis(20));
+            rejected = rejected.plusMillis(20);
+        }
+        fleet.runWithLoad(Duration.ofSeconds(2));
+
+        System.out.println("restart of all: permitted after " + rejected.toMillis() + " ms");
+        assertThat(rejected).isLessThan(Duration.ofMillis(1_000));
+        assertThat(fleet.permittedIn(Duration.ofSeconds(1))).isBetween(35L, 50L);
+    }
+
     // The limiter calls back sessions; an error of one must not end the watch, ticks or links.
     @Test
     void shouldGoOnWhenCallbackOfOperationFails() {
