Set timers of the limiter only when they are due

Cause: the limiter's tick ran every 10 ms in each process, and processes kept shard keys, links and keep-alive messages without any limit.

Change: QuotaService schedules a tick after 10 ms while an operation waits, and otherwise when the next keep-alive is due, at most 200 ms later. When the last limit is removed, owners release their shards, and links and messages end. Decisions and the bound are unchanged.

Ruled out: one frame for all shards of an owner. With more processes than shards each shard has another owner, so it would save no message.

--- a/carobstage/src/main/java/org/carobstage/quota/OwnershipLease.java
+++ b/carobstage/src/main/java/org/carobstage/quota/OwnershipLease.java
@@ -85,11 +85,16 @@
         nextCallNanos = clock.nanoTime();
     }
 
+    /** Revokes the lease, which deletes its keys. */
+    void release() {
+        id.ifPresent(lease -> store.revokeLease(lease, response -> {}));
+        id = Optional.empty();
+    }
+
     /** Revokes the lease, which deletes its keys; no other is requested. */
     void end() {
         ended = true;
-        id.ifPresent(lease -> store.revokeLease(lease, response -> {}));
-        id = Optional.empty();
+        release();
     }
 
     private void request() {
--- a/carobstage/src/main/java/org/carobstage/quota/QuotaLimiter.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaLimiter.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -17,7 +18,7 @@
 
 /** Decides operations with the tokens that the owners of the shards grant to this process. */
 public final class QuotaLimiter implements OperationLimiter {
-    /** The interval at which {@link #onTick} has to be called. */
+    /** The interval at which {@link #onTick} has to be called while an operation waits. */
     public static final Duration TICK_INTERVAL = Duration.ofMillis(10);
 
     private static final int LONGEST_NAME_IN_LOG = 64;
@@ -81,6 +82,20 @@
         clients.values().forEach(client -> client.onTick(now));
     }
 
+    /**
+     * Returns the time after which {@link #onTick} has to be called. Every other event may shorten
+     * it.
+     *
+     * @return at most the interval of keep-alive messages
+     */
+    public Duration untilTick() {
+        ClockReading now = ClockReading.now(clock);
+        return clients.values().stream()
+                .map(client -> client.untilTick(now))
+                .min(Comparator.naturalOrder())
+                .orElseThrow();
+    }
+
     /**
      * Accepts a response; one that is late, repeated or not from the owner has no effect.
      *
--- a/carobstage/src/main/java/org/carobstage/quota/QuotaService.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaService.java
@@ -57,6 +57,9 @@
     private Set<VmId> knownMembers = Set.of();
     private Set<VmId> knownEstablished = Set.of();
     private Optional<ClockReading> knownRegistration = Optional.empty();
+    private Optional<Clock.Timer> tickTimer = Optional.empty();
+    private Optional<Long> tickAtNanos = Optional.empty();
+    private boolean needed;
     private boolean closed;
 
     private QuotaService(
@@ -118,7 +121,7 @@
     public void start() {
         settings.peerAddress()
                 .ifPresent(address -> links.listen(address).whenComplete(this::onListening));
-        tickLimiter();
+        scheduleTick();
         tickLinks();
     }
 
@@ -127,8 +130,14 @@
      *
      * @return the limiter
      */
-    public QuotaLimiter limiter() {
-        return limiter;
+    public OperationLimiter limiter() {
+        return (account, callback) -> {
+            try {
+                limiter.acquire(account, callback);
+            } finally {
+                scheduleTick();
+            }
+        };
     }
 
     /**
@@ -224,10 +233,30 @@
         }
     }
 
-    /** Schedules the next tick first, so that an exception does not end the ticks. */
+    /** Schedules the next tick of the limiter, unless an earlier one is scheduled. */
+    private void scheduleTick() {
+        Duration delay = limiter.untilTick();
+        long atNanos = clock.nanoTime() + delay.toNanos();
+        if (tickAtNanos.filter(at -> at - atNanos <= 0).isEmpty()) {
+            tickTimer.ifPresent(Clock.Timer::cancel);
+            tickAtNanos = Optional.of(atNanos);
+            tickTimer = Optional.of(clock.schedule(this::tickLimiter, delay));
+        }
+    }
+
     private void tickLimiter() {
-        clock.schedule(this::tickLimiter, QuotaLimiter.TICK_INTERVAL);
-        limiter.onTick();
+        tickAtNanos = Optional.empty();
+        tickTimer = Optional.empty();
+        runLimiter(limiter::onTick);
+    }
+
+    /** An exception of a callback must not end the ticks. */
+    private void runLimiter(Runnable task) {
+        try {
+            task.run();
+        } finally {
+            scheduleTick();
+        }
     }
 
     /** Schedules the next tick first, so that an exception does not end the ticks. */
@@ -236,13 +265,16 @@
             return;
         }
         clock.schedule(this::tickLinks, LINK_TICK_INTERVAL);
-        boolean needed = isAnyAccountLimited();
+        needed = isAnyAccountLimited();
         ownership.setNeeded(needed);
         ownership.tick();
         members.tick(needed);
         confirmRegistration();
         links.tick();
         long nowNanos = clock.nanoTime();
+        if (!needed) {
+            standalone.values().forEach(period -> period.onResponse(nowNanos));
+        }
         standalone.forEach((shard, period) -> recordStandalone(shard, period, nowNanos));
         updateOwners();
     }
@@ -252,7 +284,7 @@
      * one must not reach the store's watch, the server's tick or the link that caused the call.
      */
     private void runLater(Runnable task) {
-        clock.schedule(task, Duration.ZERO);
+        clock.schedule(() -> runLimiter(task), Duration.ZERO);
     }
 
     private void updateMembers() {
@@ -281,7 +313,7 @@
 
     private void updateOwners() {
         for (QuotaShard shard : QuotaShard.all()) {
-            Optional<ShardOwner> owner = ownership.owner(shard);
+            Optional<ShardOwner> owner = ownership.owner(shard).filter(o -> needed);
             if (!owner.equals(owners.put(shard, owner))) {
                 limiter.onOwnerChanged(shard, owner.map(ShardOwner::vm));
             }
@@ -289,7 +321,7 @@
         if (settings.peerAddress().isPresent()) {
             links.setTargets(
                     QuotaShard.all().stream()
-                            .flatMap(shard -> ownership.owner(shard).stream())
+                            .flatMap(shard -> owners.get(shard).stream())
                             .filter(owner -> !owner.vm().equals(vm))
                             .map(ShardOwner::address)
                             .collect(Collectors.toSet()));
@@ -336,7 +368,7 @@
     }
 
     private void recordStandalone(QuotaShard shard, StandalonePeriod period, long nowNanos) {
-        if (isAnyAccountLimited() && period.begins(nowNanos)) {
+        if (needed && period.begins(nowNanos)) {
             events.record(
                     EventCode.QUOTA_STANDALONE_STARTED,
                     EventScope.empty(),
--- a/carobstage/src/main/java/org/carobstage/quota/QuotaShardClient.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaShardClient.java
@@ -134,6 +134,23 @@
         finish(now);
     }
 
+    /**
+     * Returns the time after which {@link #onTick} has to be called, unless an event is earlier.
+     */
+    Duration untilTick(ClockReading now) {
+        boolean waiting =
+                !queued.isEmpty() || inProgress.filter(r -> !r.waiters.isEmpty()).isPresent();
+        if (waiting) {
+            return QuotaLimiter.TICK_INTERVAL;
+        }
+        Duration left =
+                sentAt.filter(at -> owner.isPresent())
+                        .map(at -> KEEP_ALIVE_INTERVAL.minus(at.age(now)))
+                        .orElse(KEEP_ALIVE_INTERVAL);
+        // A keep-alive that is due waits for the response to an earlier request.
+        return left.compareTo(QuotaLimiter.TICK_INTERVAL) < 0 ? QuotaLimiter.TICK_INTERVAL : left;
+    }
+
     QuotaCounters counters() {
         return counters;
     }
--- a/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
@@ -86,7 +86,13 @@
 
     /** Sets whether any account is limited; otherwise no shard needs an owner. */
     void setNeeded(boolean anyLimit) {
+        boolean released = needed && !anyLimit;
         needed = anyLimit;
+        if (released) {
+            update("no account has a limit");
+            lease.release();
+            update("");
+        }
     }
 
     void setMembers(Set<VmId> registered) {
@@ -156,7 +162,7 @@
         claims.forEach(
                 (shard, claim) -> {
                     claim.onLease(current);
-                    boolean owns = claim.isHeld() && !stopping;
+                    boolean owns = claim.isHeld() && needed && !stopping;
                     if (!owns && owned.remove(shard)) {
                         listener.onLost(shard);
                         record(EventCode.QUOTA_SHARD_LOST, shard, "reason=" + reason);
@@ -197,6 +203,7 @@
                     boolean valid =
                             lease.id().equals(Optional.of(id))
                                     && era == store.era().current()
+                                    && needed
                                     && !stopping;
                     if (valid && response instanceof StoreResponse.Success<StoreRevision> s) {
                         claim.onAcquired(s.value(), self);
--- a/carobstage/src/test/java/org/carobstage/quota/QuotaFleet.java
+++ b/carobstage/src/test/java/org/carobstage/quota/QuotaFleet.java
@@ -41,6 +41,7 @@
     private final List<Long> permittedMillis = new ArrayList<>();
     private final List<Long> undecidedMillis = new ArrayList<>();
     private int launched;
+    boolean limited = true;
 
     static QuotaFleet of(int count) {
         QuotaFleet fleet = new QuotaFleet();
@@ -97,6 +98,11 @@
         return permittedMillis.stream().filter(at -> at >= from).count();
     }
 
+    private AccountTable accounts() {
+        Optional<RateLimit> limit = Optional.of(LIMIT).filter(l -> limited);
+        return AccountTable.of(List.of(new ClientAccount(ACCOUNT, Set.of(), 0, limit)));
+    }
+
     private long now() {
         return clock.nanoTime() / 1_000_000;
     }
@@ -134,7 +140,7 @@
         final EventLog events;
         final QuotaService service;
         private final Address address;
-        private final PausableClock ownClock = new PausableClock();
+        final PausableClock ownClock = new PausableClock();
         private boolean storeReachable = true;
         private ClockReading registeredAt = ClockReading.now(clock);
         private Set<VmId> knownMembers = Set.of();
@@ -143,9 +149,6 @@
             this.vm = vm;
             this.address = address;
             this.events = EventLog.of(vm, clock, 10_000);
-            AccountTable table =
-                    AccountTable.of(
-                            List.of(new ClientAccount(ACCOUNT, Set.of(), 0, Optional.of(LIMIT))));
             this.service =
                     QuotaService.of(
                             new QuotaSettings(POLICY, Optional.of(address)),
@@ -153,7 +156,7 @@
                             client,
                             ownClock,
                             network.transport(),
-                            () -> Optional.of(table));
+                            () -> Optional.of(accounts()));
             StoreWatcher.of(
                             client,
                             clock,
@@ -229,9 +232,10 @@
     }
 
     /** A clock whose timers are delayed while the process is paused. */
-    private final class PausableClock implements Clock {
+    final class PausableClock implements Clock {
         private final List<Runnable> delayed = new ArrayList<>();
         private boolean paused;
+        int timers;
 
         @Override
         public long nanoTime() {
@@ -245,6 +249,7 @@
 
         @Override
         public Timer schedule(Runnable task, Duration delay) {
+            timers++;
             return clock.schedule(
                     () -> {
                         if (paused) {
--- a/carobstage/src/test/java/org/carobstage/quota/QuotaServiceTest.java
+++ b/carobstage/src/test/java/org/carobstage/quota/QuotaServiceTest.java
@@ -176,6 +176,34 @@
         assertThat(fleet.permittedIn(Duration.ofSeconds(1))).isBetween(35L, 50L);
     }
 
+    // A limiter that wakes up every 10 ms doubles the processor time of a process without load.
+    @Test
+    void shouldSetFewTimersWhenNoOperationWaits() {
+        QuotaFleet.Process process = fleet.notOwner();
+        int before = process.ownClock.timers;
+        fleet.clock.advance(Duration.ofSeconds(10));
+
+        int perSecond = (process.ownClock.timers - before) / 10;
+        System.out.println("timers of an idle process: " + perSecond + " a second");
+        assertThat(perSecond).isLessThan(100);
+    }
+
+    // Without any limit, owners, links and keep-alive messages have no purpose.
+    @Test
+    void shouldKeepNoKeysAndLinksWhenNoAccountHasLimit() {
+        fleet.runWithLoad(SECONDS_5);
+        fleet.limited = false;
+        fleet.clock.advance(Duration.ofSeconds(20));
+        assertThat(fleet.store.keys("carobstage/quota")).isEmpty();
+        assertThat(fleet.processes.values())
+                .allMatch(p -> p.service.metrics().get("peer_links") == 0);
+
+        fleet.limited = true;
+        fleet.clock.advance(SECONDS_5);
+        fleet.runWithLoad(SECONDS_5);
+        assertThat(fleet.permittedIn(Duration.ofSeconds(3))).isBetween(100L, 140L);
+    }
+
     // The limiter calls back sessions; an error of one must not end the watch, ticks or links.
     @Test
     void shouldGoOnWhenCallbackOfOperationFails() {
