--- a/carobstage/src/main/java/org/carobstage/quota/QuotaService.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaService.java
@@ -48,11 +48,18 @@
     private final GrantLedger ledger;
     private final QuotaLimiter limiter;
     private final ShardOwnership ownership;
+    private final QuotaMembers members;
     private final PeerLinks links;
     private final Map<VmId, Long> memberSeenNanos = new HashMap<>();
     private final Map<QuotaShard, Optional<ShardOwner>> owners = new HashMap<>();
     private final Map<QuotaShard, StandalonePeriod> standalone = new LinkedHashMap<>();
     private final Map<QuotaShard, Long> grants = new HashMap<>();
+    private Set<VmId> knownMembers = Set.of();
+    private Set<VmId> knownEstablished = Set.of();
+    private Optional<ClockReading> knownRegistration = Optional.empty();
+    private Optional<Clock.Timer> tickTimer = Optional.empty();
+    private Optional<Long> tickAtNanos = Optional.empty();
+    private boolean needed;
     private boolean closed;
 
     private QuotaService(
@@ -75,6 +82,7 @@
         this.ledger = GrantLedger.of(this::limit);
         this.limiter = QuotaLimiter.of(vm, settings.policy(), this::limit, this::send, clock);
         this.ownership = ShardOwnership.of(vm, run, store, clock, events, new OwnershipListener());
+        this.members = QuotaMembers.of(vm, run, store, clock);
         this.links =
                 PeerLinks.of(
                         transport,
@@ -113,7 +121,7 @@
     public void start() {
         settings.peerAddress()
                 .ifPresent(address -> links.listen(address).whenComplete(this::onListening));
-        tickLimiter();
+        scheduleTick();
         tickLinks();
     }
 
@@ -122,8 +130,14 @@
      *
      * @return the limiter
      */
-    public QuotaLimiter limiter() {
-        return limiter;
+    public OperationLimiter limiter() {
+        return (account, callback) -> {
+            try {
+                limiter.acquire(account, callback);
+            } finally {
+                scheduleTick();
+            }
+        };
     }
 
     /**
@@ -135,32 +149,29 @@
     public void onStoreChange(StoreEntry entry) {
         ownership.onStoreChange(entry);
         runLater(this::updateOwners);
+        try {
+            members.onStoreChange(entry);
+        } finally {
+            updateMembers();
+        }
     }
 
     /** Records that the keys of the store were listed. */
     public void onStoreListed() {
         ownership.onListed();
+        members.onListed();
     }
 
     /**
      * Sets the processes that are registered in the store.
      *
-     * @param members the members, including this process
-     * @param registeredAt when the call was sent that confirmed the registration of this process
-     *     last, or empty if it is not registered
+     * @param registered the members, including this process
      */
-    public void onMembers(Set<VmId> members, Optional<ClockReading> registeredAt) {
+    public void onMembers(Set<VmId> registered) {
         long nowNanos = clock.nanoTime();
-        members.forEach(member -> memberSeenNanos.put(member, nowNanos));
+        registered.forEach(member -> memberSeenNanos.put(member, nowNanos));
         memberSeenNanos.values().removeIf(seen -> nowNanos - seen > MEMBER_RETENTION.toNanos());
-        ownership.setMembers(members);
-        ledger.onMembers(members, ClockReading.now(clock));
-        Set<VmId> registered = Set.copyOf(members);
-        runLater(
-                () -> {
-                    limiter.onMembers(registered);
-                    registeredAt.ifPresent(limiter::onRegistered);
-                });
+        ownership.setMembers(registered);
     }
 
     /** Hands the shards of this process over; its operations are still decided. */
@@ -174,6 +185,7 @@
     public void close() {
         closed = true;
         ownership.stop();
+        members.end();
         links.close();
     }
 
@@ -221,10 +233,30 @@
         }
     }
 
-    /** Schedules the next tick first, so that an exception does not end the ticks. */
+    /** Schedules the next tick of the limiter, unless an earlier one is scheduled. */
+    private void scheduleTick() {
+        Duration delay = limiter.untilTick();
+        long atNanos = clock.nanoTime() + delay.toNanos();
+        if (tickAtNanos.filter(at -> at - atNanos <= 0).isEmpty()) {
+            tickTimer.ifPresent(Clock.Timer::cancel);
+            tickAtNanos = Optional.of(atNanos);
+            tickTimer = Optional.of(clock.schedule(this::tickLimiter, delay));
+        }
+    }
+
     private void tickLimiter() {
-        clock.schedule(this::tickLimiter, QuotaLimiter.TICK_INTERVAL);
-        limiter.onTick();
+        tickAtNanos = Optional.empty();
+        tickTimer = Optional.empty();
+        runLimiter(limiter::onTick);
+    }
+
+    /** An exception of a callback must not end the ticks. */
+    private void runLimiter(Runnable task) {
+        try {
+            task.run();
+        } finally {
+            scheduleTick();
+        }
     }
 
     /** Schedules the next tick first, so that an exception does not end the ticks. */
@@ -233,10 +265,16 @@
             return;
         }
         clock.schedule(this::tickLinks, LINK_TICK_INTERVAL);
-        ownership.setNeeded(isAnyAccountLimited());
+        needed = isAnyAccountLimited();
+        ownership.setNeeded(needed);
         ownership.tick();
+        members.tick(needed);
+        confirmRegistration();
         links.tick();
         long nowNanos = clock.nanoTime();
+        if (!needed) {
+            standalone.values().forEach(period -> period.onResponse(nowNanos));
+        }
         standalone.forEach((shard, period) -> recordStandalone(shard, period, nowNanos));
         updateOwners();
     }
@@ -246,12 +284,36 @@
      * one must not reach the store's watch, the server's tick or the link that caused the call.
      */
     private void runLater(Runnable task) {
-        clock.schedule(task, Duration.ZERO);
+        clock.schedule(() -> runLimiter(task), Duration.ZERO);
+    }
+
+    private void updateMembers() {
+        Set<VmId> all = members.all();
+        Set<VmId> established = members.established();
+        if (all.equals(knownMembers) && established.equals(knownEstablished)) {
+            return;
+        }
+        knownMembers = all;
+        knownEstablished = established;
+        ledger.onMembers(established, ClockReading.now(clock));
+        runLater(() -> limiter.onMembers(all));
+    }
+
+    private void confirmRegistration() {
+        if (members.isReplaced()) {
+            runLater(limiter::onReplaced);
+            return;
+        }
+        Optional<ClockReading> registeredAt = members.registeredAt();
+        if (!registeredAt.equals(knownRegistration)) {
+            knownRegistration = registeredAt;
+            registeredAt.ifPresent(at -> runLater(() -> limiter.onRegistered(at)));
+        }
     }
 
     private void updateOwners() {
         for (QuotaShard shard : QuotaShard.all()) {
-            Optional<ShardOwner> owner = ownership.owner(shard);
+            Optional<ShardOwner> owner = ownership.owner(shard).filter(o -> needed);
             if (!owner.equals(owners.put(shard, owner))) {
                 limiter.onOwnerChanged(shard, owner.map(ShardOwner::vm));
             }
@@ -259,7 +321,7 @@
         if (settings.peerAddress().isPresent()) {
             links.setTargets(
                     QuotaShard.all().stream()
-                            .flatMap(shard -> ownership.owner(shard).stream())
+                            .flatMap(shard -> owners.get(shard).stream())
                             .filter(owner -> !owner.vm().equals(vm))
                             .map(ShardOwner::address)
                             .collect(Collectors.toSet()));
@@ -306,7 +368,7 @@
     }
 
     private void recordStandalone(QuotaShard shard, StandalonePeriod period, long nowNanos) {
-        if (isAnyAccountLimited() && period.begins(nowNanos)) {
+        if (needed && period.begins(nowNanos)) {
             events.record(
                     EventCode.QUOTA_STANDALONE_STARTED,
                     EventScope.empty(),
--- a/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
@@ -63,7 +63,8 @@
         this.clock = requireNonNull(clock, "clock is null");
         this.events = requireNonNull(events, "events is null");
         this.listener = requireNonNull(listener, "listener is null");
-        this.lease = new OwnershipLease(store, clock, () -> update("lease lost"));
+        this.lease =
+                new OwnershipLease(store, clock, OwnershipLease.SHARDS, () -> update("lease lost"));
         QuotaShard.all().forEach(shard -> claims.put(shard, new ShardClaim(vm, run)));
         store.era().addListener(era -> onRestored());
     }
@@ -85,7 +86,13 @@
 
     /** Sets whether any account is limited; otherwise no shard needs an owner. */
     void setNeeded(boolean anyLimit) {
+        boolean released = needed && !anyLimit;
         needed = anyLimit;
+        if (released) {
+            update("no account has a limit");
+            lease.release();
+            update("");
+        }
     }
 
     void setMembers(Set<VmId> registered) {
@@ -155,7 +162,7 @@
         claims.forEach(
                 (shard, claim) -> {
                     claim.onLease(current);
-                    boolean owns = claim.isHeld() && !stopping;
+                    boolean owns = claim.isHeld() && needed && !stopping;
                     if (!owns && owned.remove(shard)) {
                         listener.onLost(shard);
                         record(EventCode.QUOTA_SHARD_LOST, shard, "reason=" + reason);
@@ -196,6 +203,7 @@
                     boolean valid =
                             lease.id().equals(Optional.of(id))
                                     && era == store.era().current()
+                                    && needed
                                     && !stopping;
                     if (valid && response instanceof StoreResponse.Success<StoreRevision> s) {
                         claim.onAcquired(s.value(), self);
--- a/carobstage/src/test/java/org/carobstage/quota/QuotaFleet.java
+++ b/carobstage/src/test/java/org/carobstage/quota/QuotaFleet.java
@@ -31,6 +31,7 @@
     static final QuotaShard SHARD = QuotaShard.of(ACCOUNT);
     private static final RateLimit LIMIT = new RateLimit(40, 10);
     private static final QuotaPolicy POLICY = QuotaPolicy.standard();
+    private static final Duration MEMBER_LEASE = Duration.ofSeconds(3);
     private static final Duration LONGEST_DECISION = Duration.ofMillis(400);
 
     final ManualClock clock = ManualClock.of(Instant.EPOCH);
@@ -40,6 +41,7 @@
     private final List<Long> permittedMillis = new ArrayList<>();
     private final List<Long> undecidedMillis = new ArrayList<>();
     private int launched;
+    boolean limited = true;
 
     static QuotaFleet of(int count) {
         QuotaFleet fleet = new QuotaFleet();
@@ -96,10 +98,24 @@
         return permittedMillis.stream().filter(at -> at >= from).count();
     }
 
+    private AccountTable accounts() {
+        Optional<RateLimit> limit = Optional.of(LIMIT).filter(l -> limited);
+        return AccountTable.of(List.of(new ClientAccount(ACCOUNT, Set.of(), 0, limit)));
+    }
+
     private long now() {
         return clock.nanoTime() / 1_000_000;
     }
 
+    /** Returns the processes whose membership lease in the store has not ended. */
+    private Set<VmId> registeredMembers() {
+        ClockReading now = ClockReading.now(clock);
+        return processes.values().stream()
+                .filter(p -> p.registeredAt.age(now).compareTo(MEMBER_LEASE) < 0)
+                .map(p -> p.vm)
+                .collect(Collectors.toSet());
+    }
+
     private void assertBound() {
         long window = POLICY.window().toMillis();
         double bound =
@@ -124,15 +140,15 @@
         final EventLog events;
         final QuotaService service;
         private final Address address;
-        private final PausableClock ownClock = new PausableClock();
+        final PausableClock ownClock = new PausableClock();
+        private boolean storeReachable = true;
+        private ClockReading registeredAt = ClockReading.now(clock);
+        private Set<VmId> knownMembers = Set.of();
 
         private Process(VmId vm, Address address) {
             this.vm = vm;
             this.address = address;
             this.events = EventLog.of(vm, clock, 10_000);
-            AccountTable table =
-                    AccountTable.of(
-                            List.of(new ClientAccount(ACCOUNT, Set.of(), 0, Optional.of(LIMIT))));
             this.service =
                     QuotaService.of(
                             new QuotaSettings(POLICY, Optional.of(address)),
@@ -140,7 +156,7 @@
                             client,
                             ownClock,
                             network.transport(),
-                            () -> Optional.of(table));
+                            () -> Optional.of(accounts()));
             StoreWatcher.of(
                             client,
                             clock,
@@ -154,9 +170,17 @@
 
         private void tick() {
             ownClock.schedule(this::tick, Duration.ofMillis(50));
-            service.onMembers(
-                    processes.keySet().stream().collect(Collectors.toSet()),
-                    Optional.of(ClockReading.now(clock)));
+            if (storeReachable) {
+                registeredAt = ClockReading.now(clock);
+                knownMembers = registeredMembers();
+            }
+            service.onMembers(knownMembers);
+        }
+
+        /** Cuts the process off from the store, or reconnects it. */
+        void setStoreReachable(boolean reachable) {
+            storeReachable = reachable;
+            client.setReachable(reachable);
         }
 
         boolean isOwner() {
@@ -175,12 +199,12 @@
         /** Stops the execution of the process; its clocks go on. */
         void pause() {
             ownClock.paused = true;
-            client.setReachable(false);
+            setStoreReachable(false);
             setLinksSilent(true);
         }
 
         void resume() {
-            client.setReachable(true);
+            setStoreReachable(true);
             setLinksSilent(false);
             ownClock.resume();
         }
@@ -208,9 +232,10 @@
     }
 
     /** A clock whose timers are delayed while the process is paused. */
-    private final class PausableClock implements Clock {
+    final class PausableClock implements Clock {
         private final List<Runnable> delayed = new ArrayList<>();
         private boolean paused;
+        int timers;
 
         @Override
         public long nanoTime() {
@@ -224,6 +249,7 @@
 
         @Override
         public Timer schedule(Runnable task, Duration delay) {
+            timers++;
             return clock.schedule(
                     () -> {
                         if (paused) {
