Keep released pooled connections from their former holders

Cause: all holders shared one object per connection, so a second release freed it while another holder had a transaction on it. A rollback that was answered with BUSY, and a begin that was unanswered at the release, also left a transaction open for the next holder. An exception in the connector left an opening in progress for good. The timer for connections to a removed instance took a pause of this process for silence.

Change: PooledConnection is the use of a PoolEntry by one holder and ends with the first release. A connection is closed at the release if statements are unanswered, and after a rollback that left the transaction open. Openings holds the openings in progress and ends those whose connector failed with NO_ANSWER. The group's tick, which follows the check for pauses, closes silent connections to removed instances.

Ruled out: comparing a holder number at each call, since the holders would still have no number of their own.

--- a/carobstage/src/main/java/org/carobstage/runtime/ManualClock.java
+++ b/carobstage/src/main/java/org/carobstage/runtime/ManualClock.java
@@ -73,6 +73,15 @@
         instant = instant.plus(length);
     }
 
+    /**
+     * Stops this process: both clocks advance, timers that become due run late.
+     *
+     * @param length the duration of the pause
+     */
+    public void pause(Duration length) {
+        moveTo(nanos + length.toNanos());
+    }
+
     private void moveTo(long targetNanos) {
         instant = instant.plusNanos(targetNanos - nanos);
         nanos = targetNanos;
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionDispatcher.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionDispatcher.java
@@ -61,7 +61,7 @@
     }
 
     /** Grants a connection that is new to the first request that can use it. */
-    void offer(PooledConnection connection) {
+    void offer(PoolEntry connection) {
         if (!dispatching && pools.quota().isElastic()) {
             dispatching = true;
             try {
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionSet.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionSet.java
@@ -11,7 +11,7 @@
 
 /** The open connections to one instance; selects the one to use or to close. */
 final class ConnectionSet {
-    private final List<PooledConnection> connections = new ArrayList<>();
+    private final List<PoolEntry> connections = new ArrayList<>();
 
     private ConnectionSet() {}
 
@@ -19,11 +19,11 @@
         return new ConnectionSet();
     }
 
-    void add(PooledConnection connection) {
+    void add(PoolEntry connection) {
         connections.add(connection);
     }
 
-    void remove(PooledConnection connection) {
+    void remove(PoolEntry connection) {
         connections.remove(connection);
     }
 
@@ -31,20 +31,20 @@
         return connections.size();
     }
 
-    Stream<PooledConnection> all() {
+    Stream<PoolEntry> all() {
         return List.copyOf(connections).stream();
     }
 
-    Stream<PooledConnection> idle() {
+    Stream<PoolEntry> idle() {
         return all().filter(c -> !c.isBusy() && !c.isRetired());
     }
 
-    Stream<PooledConnection> idle(Optional<AccountName> account) {
+    Stream<PoolEntry> idle(Optional<AccountName> account) {
         return idle().filter(c -> c.account().equals(account));
     }
 
     int busyCount() {
-        return (int) connections.stream().filter(PooledConnection::isBusy).count();
+        return (int) connections.stream().filter(PoolEntry::isBusy).count();
     }
 
     /** Returns how many statements outside transactions are running. */
@@ -53,8 +53,8 @@
     }
 
     /** Returns the connection whose session variables match best. */
-    static Optional<PooledConnection> bestMatch(
-            Stream<PooledConnection> candidates, Map<String, String> sessionVariables) {
+    static Optional<PoolEntry> bestMatch(
+            Stream<PoolEntry> candidates, Map<String, String> sessionVariables) {
         return candidates.max(Comparator.comparingInt(c -> sessionMatchScore(c, sessionVariables)));
     }
 
@@ -62,20 +62,20 @@
      * Returns the idle connection to close for another account: one without account, which only
      * status queries may still need, or else the least recently used one.
      */
-    Optional<PooledConnection> evictable(Optional<AccountName> account) {
+    Optional<PoolEntry> evictable(Optional<AccountName> account) {
         return idle().filter(c -> !c.account().equals(account))
                 .min(
-                        Comparator.comparing((PooledConnection c) -> c.account().isPresent())
-                                .thenComparingLong(PooledConnection::idleSinceNanos));
+                        Comparator.comparing((PoolEntry c) -> c.account().isPresent())
+                                .thenComparingLong(PoolEntry::idleSinceNanos));
     }
 
     /** Returns idle connections to close so that no more than the limit remain, if possible. */
-    List<PooledConnection> excess(int limit) {
+    List<PoolEntry> excess(int limit) {
         return idle().limit(Math.max(0, size() - limit)).toList();
     }
 
     /** Returns the connections to close because they have been idle for too long. */
-    List<PooledConnection> expired(ConnectionShare share, boolean needsProbe, long nowNanos) {
+    List<PoolEntry> expired(ConnectionShare share, boolean needsProbe, long nowNanos) {
         Duration timeout = share.idleTimeout(size());
         return idle().filter(c -> nowNanos - c.idleSinceNanos() > timeout.toNanos())
                 .skip(share.minConnections(needsProbe))
@@ -89,7 +89,7 @@
      */
     Duration silence(long nowNanos, long lastResponseNanos) {
         return connections.stream()
-                .map(PooledConnection::sentAt)
+                .map(PoolEntry::sentAt)
                 .flatMap(Optional::stream)
                 .map(sent -> nowNanos - Math.max(sent.monotonicNanos(), lastResponseNanos))
                 .max(Comparator.naturalOrder())
@@ -98,14 +98,14 @@
     }
 
     /** Returns the connections with a request that has been unanswered for longer than a time. */
-    List<PooledConnection> silentFor(Duration time, long nowNanos) {
+    List<PoolEntry> silentFor(Duration time, long nowNanos) {
         return all().filter(c -> c.sentAt().isPresent())
                 .filter(c -> nowNanos - c.sentAt().get().monotonicNanos() > time.toNanos())
                 .toList();
     }
 
     private static int sessionMatchScore(
-            PooledConnection connection, Map<String, String> sessionVariables) {
+            PoolEntry connection, Map<String, String> sessionVariables) {
         if (connection.sessionVariables().equals(sessionVariables)) {
             return 2;
         }
--- a/carobstage/src/main/java/org/carobstage/upstream/ControlCommands.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ControlCommands.java
@@ -23,7 +23,7 @@
     }
 
     /** Sends a command on a busy connection, which is released with the response. */
-    void send(PooledConnection connection, Statement statement, Consumer<StatusResponse> callback) {
+    void send(PoolEntry connection, Statement statement, Consumer<StatusResponse> callback) {
         ClockReading sentAt = pool.now();
         connection.setSentAt(sentAt);
         connection
@@ -47,7 +47,7 @@
         return !waiting.isEmpty();
     }
 
-    void sendNext(PooledConnection connection) {
+    void sendNext(PoolEntry connection) {
         Command command = waiting.remove();
         send(connection, command.statement(), command.callback());
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
@@ -3,7 +3,6 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,12 +26,6 @@
      */
     private static final Duration DRAIN_LIMIT = Duration.ofMillis(6_000);
 
-    /**
-     * Timeout of opening; it covers the time that a new connection waits in a full instance's
-     * queue.
-     */
-    private static final Duration OPEN_TIMEOUT = Duration.ofMillis(400);
-
     /** Silence after which a connection is closed, even if others of the instance get responses. */
     private static final Duration CLOSE_AFTER_SILENCE = Duration.ofMillis(2_500);
 
@@ -45,7 +38,7 @@
     private final ServiceGroup group;
     private final UpstreamContext context;
     private final ConnectionSet connections = ConnectionSet.empty();
-    private final List<Opening> openings = new ArrayList<>();
+    private final Openings openings;
     private final ControlCommands controlCommands = ControlCommands.of(this);
     private final FailureDetector detector;
     private final PoolStatistics statistics = PoolStatistics.empty();
@@ -60,6 +53,7 @@
         this.group = requireNonNull(group, "group is null");
         this.context = requireNonNull(context, "context is null");
         this.entry = requireNonNull(entry, "entry is null");
+        this.openings = new Openings(this, context);
         this.detector = FailureDetector.of(group, context.clock());
         long nowNanos = context.clock().nanoTime();
         this.share = ConnectionShare.of(ConnectionQuota.fixed(1, 1), nowNanos);
@@ -97,14 +91,18 @@
 
     void setQuota(ConnectionQuota quota) {
         share = share.withQuota(quota);
-        connections.excess(share.limit()).forEach(PooledConnection::discardIfIdle);
+        connections.excess(share.limit()).forEach(PoolEntry::discardIfIdle);
     }
 
     /** Closes idle connections at once, the others when they are released or silent. */
     void close() {
         closed = true;
         retireAll();
-        closeRemaining();
+    }
+
+    /** Returns whether no connection is open or being opened. */
+    boolean isEmpty() {
+        return connections.size() == 0 && openings.isEmpty();
     }
 
     InstanceSelector.Candidate toCandidate() {
@@ -117,7 +115,7 @@
                 connections.busyCount() + openings.size(),
                 hasIdle(request)
                         ? Duration.ZERO
-                        : statistics.expectedOpeningTime(openings, now().monotonicNanos()));
+                        : statistics.expectedOpeningTime(openings(), now().monotonicNanos()));
     }
 
     /** Returns the moving average of the statement latency. */
@@ -152,7 +150,8 @@
 
     /** Acquires the idle connection of the request's account whose session variables match best. */
     Optional<PooledConnection> tryAcquire(ConnectionRequest request) {
-        return acquire(ConnectionSet.bestMatch(idle(request), request.sessionVariables()));
+        return acquire(ConnectionSet.bestMatch(idle(request), request.sessionVariables()))
+                .map(PooledConnection::new);
     }
 
     /** Opens the connection that is kept open without demand, if any is. */
@@ -183,7 +182,7 @@
     Opening openMakingRoom(Optional<AccountName> account) {
         if (!hasRoom()) {
             statistics.onEvicted();
-            connections.evictable(account).ifPresent(PooledConnection::discard);
+            connections.evictable(account).ifPresent(PoolEntry::discard);
         }
         return open(account);
     }
@@ -196,7 +195,7 @@
     }
 
     List<Opening> openings() {
-        return openings;
+        return openings.inProgress();
     }
 
     /** Returns whether a status query can expect one of the open connections soon. */
@@ -208,7 +207,7 @@
     Duration expectedWait(ConnectionRequest request) {
         return statistics
                 .waitEstimate(share)
-                .expectedWait(request, connections, openings, now().monotonicNanos());
+                .expectedWait(request, connections, openings(), now().monotonicNanos());
     }
 
     PoolCounters counters() {
@@ -258,11 +257,7 @@
         connections.all().filter(c -> c.sentAt().isPresent()).forEach(c -> c.setSentAt(now));
     }
 
-    void onResult(
-            PooledConnection connection,
-            Statement statement,
-            Optional<StatementResult> response,
-            ClockReading sentAt) {
+    void onResult(Statement statement, Optional<StatementResult> response, ClockReading sentAt) {
         if (response.isEmpty()) {
             return;
         }
@@ -278,7 +273,7 @@
         }
     }
 
-    void release(PooledConnection connection) {
+    void release(PoolEntry connection) {
         if (!connection.isOpen()) {
             group.dispatch();
             return;
@@ -303,7 +298,7 @@
         }
     }
 
-    void removeConnection(PooledConnection connection) {
+    void removeConnection(PoolEntry connection) {
         connections.remove(connection);
         group.dispatch();
     }
@@ -315,20 +310,18 @@
      * @return false if the command was not sent and will not be
      */
     boolean trySendControlCommand(Statement statement, Consumer<StatusResponse> callback) {
-        Optional<PooledConnection> idle =
-                acquire(ConnectionSet.bestMatch(connections.idle(), Map.of()));
+        Optional<PoolEntry> idle = acquire(ConnectionSet.bestMatch(connections.idle(), Map.of()));
         idle.ifPresent(c -> sendControlCommand(c, statement, callback));
         return idle.isPresent() || defer(statement, callback);
     }
 
     /** Sends a control command on a busy connection, which is released with the response. */
     void sendControlCommand(
-            PooledConnection connection, Statement statement, Consumer<StatusResponse> callback) {
+            PoolEntry connection, Statement statement, Consumer<StatusResponse> callback) {
         controlCommands.send(connection, statement, callback);
     }
 
-    void onStatusResponse(
-            PooledConnection connection, StatusResponse response, ClockReading sentAt) {
+    void onStatusResponse(PoolEntry connection, StatusResponse response, ClockReading sentAt) {
         connection.setSentAt(null);
         if (response.hasResponse()) {
             detector.recordResponse(entry);
@@ -363,13 +356,13 @@
                 opening.toNanos() / 1e6);
     }
 
-    private Stream<PooledConnection> idle(ConnectionRequest request) {
+    private Stream<PoolEntry> idle(ConnectionRequest request) {
         return request.acceptsAnyAccount()
                 ? connections.idle()
                 : connections.idle(request.origin().account());
     }
 
-    private Optional<PooledConnection> acquire(Optional<PooledConnection> idle) {
+    private Optional<PoolEntry> acquire(Optional<PoolEntry> idle) {
         idle.ifPresent(c -> c.markBusy(context.clock().nanoTime()));
         return idle;
     }
@@ -403,28 +396,12 @@
     }
 
     private Opening open(Optional<AccountName> account) {
-        Opening opening = Opening.of(entry, account, context.clock().nanoTime());
-        openings.add(opening);
         statistics.onOpeningStarted();
-        PooledConnection pooled = new PooledConnection(this, account);
-        context.connector()
-                .connect(
-                        entry,
-                        account,
-                        OPEN_TIMEOUT,
-                        InstanceConnector.Listener.of(
-                                connection -> onOpened(pooled, connection, opening),
-                                reason -> onOpenFailed(reason, opening),
-                                () -> {
-                                    pooled.markLost();
-                                    removeConnection(pooled);
-                                }));
-        return opening;
-    }
-
-    private void onOpened(PooledConnection pooled, InstanceConnection connection, Opening opening) {
+        return openings.start(new PoolEntry(this, account));
+    }
+
+    void onOpened(PoolEntry pooled, InstanceConnection connection, Opening opening) {
         long nowNanos = context.clock().nanoTime();
-        openings.remove(opening);
         statistics.onOpened(Duration.ofNanos(nowNanos - opening.startedNanos()));
         share = share.onOpened();
         detector.onOpened();
@@ -444,8 +421,7 @@
         }
     }
 
-    private void onOpenFailed(OpenFailure reason, Opening opening) {
-        openings.remove(opening);
+    void onOpenFailed(OpenFailure reason, Opening opening) {
         long nowNanos = context.clock().nanoTime();
         if (reason == OpenFailure.CONNECTION_LIMIT) {
             statistics.onRefused();
@@ -473,28 +449,20 @@
         }
     }
 
-    private void closeSilentConnections(long nowNanos) {
-        connections.silentFor(CLOSE_AFTER_SILENCE, nowNanos).forEach(PooledConnection::discard);
-    }
-
-    /** The timer of the group no longer reaches a pool that was removed. */
-    private void closeRemaining() {
-        closeSilentConnections(context.clock().nanoTime());
-        if (connections.size() > 0) {
-            context.clock().schedule(this::closeRemaining, CLOSE_AFTER_SILENCE);
-        }
+    void closeSilentConnections(long nowNanos) {
+        connections.silentFor(CLOSE_AFTER_SILENCE, nowNanos).forEach(PoolEntry::discard);
     }
 
     private void closeIdleConnections(long nowNanos) {
-        for (PooledConnection idle : connections.expired(share, detector.needsProbe(), nowNanos)) {
+        for (PoolEntry idle : connections.expired(share, detector.needsProbe(), nowNanos)) {
             share = share.onIdleClosed();
             idle.discardIfIdle();
         }
     }
 
     private void retireAll() {
-        List<PooledConnection> idle = connections.idle().toList();
-        connections.all().forEach(PooledConnection::markRetired);
-        idle.forEach(PooledConnection::discard);
+        List<PoolEntry> idle = connections.idle().toList();
+        connections.all().forEach(PoolEntry::markRetired);
+        idle.forEach(PoolEntry::discard);
     }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/InstancePools.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstancePools.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +17,7 @@
 /** The connection pools of the instances of one service. */
 final class InstancePools {
     private final Map<InstanceId, InstanceConnectionPool> pools = new TreeMap<>();
+    private final List<InstanceConnectionPool> removed = new ArrayList<>();
     private ConnectionQuota quota = ConnectionQuota.fixed(1, 1);
 
     private InstancePools() {}
@@ -32,7 +34,24 @@
     }
 
     void remove(InstanceId id) {
-        Optional.ofNullable(pools.remove(id)).ifPresent(InstanceConnectionPool::close);
+        Optional.ofNullable(pools.remove(id))
+                .ifPresent(
+                        pool -> {
+                            pool.close();
+                            removed.add(pool);
+                        });
+    }
+
+    /** Closes silent connections to removed instances, whose holders await their results. */
+    void closeSilentRemoved(long nowNanos) {
+        removed.forEach(pool -> pool.closeSilentConnections(nowNanos));
+        removed.removeIf(InstanceConnectionPool::isEmpty);
+    }
+
+    /** Restarts the timeouts of all instances, also the removed ones, after a pause. */
+    void resetTimersAfterPause() {
+        Stream.concat(pools.values().stream(), removed.stream())
+                .forEach(InstanceConnectionPool::resetTimersAfterPause);
     }
 
     void setQuota(ConnectionQuota newer) {
--- a/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
@@ -2,41 +2,27 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.carobstage.discovery.InstanceEntry;
-import org.carobstage.freshness.ClockReading;
 import org.carobstage.model.AccountName;
 import org.carobstage.model.LogPosition;
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.StatementResult;
-import org.carobstage.sql.TransactionState;
 
-/** A connection to an instance with the state that earlier statements have left on it. */
+/**
+ * The use of a pooled connection by one holder. It ends with the first release, after which the
+ * holder can neither send statements on the connection nor release or close it again, because the
+ * connection may serve another holder.
+ */
 public final class PooledConnection {
-    private final InstanceConnectionPool pool;
-    private final Optional<AccountName> account;
-    private final Map<String, String> sessionVariables = new HashMap<>();
-    private final Set<String> preparedStatements = new HashSet<>();
-    private InstanceConnection connection;
-    private boolean open = true;
-    private boolean busy;
-    private boolean pinned;
-    private boolean used;
-    private long holderNumber;
-    private long busySinceNanos;
-    private long idleSinceNanos;
-    private boolean retired;
-    private TransactionState state = TransactionState.IDLE;
-    private ClockReading sentAt;
-
-    PooledConnection(InstanceConnectionPool pool, Optional<AccountName> account) {
-        this.pool = requireNonNull(pool, "pool is null");
-        this.account = requireNonNull(account, "account is null");
+    private final PoolEntry entry;
+    private boolean released;
+
+    PooledConnection(PoolEntry entry) {
+        this.entry = requireNonNull(entry, "entry is null");
     }
 
     /**
@@ -45,7 +31,7 @@
      * @return the instance's entry
      */
     public InstanceEntry instance() {
-        return pool.entry();
+        return entry.instance();
     }
 
     /**
@@ -54,7 +40,7 @@
      * @return the values by name
      */
     public Map<String, String> sessionVariables() {
-        return sessionVariables;
+        return entry.sessionVariables();
     }
 
     /**
@@ -63,16 +49,16 @@
      * @return the names
      */
     public Set<String> preparedStatements() {
-        return preparedStatements;
+        return entry.preparedStatements();
     }
 
     /**
-     * Returns whether the connection is usable.
+     * Returns whether the holder can use the connection.
      *
-     * @return false once it is lost or closed
+     * @return false once it is lost, closed or released
      */
     public boolean isOpen() {
-        return open;
+        return !released && entry.isOpen();
     }
 
     /**
@@ -81,12 +67,12 @@
      * @return the account, or empty if the connection serves none
      */
     public Optional<AccountName> account() {
-        return account;
+        return entry.account();
     }
 
     /** Reserves the connection for a client's transaction, also between its statements. */
     void pin() {
-        pinned = true;
+        entry.pin();
     }
 
     /**
@@ -96,24 +82,22 @@
      * @param required the log position that the instance must have reached to run it
      * @param statement the statement
      * @param callback called once, with empty if the connection is lost before the result arrives
+     *     or was released before
      */
     public void send(
             String id,
             Optional<LogPosition> required,
             Statement statement,
             Consumer<Optional<StatementResult>> callback) {
-        ClockReading requestedAt = pool.now();
-        sentAt = requestedAt;
-        connection.send(
-                id,
-                required,
-                statement,
-                result -> {
-                    sentAt = null;
-                    result.ifPresent(r -> state = r.transactionState());
-                    pool.onResult(this, statement, result, requestedAt);
-                    runHolderCallback(() -> callback.accept(result));
-                });
+        if (released) {
+            callback.accept(Optional.empty());
+        } else {
+            entry.send(
+                    id,
+                    required,
+                    statement,
+                    result -> runHolderCallback(() -> callback.accept(result)));
+        }
     }
 
     /** Releases the connection; an open transaction is rolled back first. */
@@ -127,10 +111,9 @@
      * @param id the id of the client's request to roll back, or empty if there was none
      */
     public void release(String id) {
-        if (open && state != TransactionState.IDLE) {
-            send(id, Optional.empty(), new Statement.Rollback(), result -> pool.release(this));
-        } else {
-            pool.release(this);
+        if (!released) {
+            released = true;
+            entry.release(id);
         }
     }
 
@@ -141,96 +124,24 @@
 
     /** Queries the status of the instance and then releases the connection. */
     void requestStatus(Runnable callback) {
-        pool.sendControlCommand(this, new Statement.QueryStatus(), response -> callback.run());
+        released = true;
+        entry.requestStatus(callback);
     }
 
     /** Closes the connection; the instance rolls back an open transaction. */
     public void discard() {
-        if (open) {
-            open = false;
-            connection.close();
-            pool.removeConnection(this);
+        if (!released) {
+            released = true;
+            entry.discard();
         }
     }
 
-    /** Closes the connection unless it has been granted since it was selected as idle. */
-    void discardIfIdle() {
-        if (!busy) {
-            discard();
-        }
-    }
-
-    void attach(InstanceConnection newConnection) {
-        connection = newConnection;
-    }
-
-    InstanceConnection delegate() {
-        return connection;
-    }
-
-    void markLost() {
-        open = false;
-    }
-
-    boolean isBusy() {
-        return busy;
-    }
-
-    InstanceConnectionPool pool() {
-        return pool;
-    }
-
-    void markBusy(long nowNanos) {
-        busy = true;
-        busySinceNanos = nowNanos;
-        holderNumber++;
-    }
-
-    /** Marks the connection as idle; returns whether it has served no request yet. */
-    boolean markIdle(long nowNanos) {
-        boolean isNew = !used;
-        used = true;
-        busy = false;
-        pinned = false;
-        idleSinceNanos = nowNanos;
-        return isNew;
-    }
-
-    long busySinceNanos() {
-        return busySinceNanos;
-    }
-
-    boolean isPinned() {
-        return pinned;
-    }
-
-    long idleSinceNanos() {
-        return idleSinceNanos;
-    }
-
-    void markRetired() {
-        retired = true;
-    }
-
-    boolean isRetired() {
-        return retired;
-    }
-
-    Optional<ClockReading> sentAt() {
-        return Optional.ofNullable(sentAt);
-    }
-
-    void setSentAt(ClockReading time) {
-        sentAt = time;
-    }
-
     /**
      * Runs a callback of the holder. If it fails, the holder no longer uses the connection, which
      * is closed unless the callback has released it.
      */
     private void runHolderCallback(Runnable callback) {
-        long holder = holderNumber;
-        if (!pool.runCallback(callback) && busy && holder == holderNumber) {
+        if (!entry.runCallback(callback)) {
             discard();
         }
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -310,6 +310,7 @@
                 pool.requestStatus(nowNanos);
             }
         }
+        pools.closeSilentRemoved(nowNanos);
         if (schedule.isPositionDue(lastRequestNanos, nowNanos)) {
             readIndex.refresh();
         }
@@ -319,7 +320,7 @@
 
     /** Restarts the timeouts of all instances after this process was paused. */
     public void resetTimersAfterPause() {
-        pools.all().forEach(InstanceConnectionPool::resetTimersAfterPause);
+        pools.resetTimersAfterPause();
     }
 
     /** Grants connections to the waiting requests, the earliest deadline first. */
@@ -408,7 +409,7 @@
     }
 
     /** Grants a new connection to the first waiting request of its account. */
-    void offer(PooledConnection connection) {
+    void offer(PoolEntry connection) {
         connections.offer(connection);
     }
 
--- a/carobstage/src/main/java/org/carobstage/upstream/WaitEstimate.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/WaitEstimate.java
@@ -47,7 +47,7 @@
         return canOpen && opening.compareTo(afterRelease) < 0 ? opening : afterRelease;
     }
 
-    private static boolean serves(PooledConnection connection, ConnectionRequest request) {
+    private static boolean serves(PoolEntry connection, ConnectionRequest request) {
         return request.acceptsAnyAccount()
                 || connection.account().equals(request.origin().account());
     }
@@ -56,7 +56,7 @@
      * Estimates when a connection is released. A transaction that has already lasted longer than
      * the average is idle and expected to last as long again.
      */
-    private Duration remaining(PooledConnection connection, long nowNanos) {
+    private Duration remaining(PoolEntry connection, long nowNanos) {
         if (!connection.isBusy()) {
             return Duration.ZERO;
         }
