--- a/carobstage/src/main/java/org/carobstage/upstream/AdmissionMonitor.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/AdmissionMonitor.java
@@ -69,7 +69,7 @@
         log(EventCode.CONNECTION_RESERVED, label(request) + " instance=" + pool.entry().id());
     }
 
-    void recordPreempted(PooledConnection connection, Duration idle) {
+    void recordPreempted(PoolEntry connection, Duration idle) {
         add("transactions_preempted_total", 1);
         context.events()
                 .record(
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionUsage.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionUsage.java
@@ -11,16 +11,14 @@
  * @param open how many are open
  * @param pinned the connections that transactions hold
  */
-record ConnectionUsage(int limit, int open, List<PooledConnection> pinned) {
+record ConnectionUsage(int limit, int open, List<PoolEntry> pinned) {
     ConnectionUsage {
         requireNonNull(pinned, "pinned is null");
     }
 
     static ConnectionUsage of(ConnectionSet connections, int limit) {
         return new ConnectionUsage(
-                limit,
-                connections.size(),
-                connections.all().filter(PooledConnection::isPinned).toList());
+                limit, connections.size(), connections.all().filter(PoolEntry::isPinned).toList());
     }
 
     List<IdleTransaction> idleTransactions() {
--- a/carobstage/src/main/java/org/carobstage/upstream/InstancePools.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstancePools.java
@@ -17,7 +17,7 @@
 /** The connection pools of the instances of one service. */
 final class InstancePools {
     private final Map<InstanceId, InstanceConnectionPool> pools = new TreeMap<>();
-    private final List<InstanceConnectionPool> closing = new ArrayList<>();
+    private final List<InstanceConnectionPool> removed = new ArrayList<>();
     private ConnectionQuota quota = ConnectionQuota.fixed(1, 1);
 
     private InstancePools() {}
@@ -34,12 +34,24 @@
     }
 
     void remove(InstanceId id) {
-        closing.removeIf(pool -> pool.connections().size() == 0);
-        InstanceConnectionPool removed = pools.remove(id);
-        if (removed != null) {
-            closing.add(removed);
-            removed.close();
-        }
+        Optional.ofNullable(pools.remove(id))
+                .ifPresent(
+                        pool -> {
+                            pool.close();
+                            removed.add(pool);
+                        });
+    }
+
+    /** Closes silent connections to removed instances, whose holders await their results. */
+    void closeSilentRemoved(long nowNanos) {
+        removed.forEach(pool -> pool.closeSilentConnections(nowNanos));
+        removed.removeIf(InstanceConnectionPool::isEmpty);
+    }
+
+    /** Restarts the timeouts of all instances, also the removed ones, after a pause. */
+    void resetTimersAfterPause() {
+        Stream.concat(pools.values().stream(), removed.stream())
+                .forEach(InstanceConnectionPool::resetTimersAfterPause);
     }
 
     void setQuota(ConnectionQuota newer) {
@@ -63,7 +75,7 @@
 
     /** Returns the pools with connections to an instance, also if its entry was removed. */
     List<InstanceConnectionPool> withConnectionsTo(InstanceId id) {
-        return Stream.concat(find(id).stream(), closing.stream())
+        return Stream.concat(find(id).stream(), removed.stream())
                 .filter(pool -> pool.entry().id().equals(id))
                 .toList();
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/PriorityDispatch.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PriorityDispatch.java
@@ -23,7 +23,7 @@
     private final ServedRequests served;
     private final AdmissionMonitor monitor;
     private final Map<InstanceId, QueueingDelay> delays = new HashMap<>();
-    private final Set<PooledConnection> preempted = new HashSet<>();
+    private final Set<PoolEntry> preempted = new HashSet<>();
 
     PriorityDispatch(
             Clock clock,
@@ -118,8 +118,7 @@
         return !allowed;
     }
 
-    private void preempt(
-            IdleTransaction transaction, List<PooledConnection> pinned, long nowNanos) {
+    private void preempt(IdleTransaction transaction, List<PoolEntry> pinned, long nowNanos) {
         pinned.stream()
                 .filter(c -> c.idleTransaction().filter(t -> t == transaction).isPresent())
                 .forEach(
--- a/carobstage/src/main/java/org/carobstage/upstream/ServedRequests.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServedRequests.java
@@ -43,6 +43,6 @@
     }
 
     private void removeReleased() {
-        requests.keySet().removeIf(c -> !c.isBusy() || !c.isOpen());
+        requests.keySet().removeIf(c -> !c.isOpen());
     }
 }
