--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -216,7 +216,7 @@
         try {
             apply(entry);
         } catch (RuntimeException e) {
-            // Thrown to the watcher, it would end the watch. Its text may quote the entry.
+            // The text of the exception is not logged, since it may quote an API key of the entry.
             recordUnreadableEntry(entry.key(), "unexpected " + e.getClass().getName());
         }
     }
