--- a/carobstage/src/test/java/org/carobstage/quota/QuotaFleet.java
+++ b/carobstage/src/test/java/org/carobstage/quota/QuotaFleet.java
@@ -81,7 +81,7 @@
         runWithLoad(length, 200, Set.copyOf(processes.values()));
     }
 
-    /** Advances the clock; an event loop reports the exceptions of its tasks and goes on. */
+    /** Advances the clock past tasks that fail, as an event loop does. */
     void advanceIgnoringFailures(Duration step) {
         long end = clock.nanoTime() + step.toNanos();
         while (clock.nanoTime() < end) {
