Read and write JSON without data binding where front needs it

Cause: the first use of ObjectMapper loads about 490 classes, with calendars and locale data for dates that are never written; it happens when the first lease is requested, on the way to the first answer.

--- a/carobstage/src/main/java/org/carobstage/event/LineFormatter.java
+++ b/carobstage/src/main/java/org/carobstage/event/LineFormatter.java
@@ -9,7 +9,7 @@
 import java.util.logging.Formatter;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
-import org.carobstage.http.Json;
+import org.carobstage.json.StreamingJson;
 
 /** Formats each log record as one line; an {@link Event} is written with its number and fields. */
 public final class LineFormatter extends Formatter {
@@ -46,7 +46,7 @@
         fields.put("time", entry.getInstant().toString());
         fields.put("level", level(entry));
         event(entry).ifPresentOrElse(e -> addEvent(fields, e), () -> addPlain(fields, entry));
-        return Json.writeString(fields);
+        return StreamingJson.writeString(fields);
     }
 
     private static void addEvent(Map<String, Object> fields, Event event) {
--- /dev/null
+++ b/carobstage/src/main/java/org/carobstage/json/package-info.java
@@ -0,0 +1,2 @@
+/** JSON without data binding, whose initialization would delay the start of a process. */
+package org.carobstage.json;
--- a/carobstage/src/main/java/org/carobstage/quota/QuotaMember.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaMember.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.stream.Stream;
 import org.carobstage.error.CodedException;
-import org.carobstage.http.Json;
+import org.carobstage.json.StreamingJson;
 
 /**
  * The value of the store key by which a process registers for an equal share.
@@ -26,7 +26,7 @@
         Map<String, Object> fields = new LinkedHashMap<>();
         fields.put("run", run);
         fields.put("stage", stage.name());
-        return Json.writeString(fields);
+        return StreamingJson.writeString(fields);
     }
 
     /**
@@ -38,7 +38,7 @@
      */
     static QuotaMember parse(String text) {
         try {
-            JsonNode fields = Json.read(text.getBytes(StandardCharsets.UTF_8), JsonNode.class);
+            JsonNode fields = StreamingJson.readTree(text.getBytes(StandardCharsets.UTF_8));
             if (fields != null && fields.path("run").isTextual()) {
                 return new QuotaMember(
                         fields.path("run").asText(), parseStage(fields.path("stage").asText()));
--- a/carobstage/src/main/java/org/carobstage/quota/ShardOwner.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardOwner.java
@@ -8,7 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.carobstage.error.CodedException;
-import org.carobstage.http.Json;
+import org.carobstage.json.StreamingJson;
 import org.carobstage.model.Address;
 import org.carobstage.model.VmId;
 import org.carobstage.store.LeaseId;
@@ -42,7 +42,7 @@
         fields.put("era", era);
         fields.put("lease", lease.value());
         fields.put("peer", address.toString());
-        return Json.writeString(fields);
+        return StreamingJson.writeString(fields);
     }
 
     /**
@@ -55,7 +55,7 @@
     static ShardOwner parse(String text) {
         JsonNode fields;
         try {
-            fields = Json.read(text.getBytes(StandardCharsets.UTF_8), JsonNode.class);
+            fields = StreamingJson.readTree(text.getBytes(StandardCharsets.UTF_8));
         } catch (CodedException e) {
             throw new IllegalArgumentException("not the value of an owner", e);
         }
