Declare equals, hashCode and toString of records used at the start

Cause: javac links the implicit methods of a record through method handles at their first call; 16 of them were linked before the first answer (seen with breakpoints in ObjectMethods.bootstrap) and made most of 84 classes that are generated at run time. ConnectionRequest also compared all its components wherever the queue looked for one request. Change: the records declare the methods; a ConnectionRequest equals only itself. Measured: 84 generated LambdaForm classes before, 2 after.

--- a/carobstage/src/main/java/org/carobstage/discovery/InstanceEntry.java
+++ b/carobstage/src/main/java/org/carobstage/discovery/InstanceEntry.java
@@ -48,4 +48,27 @@
     public boolean isEarlierThan(InstanceEntry other) {
         return id.equals(other.id) && bornMillis == other.bornMillis && heartbeat < other.heartbeat;
     }
+
+    @Override
+    public String toString() {
+        return "InstanceEntry[id="
+                + id
+                + ", service="
+                + service
+                + ", address="
+                + address
+                + ", domain="
+                + domain
+                + ", slots="
+                + slots
+                + ", draining="
+                + draining
+                + ", primary="
+                + primary
+                + ", bornMillis="
+                + bornMillis
+                + ", heartbeat="
+                + heartbeat
+                + "]";
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/freshness/ClockReading.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/ClockReading.java
@@ -57,4 +57,16 @@
                 monotonicNanos - other.monotonicNanos <= 0 ? monotonicNanos : other.monotonicNanos,
                 Math.min(epochNanos, other.epochNanos));
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ClockReading that
+                && monotonicNanos == that.monotonicNanos
+                && epochNanos == that.epochNanos;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Long.hashCode(monotonicNanos) + Long.hashCode(epochNanos);
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/freshness/PrimaryPositionHistory.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PrimaryPositionHistory.java
@@ -105,5 +105,17 @@
      * @param position the last position of the primary's log
      * @param requestedAt when the request was sent
      */
-    public record ObservedPosition(LogPosition position, ClockReading requestedAt) {}
+    public record ObservedPosition(LogPosition position, ClockReading requestedAt) {
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof ObservedPosition that
+                    && position.equals(that.position)
+                    && requestedAt.equals(that.requestedAt);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * position.hashCode() + requestedAt.hashCode();
+        }
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/model/AccountName.java
+++ b/carobstage/src/main/java/org/carobstage/model/AccountName.java
@@ -36,6 +36,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof AccountName that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/carobstage/src/main/java/org/carobstage/model/Address.java
+++ b/carobstage/src/main/java/org/carobstage/model/Address.java
@@ -66,6 +66,16 @@
         return new InetSocketAddress(host, port);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Address that && port == that.port && host.equals(that.host);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * host.hashCode() + port;
+    }
+
     @Override
     public String toString() {
         return host + ":" + port;
--- a/carobstage/src/main/java/org/carobstage/model/FailureDomain.java
+++ b/carobstage/src/main/java/org/carobstage/model/FailureDomain.java
@@ -36,6 +36,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof FailureDomain that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/carobstage/src/main/java/org/carobstage/model/GroupId.java
+++ b/carobstage/src/main/java/org/carobstage/model/GroupId.java
@@ -36,6 +36,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof GroupId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/carobstage/src/main/java/org/carobstage/model/InstanceId.java
+++ b/carobstage/src/main/java/org/carobstage/model/InstanceId.java
@@ -36,6 +36,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof InstanceId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/carobstage/src/main/java/org/carobstage/model/LogPosition.java
+++ b/carobstage/src/main/java/org/carobstage/model/LogPosition.java
@@ -73,6 +73,16 @@
         return ORDER.compare(this, other);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof LogPosition that && offset == that.offset && term.equals(that.term);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * term.hashCode() + Long.hashCode(offset);
+    }
+
     @Override
     public String toString() {
         return term + ":" + offset;
--- a/carobstage/src/main/java/org/carobstage/model/ServiceName.java
+++ b/carobstage/src/main/java/org/carobstage/model/ServiceName.java
@@ -36,6 +36,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ServiceName that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/carobstage/src/main/java/org/carobstage/model/Term.java
+++ b/carobstage/src/main/java/org/carobstage/model/Term.java
@@ -55,6 +55,16 @@
         return Long.compare(number, other.number);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Term that && number == that.number;
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(number);
+    }
+
     @Override
     public String toString() {
         return Long.toString(number);
--- a/carobstage/src/main/java/org/carobstage/model/VmId.java
+++ b/carobstage/src/main/java/org/carobstage/model/VmId.java
@@ -36,6 +36,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof VmId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/carobstage/src/main/java/org/carobstage/sql/InstanceStatus.java
+++ b/carobstage/src/main/java/org/carobstage/sql/InstanceStatus.java
@@ -21,4 +21,17 @@
         requireNonNull(receivedPosition, "receivedPosition is null");
         requireNonNull(pausedTerm, "pausedTerm is null");
     }
+
+    @Override
+    public String toString() {
+        return "InstanceStatus[isPrimary="
+                + isPrimary
+                + ", term="
+                + term
+                + ", receivedPosition="
+                + receivedPosition
+                + ", pausedTerm="
+                + pausedTerm
+                + "]";
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/store/StoreRevision.java
+++ b/carobstage/src/main/java/org/carobstage/store/StoreRevision.java
@@ -43,6 +43,16 @@
         return ORDER.compare(this, other);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof StoreRevision that && era == that.era && number == that.number;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Long.hashCode(era) + Long.hashCode(number);
+    }
+
     @Override
     public String toString() {
         return era + "/" + number;
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionRequest.java
@@ -143,4 +143,15 @@
         /** A transaction that only the primary may run. */
         PRIMARY_TRANSACTION
     }
+
+    /** Returns whether the other object is this request; each statement has requests of its own. */
+    @Override
+    public boolean equals(Object other) {
+        return this == other;
+    }
+
+    @Override
+    public int hashCode() {
+        return System.identityHashCode(this);
+    }
 }
