--- a/carobstage/src/main/java/org/carobstage/cli/CommandTree.java
+++ b/carobstage/src/main/java/org/carobstage/cli/CommandTree.java
@@ -43,6 +43,16 @@
         return tree;
     }
 
+    /**
+     * Runs a command line. {@code front} without arguments is run without the parser, whose
+     * reflection would delay its start.
+     */
+    static ExitCode execute(Console console, String... args) {
+        return args.length == 1 && args[0].equals(FRONT)
+                ? run(new FrontCommand(), console)
+                : of(args).run(console, args);
+    }
+
     /**
      * Creates only {@code front} if the arguments start with it, else all commands. Scanning every
      * command class by reflection would delay the start of {@code front}.
--- a/carobstage/src/main/java/org/carobstage/cli/Main.java
+++ b/carobstage/src/main/java/org/carobstage/cli/Main.java
@@ -15,6 +15,6 @@
      */
     public static void main(String[] args) {
         LogSetup.apply(LogFormat.TEXT, Level.INFO);
-        System.exit(CommandTree.of(args).run(new Console(System.out, System.err), args).number());
+        System.exit(CommandTree.execute(new Console(System.out, System.err), args).number());
     }
 }
