Use the whole connection quota from the start of a process

Hypothesis: after all processes were gone, requests wait for connections and not for slots or the processor. Change: the quota is not halved. A process that lost power leaves connections that its instances drop within 3 s; an opening that one of them refuses in that time is repeated after 150 ms, as any refused opening.

--- a/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
@@ -38,9 +38,6 @@
     /** Instances drop the connections of a lost VM after 3 s. */
     private static final Duration LEAVE_GRACE_PERIOD = Duration.ofMillis(3_500);
 
-    /** Reduces the quota after a start, while connections of an earlier run may still be open. */
-    private static final int STARTUP_QUOTA_DIVISOR = 2;
-
     /** Connections per instance that are reserved for probes and for joining processes. */
     private static final int RESERVED_CONNECTIONS = 2;
 
@@ -54,7 +51,6 @@
     private final Map<VmId, String> runs = new HashMap<>();
     private Optional<LeaseId> lease = Optional.empty();
     private int quotaMemberCount = 1;
-    private final long startNanos;
     private long decreaseStartNanos;
     private boolean leaving;
 
@@ -80,7 +76,6 @@
         this.events = requireNonNull(events, "events is null");
         this.onMemberRestarted = requireNonNull(onMemberRestarted, "onMemberRestarted is null");
         this.run = vm + " " + clock.instant().toEpochMilli();
-        this.startNanos = clock.nanoTime();
         this.members.add(vm);
         store.era().addListener(era -> rejoin());
     }
@@ -152,9 +147,7 @@
         } else if (nowNanos - decreaseStartNanos >= LEAVE_GRACE_PERIOD.toNanos()) {
             quotaMemberCount = members.size();
         }
-        int quota = Math.max(1, (connectionLimit - RESERVED_CONNECTIONS) / quotaMemberCount);
-        boolean starting = nowNanos - startNanos < LEAVE_GRACE_PERIOD.toNanos();
-        return starting ? Math.max(1, quota / STARTUP_QUOTA_DIVISOR) : quota;
+        return Math.max(1, (connectionLimit - RESERVED_CONNECTIONS) / quotaMemberCount);
     }
 
     /**
