--- a/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
@@ -159,11 +159,14 @@
     ConnectionQuota connectionQuota(int connectionLimit, boolean accountsInUse) {
         int connections = connectionQuota(connectionLimit);
         int available = connectionLimit - RESERVED_CONNECTIONS;
+        boolean belowOne = available < quotaMemberCount;
+        // One busy process leaves every other one its equal share.
+        int undivided = Math.max(connections, available - connections * (quotaMemberCount - 1));
         return new ConnectionQuota(
                 connections,
                 members.size(),
-                available,
-                available < quotaMemberCount,
+                belowOne || accountsInUse ? available : undivided,
+                belowOne,
                 accountsInUse);
     }
 
