Repeat the first listing while the store is silent

Change: until a listing is complete, another one starts every 250 ms; the first that completes ends the others. Nothing else can be served before. The test names the load: all processes start while the store is silent.

--- a/carobstage/src/main/java/org/carobstage/store/StoreWatcher.java
+++ b/carobstage/src/main/java/org/carobstage/store/StoreWatcher.java
@@ -31,6 +31,12 @@
 
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(800);
 
+    /**
+     * The interval of further listings while the first one is not complete. Until then the process
+     * can serve nothing, and a store that was silent never answers the calls of that time.
+     */
+    private static final Duration FIRST_LISTING_INTERVAL = Duration.ofMillis(250);
+
     private final MetadataStore store;
     private final Clock clock;
     private final EventLog events;
@@ -40,6 +46,7 @@
     private final Map<String, StoreRevision> revisions = new HashMap<>();
     private Duration retryDelay = INITIAL_RETRY_DELAY;
     private long run;
+    private int listingsInProgress;
     private boolean reachable;
     private boolean initialListComplete;
     private boolean closed;
@@ -80,6 +87,7 @@
     public void start() {
         store.era().addListener(this::onRestored);
         list();
+        clock.schedule(this::repeatFirstListing, FIRST_LISTING_INTERVAL);
     }
 
     /** Stops watching; responses that are still outstanding are ignored. */
@@ -111,7 +119,26 @@
 
     /** Starts a listing, which replaces the listing or watch in progress. */
     private void list() {
+        startRun();
+        startListing();
+    }
+
+    private void startRun() {
         run++;
+        listingsInProgress = 0;
+    }
+
+    /** Starts another listing of the same run; the first one that completes ends the others. */
+    private void repeatFirstListing() {
+        if (closed || initialListComplete) {
+            return;
+        }
+        startListing();
+        clock.schedule(this::repeatFirstListing, FIRST_LISTING_INTERVAL);
+    }
+
+    private void startListing() {
+        listingsInProgress++;
         listPage(run, Optional.empty(), StoreRevision.NONE, new HashSet<>());
     }
 
@@ -135,7 +162,10 @@
             return;
         }
         if (!(response instanceof StoreResponse.Success<Page> success)) {
-            retryAfterFailure("listing", response);
+            listingsInProgress--;
+            if (listingsInProgress == 0) {
+                retryAfterFailure("listing", response);
+            }
             return;
         }
         Page page = success.value();
@@ -152,9 +182,10 @@
                 revisions.keySet().stream().filter(key -> !listedKeys.contains(key)).toList();
         deletedKeys.forEach(key -> apply(new StoreEntry(key, Optional.empty(), watchRevision)));
         initialListComplete = true;
+        startRun();
         handleSuccess();
         listener.onListed();
-        watch(currentRun, watchRevision);
+        watch(run, watchRevision);
     }
 
     private void watch(long currentRun, StoreRevision revision) {
--- a/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
@@ -186,6 +186,7 @@
         private MessageFilter filter = MessageFilter.NONE;
         private boolean reachable = true;
         private boolean watchHeld;
+        private boolean listingsLost;
         private int callCount;
 
         /** Delivers no changes to the watch while it is held. */
@@ -193,6 +194,11 @@
             watchHeld = held;
         }
 
+        /** Leaves the listings that start from now on unanswered. */
+        public void loseListings(boolean lost) {
+            listingsLost = lost;
+        }
+
         public void setReachable(boolean isReachable) {
             reachable = isReachable;
         }
@@ -214,7 +220,7 @@
         @Override
         public void list(Optional<String> afterKey, Consumer<StoreResponse<Page>> callback) {
             respondLater(
-                    MessageFilter.Fate.DELIVERED,
+                    listingsLost ? MessageFilter.Fate.LOST : MessageFilter.Fate.DELIVERED,
                     callback,
                     () ->
                             new StoreResponse.Success<>(
--- a/carobstage/src/test/java/org/carobstage/store/StoreWatcherTest.java
+++ b/carobstage/src/test/java/org/carobstage/store/StoreWatcherTest.java
@@ -23,12 +23,7 @@
     @BeforeEach
     void start() {
         store.put("op/config", "1");
-        StoreWatcher.of(
-                        client,
-                        clock,
-                        EventLog.of(VmId.of("vm"), clock, 10),
-                        StoreWatcher.Listener.of(this::applyChange, () -> {}, () -> reconnects++))
-                .start();
+        startWatcher(client);
         clock.advance(Duration.ofMillis(50));
     }
 
@@ -119,6 +114,34 @@
         assertThat(client.callCount() - before).isLessThanOrEqualTo(16);
     }
 
+    // All processes start while the store is silent: guards against a first listing that is
+    // repeated
+    // only after its timeout, while the store has returned.
+    @Test
+    void shouldListSoonAfterStoreReturnsWhenFirstListingIsLost() {
+        FakeMetadataStore.Client starting = store.client();
+        starting.loseListings(true);
+        values.clear();
+        startWatcher(starting);
+        clock.advance(Duration.ofMillis(1_900));
+        starting.loseListings(false);
+        clock.advance(Duration.ofMillis(300));
+
+        assertThat(values).containsKey("op/config");
+        int before = starting.callCount();
+        clock.advance(Duration.ofSeconds(60));
+        assertThat(starting.callCount() - before).isLessThanOrEqualTo(16);
+    }
+
+    private void startWatcher(FakeMetadataStore.Client storeClient) {
+        StoreWatcher.of(
+                        storeClient,
+                        clock,
+                        EventLog.of(VmId.of("vm"), clock, 10),
+                        StoreWatcher.Listener.of(this::applyChange, () -> {}, () -> reconnects++))
+                .start();
+    }
+
     private void applyChange(StoreEntry entry) {
         if (entry.key().endsWith("faulty")) {
             throw new IllegalStateException("faulty entry");
