Revert the elastic share and the whole quota at the start

The replay shows why: instances count the connections of a process that lost power for 3 s, so after all processes were gone 16 less the former ones are left for 5 processes. Growing shares leave more former connections behind and take what a slower process needs for its first one; one of them had none to a primary for 1.1 s. The halved quota of a start fits the remaining connections (5 + 10 of 16).

--- a/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
@@ -38,6 +38,9 @@
     /** Instances drop the connections of a lost VM after 3 s. */
     private static final Duration LEAVE_GRACE_PERIOD = Duration.ofMillis(3_500);
 
+    /** Reduces the quota after a start, while connections of an earlier run may still be open. */
+    private static final int STARTUP_QUOTA_DIVISOR = 2;
+
     /** Connections per instance that are reserved for probes and for joining processes. */
     private static final int RESERVED_CONNECTIONS = 2;
 
@@ -51,6 +54,7 @@
     private final Map<VmId, String> runs = new HashMap<>();
     private Optional<LeaseId> lease = Optional.empty();
     private int quotaMemberCount = 1;
+    private final long startNanos;
     private long decreaseStartNanos;
     private boolean leaving;
 
@@ -76,6 +80,7 @@
         this.events = requireNonNull(events, "events is null");
         this.onMemberRestarted = requireNonNull(onMemberRestarted, "onMemberRestarted is null");
         this.run = vm + " " + clock.instant().toEpochMilli();
+        this.startNanos = clock.nanoTime();
         this.members.add(vm);
         store.era().addListener(era -> rejoin());
     }
@@ -147,7 +152,9 @@
         } else if (nowNanos - decreaseStartNanos >= LEAVE_GRACE_PERIOD.toNanos()) {
             quotaMemberCount = members.size();
         }
-        return Math.max(1, (connectionLimit - RESERVED_CONNECTIONS) / quotaMemberCount);
+        int quota = Math.max(1, (connectionLimit - RESERVED_CONNECTIONS) / quotaMemberCount);
+        boolean starting = nowNanos - startNanos < LEAVE_GRACE_PERIOD.toNanos();
+        return starting ? Math.max(1, quota / STARTUP_QUOTA_DIVISOR) : quota;
     }
 
     /**
@@ -159,14 +166,11 @@
     ConnectionQuota connectionQuota(int connectionLimit, boolean accountsInUse) {
         int connections = connectionQuota(connectionLimit);
         int available = connectionLimit - RESERVED_CONNECTIONS;
-        boolean belowOne = available < quotaMemberCount;
-        // One busy process leaves every other one its equal share.
-        int undivided = Math.max(connections, available - connections * (quotaMemberCount - 1));
         return new ConnectionQuota(
                 connections,
                 members.size(),
-                belowOne || accountsInUse ? available : undivided,
-                belowOne,
+                available,
+                available < quotaMemberCount,
                 accountsInUse);
     }
 
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionDispatcher.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionDispatcher.java
@@ -85,7 +85,7 @@
 
     /** Grants a connection that is new to the first request that can use it. */
     void offer(PoolEntry connection) {
-        if (!dispatching && pools.quota().opensOnDemand()) {
+        if (!dispatching && pools.quota().isElastic()) {
             dispatching = true;
             try {
                 admission.assignConnections(
@@ -126,7 +126,7 @@
                         .flatMap(Optional::stream)
                         .findFirst();
         if (connection.isEmpty()) {
-            accepting.stream().findFirst().ifPresent(InstanceConnectionPool::openForDemand);
+            accepting.stream().findFirst().ifPresent(p -> p.openIfAllowed(Optional.empty()));
             if (accepting.stream().findFirst().filter(p -> p.canOpen(Optional.empty())).isEmpty()) {
                 exhausted.add(request);
             }
@@ -163,7 +163,7 @@
     }
 
     private boolean opensOnDemand(ConnectionRequest request) {
-        return pools.quota().opensOnDemand() || request.origin().account().isPresent();
+        return pools.quota().isElastic() || request.origin().account().isPresent();
     }
 
     private void rejectIfTooLate(ConnectionRequest request) {
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionQuota.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionQuota.java
@@ -37,18 +37,9 @@
     /**
      * Returns whether a process may use more than its equal share while no instance refuses.
      *
-     * @return true if the limit follows the demand of this process
+     * @return true if connections are opened on demand
      */
     public boolean isElastic() {
-        return opensOnDemand() || ceiling > connections;
-    }
-
-    /**
-     * Returns whether connections are opened for requests rather than kept open for them.
-     *
-     * @return true if too few connections remain idle to serve the requests of any account
-     */
-    public boolean opensOnDemand() {
         return belowOne || accountsInUse;
     }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
@@ -187,12 +187,6 @@
         return open(account);
     }
 
-    /** Opens a connection for a waiting request, above the equal share if that is in use. */
-    void openForDemand() {
-        raiseLimit();
-        openIfAllowed(Optional.empty());
-    }
-
     /** Raises the limit if all connections are in use, no instance refuses and the quota allows. */
     void raiseLimit() {
         if (!hasRoom()) {
@@ -382,7 +376,7 @@
     }
 
     private boolean defer(Statement statement, Consumer<StatusResponse> callback) {
-        if (!share.quota().opensOnDemand() || connections.size() > 0) {
+        if (!share.quota().isElastic() || connections.size() > 0) {
             return false;
         }
         if (openings.isEmpty()) {
