Stop repeating the first listing once a page has arrived

A listing of many pages takes longer than 250 ms; repeating it would multiply the load of a start of a large fleet on the store.

--- a/carobstage/src/main/java/org/carobstage/store/StoreWatcher.java
+++ b/carobstage/src/main/java/org/carobstage/store/StoreWatcher.java
@@ -32,8 +32,8 @@
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(800);
 
     /**
-     * The interval of further listings while the first one is not complete. Until then the process
-     * can serve nothing, and a store that was silent never answers the calls of that time.
+     * The interval of further listings while none is answered. Until then the process can serve
+     * nothing, and a store that was silent never answers the calls of that time.
      */
     private static final Duration FIRST_LISTING_INTERVAL = Duration.ofMillis(250);
 
@@ -48,6 +48,7 @@
     private long run;
     private int listingsInProgress;
     private boolean reachable;
+    private boolean firstPageReceived;
     private boolean initialListComplete;
     private boolean closed;
 
@@ -128,9 +129,12 @@
         listingsInProgress = 0;
     }
 
-    /** Starts another listing of the same run; the first one that completes ends the others. */
+    /**
+     * Starts another listing of the same run if none has been answered; the first one that
+     * completes ends the others.
+     */
     private void repeatFirstListing() {
-        if (closed || initialListComplete) {
+        if (closed || firstPageReceived) {
             return;
         }
         startListing();
@@ -168,6 +172,7 @@
             }
             return;
         }
+        firstPageReceived = true;
         Page page = success.value();
         StoreRevision watchRevision =
                 firstPageRevision.equals(StoreRevision.NONE) ? page.revision() : firstPageRevision;
