Revert the order by target latency

Cause: under a standing overload a request that is admitted becomes late and is displaced by each later one, so it waits in vain until its deadline instead of being refused when it arrives.

--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionQueue.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionQueue.java
@@ -9,10 +9,8 @@
 import java.util.function.Predicate;
 
 /**
- * The requests that wait for a connection. Those that can still meet their target latency are
- * served before the others, so that a backlog which is late in any case does not make new requests
- * late too; each of both parts is ordered by deadline. A request that would miss its deadline at
- * the recent drain rate is not added.
+ * The requests that wait for a connection, ordered by deadline. A request that would miss its
+ * deadline at the recent drain rate is not added.
  */
 final class ConnectionQueue {
     private final List<ConnectionRequest> waiting = new ArrayList<>();
@@ -42,9 +40,8 @@
         }
         int ahead =
                 (int)
-                        waiting.stream()
+                        waiting.subList(0, index).stream()
                                 .filter(r -> r.needsPrimary() == request.needsPrimary())
-                                .filter(r -> precedes(r, request, nowNanos))
                                 .count();
         Duration wait = rate(request).expectedWait(ahead);
         if (ahead > 0
@@ -85,13 +82,7 @@
         try {
             while (assignAgain) {
                 assignAgain = false;
-                List<ConnectionRequest> round = List.copyOf(waiting);
-                round.stream()
-                        .filter(r -> !isLate(r, nowNanos))
-                        .forEach(r -> assign(r, nowNanos, connections));
-                round.stream()
-                        .filter(r -> isLate(r, nowNanos))
-                        .forEach(r -> assign(r, nowNanos, connections));
+                List.copyOf(waiting).forEach(r -> assign(r, nowNanos, connections));
             }
         } finally {
             assigning = false;
@@ -112,18 +103,6 @@
                         });
     }
 
-    private static boolean precedes(
-            ConnectionRequest first, ConnectionRequest second, long nowNanos) {
-        boolean late = isLate(first, nowNanos);
-        return late == isLate(second, nowNanos)
-                ? first.deadlineNanos() - second.deadlineNanos() <= 0
-                : !late;
-    }
-
-    private static boolean isLate(ConnectionRequest request, long nowNanos) {
-        return nowNanos - request.origin().targetNanos() > 0;
-    }
-
     private DrainRate rate(ConnectionRequest request) {
         return request.needsPrimary() ? primaryRate : anyInstanceRate;
     }
