Keep the rank of this process until the members change

Cause: a process asked two to three times per service and tick (50 ms) for its place among the members, and sorted them each time by a hash of concatenated texts.

Change: MemberRanks counts the members ahead once per service, in the same order as before, and starts again when the members change. ShardOwnership keeps the rank of each shard likewise.

--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -3,7 +3,6 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -54,13 +53,14 @@
     private final ObservedLeases leases;
     private final Map<ServiceName, PendingPromotion> pendingPromotions = new HashMap<>();
     private final Set<ServiceName> servicesToQuery = new HashSet<>();
-    private Set<VmId> lastMembers = Set.of();
+    private final MemberRanks ranks;
     private ClockReading membersStableSince;
     private boolean storeReachable = true;
 
     private FailoverCoordinator(FailoverContext context) {
         this.context = context;
         this.leases = new ObservedLeases(context);
+        this.ranks = MemberRanks.of(context.vm());
         this.membersStableSince = ClockReading.now(context.clock());
     }
 
@@ -144,10 +144,9 @@
      *     the process casts no vote
      */
     public void tick(List<ServiceGroup> groups, Set<VmId> members, Optional<LeaseId> lease) {
-        if (!members.containsAll(lastMembers)) {
+        if (ranks.setMembers(members)) {
             membersStableSince = ClockReading.now(context.clock());
         }
-        lastMembers = Set.copyOf(members);
         groups.forEach(group -> tick(group, members, lease));
     }
 
@@ -177,7 +176,7 @@
     private void tick(ServiceGroup group, Set<VmId> members, Optional<LeaseId> lease) {
         State state = state(group.name());
         state.replicas.observe(group.instances(), storeReachable);
-        state.replicas.update(lease.isPresent() && rank(group.name(), members) == 0);
+        state.replicas.update(lease.isPresent() && ranks.isFirst(group.name()));
         Optional<InstanceId> primary = findPrimary(group).or(() -> expiredPrimary(group, state));
         state.lastPrimary = primary.or(() -> state.lastPrimary);
         Optional<InstanceId> suspected =
@@ -192,8 +191,8 @@
             state.vote.update(
                     group, suspected, agreed || unfinished, lease, leaseObserved || unfinished);
         }
-        removeExpiredPromotion(group.name(), members);
-        Duration delay = Duration.ofNanos(leaseAttemptDelay(group.name(), members));
+        removeExpiredPromotion(group.name());
+        Duration delay = Duration.ofNanos(leaseAttemptDelay(group.name()));
         leases.deleteVoid(group.name(), state.lease, delay);
         if (servicesToQuery.remove(group.name())) {
             group.requestAllStatuses();
@@ -206,7 +205,7 @@
         long nowNanos = context.clock().nanoTime();
         if (!draining && !replacementAgreed && !unfinished) {
             state.failoverDueSince = Optional.empty();
-            state.pausedReplicas.query(group, rank(group.name(), members) == 0);
+            state.pausedReplicas.query(group, ranks.isFirst(group.name()));
             state.pausedReplicas.resume(group, state.failoverRunning || leaseObserved);
             return;
         }
@@ -216,8 +215,7 @@
         }
         boolean canStart = nowNanos - state.nextFailoverNanos >= 0 && !state.failoverRunning;
         boolean holdsLease = state.lease.isHeld();
-        boolean isTurn =
-                nowNanos - state.failoverDueSince.get() >= leaseAttemptDelay(group.name(), members);
+        boolean isTurn = nowNanos - state.failoverDueSince.get() >= leaseAttemptDelay(group.name());
         if (canStart && (holdsLease || isTurn && !leases.contains(group.name()))) {
             boolean planned = suspected.isEmpty() && !unfinished;
             start(group, state, primary.get(), planned, members);
@@ -244,10 +242,10 @@
     }
 
     /** Removes a record that a process that starts later would take for a pending request. */
-    private void removeExpiredPromotion(ServiceName service, Set<VmId> members) {
+    private void removeExpiredPromotion(ServiceName service) {
         ClockReading now = ClockReading.now(context.clock());
         Optional.ofNullable(pendingPromotions.get(service))
-                .filter(p -> !p.isPending(now) && rank(service, members) == 0)
+                .filter(p -> !p.isPending(now) && ranks.isFirst(service))
                 .ifPresent(
                         p -> {
                             pendingPromotions.remove(service);
@@ -359,18 +357,8 @@
         }
     }
 
-    private long leaseAttemptDelay(ServiceName service, Set<VmId> members) {
-        return LEASE_ATTEMPT_SPACING.toNanos() * Math.max(0, rank(service, members));
-    }
-
-    /** Returns the rank of this process in an order common to all processes; -1 if not a member. */
-    private int rank(ServiceName service, Set<VmId> members) {
-        List<VmId> ranking = new ArrayList<>(members);
-        ranking.sort(
-                (a, b) ->
-                        Integer.compare(
-                                (service + "/" + a).hashCode(), (service + "/" + b).hashCode()));
-        return ranking.indexOf(context.vm());
+    private long leaseAttemptDelay(ServiceName service) {
+        return LEASE_ATTEMPT_SPACING.toNanos() * Math.max(0, ranks.rank(service));
     }
 
     /** The votes to replace a primary, as this process observes them. */
--- a/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -44,6 +45,7 @@
     private final OwnershipLease lease;
     private final Map<QuotaShard, ShardClaim> claims = new LinkedHashMap<>();
     private final Set<QuotaShard> owned = new HashSet<>();
+    private final Map<QuotaShard, Integer> ranks = new HashMap<>();
     private Set<VmId> members = Set.of();
     private Optional<Address> address = Optional.empty();
     private Optional<Long> eraSinceNanos = Optional.empty();
@@ -96,7 +98,10 @@
     }
 
     void setMembers(Set<VmId> registered) {
-        members = Set.copyOf(registered);
+        if (!registered.equals(members)) {
+            members = Set.copyOf(registered);
+            ranks.clear();
+        }
     }
 
     boolean owns(QuotaShard shard) {
@@ -236,7 +241,7 @@
                 lease.id(),
                 formerOwnersStop.filter(stop -> needed && address.isPresent()),
                 stopping,
-                RendezvousOrder.rank(key(shard), vm, members),
+                ranks.computeIfAbsent(shard, s -> RendezvousOrder.rank(key(s), vm, members)),
                 (int) claims.values().stream().filter(ShardClaim::isHeldOrCalling).count());
     }
 
