Read and write peer messages without data binding

Change: PeerMessage uses the packer and values of msgpack-core. A list deeper than four levels and a map are rejected before they are decoded, which the mapper did itself.

--- a/carobstage/src/main/java/org/carobstage/peer/PeerHello.java
+++ b/carobstage/src/main/java/org/carobstage/peer/PeerHello.java
@@ -2,9 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import org.carobstage.model.VmId;
+import org.msgpack.value.ArrayValue;
 
 /**
  * The first message in each direction of a link.
@@ -51,7 +51,7 @@
      * @throws IllegalArgumentException if it is malformed
      */
     static PeerHello decode(byte[] message) {
-        JsonNode list = PeerMessage.decodeList(message, 3, MAX_ELEMENTS);
+        ArrayValue list = PeerMessage.decodeList(message, 3, MAX_ELEMENTS);
         return new PeerHello(
                 (int) PeerMessage.requireNumber(list.get(0), 0, Integer.MAX_VALUE),
                 VmId.of(PeerMessage.requireText(list.get(1), MAX_TEXT_LENGTH)),
--- a/carobstage/src/main/java/org/carobstage/peer/PeerMessage.java
+++ b/carobstage/src/main/java/org/carobstage/peer/PeerMessage.java
@@ -2,20 +2,28 @@
 
 import static java.util.Objects.requireNonNull;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.util.List;
 import org.carobstage.error.CodedException;
 import org.carobstage.error.ErrorCode;
+import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
-import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.msgpack.value.ArrayValue;
+import org.msgpack.value.Value;
+import org.msgpack.value.ValueFactory;
+import org.msgpack.value.ValueType;
 
 /** Encodes messages between processes in MessagePack and checks them when they are decoded. */
 public final class PeerMessage {
-    private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+    /** No message nests deeper; the limit bounds the stack that a malformed one can use. */
+    private static final int MAX_DEPTH = 4;
+
+    /** Messages are short; the default buffer of 8 KiB would be allocated for each. */
+    private static final MessagePack.PackerConfig PACKER =
+            new MessagePack.PackerConfig().withBufferSize(256);
 
     private PeerMessage() {}
 
@@ -26,9 +34,11 @@
      * @return the encoded message
      */
     public static byte[] encode(Object value) {
-        try {
-            return MAPPER.writeValueAsBytes(requireNonNull(value, "value is null"));
-        } catch (JsonProcessingException e) {
+        requireNonNull(value, "value is null");
+        try (MessageBufferPacker packer = PACKER.newBufferPacker()) {
+            pack(packer, value);
+            return packer.toByteArray();
+        } catch (IOException e) {
             throw CodedException.of(ErrorCode.INTERNAL, "peer message could not be encoded", e);
         }
     }
@@ -43,10 +53,10 @@
      * @throws IllegalArgumentException if the message is malformed or has another number of
      *     elements
      */
-    public static JsonNode decodeList(byte[] message, int minSize, int maxSize) {
+    public static ArrayValue decodeList(byte[] message, int minSize, int maxSize) {
         requireComplete(message);
-        try {
-            return requireList(MAPPER.readTree(message), minSize, maxSize);
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(message)) {
+            return requireList(unpack(unpacker, 0), minSize, maxSize);
         } catch (IOException | MessagePackException e) {
             throw new IllegalArgumentException("malformed message: " + e.getMessage(), e);
         }
@@ -61,14 +71,15 @@
      * @return the list
      * @throws IllegalArgumentException if it is not
      */
-    public static JsonNode requireList(JsonNode value, int minSize, int maxSize) {
-        if (value == null || !value.isArray()) {
+    public static ArrayValue requireList(Value value, int minSize, int maxSize) {
+        if (!value.isArrayValue()) {
             throw new IllegalArgumentException("not a list");
         }
-        if (value.size() < minSize || value.size() > maxSize) {
-            throw new IllegalArgumentException("list of " + value.size() + " elements");
+        ArrayValue list = value.asArrayValue();
+        if (list.size() < minSize || list.size() > maxSize) {
+            throw new IllegalArgumentException("list of " + list.size() + " elements");
         }
-        return value;
+        return list;
     }
 
     /**
@@ -80,11 +91,11 @@
      * @return the number
      * @throws IllegalArgumentException if it is not
      */
-    public static long requireNumber(JsonNode value, long min, long max) {
-        if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+    public static long requireNumber(Value value, long min, long max) {
+        if (!value.isIntegerValue() || !value.asIntegerValue().isInLongRange()) {
             throw new IllegalArgumentException("not a whole number");
         }
-        long number = value.longValue();
+        long number = value.asIntegerValue().asLong();
         if (number < min || number > max) {
             throw new IllegalArgumentException("number out of range: " + number);
         }
@@ -98,11 +109,11 @@
      * @return the truth value
      * @throws IllegalArgumentException if it is not
      */
-    public static boolean requireBoolean(JsonNode value) {
-        if (!value.isBoolean()) {
+    public static boolean requireBoolean(Value value) {
+        if (!value.isBooleanValue()) {
             throw new IllegalArgumentException("not a truth value");
         }
-        return value.booleanValue();
+        return value.asBooleanValue().getBoolean();
     }
 
     /**
@@ -113,14 +124,49 @@
      * @return the text
      * @throws IllegalArgumentException if it is not
      */
-    public static String requireText(JsonNode value, int maxLength) {
-        if (!value.isTextual() || value.textValue().isBlank()) {
+    public static String requireText(Value value, int maxLength) {
+        if (!value.isStringValue()) {
+            throw new IllegalArgumentException("not a text");
+        }
+        String text = value.asStringValue().toString();
+        if (text.isBlank()) {
             throw new IllegalArgumentException("not a text");
         }
-        if (value.textValue().length() > maxLength) {
-            throw new IllegalArgumentException("text of " + value.textValue().length());
+        if (text.length() > maxLength) {
+            throw new IllegalArgumentException("text of " + text.length());
+        }
+        return text;
+    }
+
+    private static Value unpack(MessageUnpacker unpacker, int depth) throws IOException {
+        if (unpacker.getNextFormat().getValueType() == ValueType.MAP || depth > MAX_DEPTH) {
+            throw new IllegalArgumentException("nested too deeply, or a map");
+        }
+        if (unpacker.getNextFormat().getValueType() != ValueType.ARRAY) {
+            return unpacker.unpackValue();
+        }
+        Value[] elements = new Value[unpacker.unpackArrayHeader()];
+        for (int i = 0; i < elements.length; i++) {
+            elements[i] = unpack(unpacker, depth + 1);
+        }
+        return ValueFactory.newArray(elements, true);
+    }
+
+    private static void pack(MessagePacker packer, Object value) throws IOException {
+        if (value instanceof List<?> list) {
+            packer.packArrayHeader(list.size());
+            for (Object element : list) {
+                pack(packer, element);
+            }
+        } else if (value instanceof String text) {
+            packer.packString(text);
+        } else if (value instanceof Boolean truth) {
+            packer.packBoolean(truth);
+        } else if (value instanceof Integer || value instanceof Long) {
+            packer.packLong(((Number) value).longValue());
+        } else {
+            throw new IllegalArgumentException("no part of a message: " + value.getClass());
         }
-        return value.textValue();
     }
 
     /**
--- a/carobstage/src/main/java/org/carobstage/quota/QuotaMessageCodec.java
+++ b/carobstage/src/main/java/org/carobstage/quota/QuotaMessageCodec.java
@@ -1,6 +1,5 @@
 package org.carobstage.quota;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -10,6 +9,8 @@
 import org.carobstage.model.AccountName;
 import org.carobstage.peer.PeerMessage;
 import org.carobstage.peer.PeerTransport;
+import org.msgpack.value.ArrayValue;
+import org.msgpack.value.Value;
 
 /**
  * Encodes the messages between the owner of a shard and its clients. A request is the list (shard,
@@ -81,8 +82,8 @@
      * @throws IllegalArgumentException if it is malformed or a value is out of range
      */
     static QuotaRequest decodeRequest(byte[] message) {
-        JsonNode list = PeerMessage.decodeList(message, REQUEST_ELEMENTS, REQUEST_ELEMENTS);
-        JsonNode items = requireItems(list.get(4), ELEMENTS_PER_COUNT);
+        ArrayValue list = PeerMessage.decodeList(message, REQUEST_ELEMENTS, REQUEST_ELEMENTS);
+        ArrayValue items = requireItems(list.get(4), ELEMENTS_PER_COUNT);
         Map<AccountName, Integer> counts = new LinkedHashMap<>();
         for (int i = 0; i < items.size(); i += ELEMENTS_PER_COUNT) {
             int count = (int) PeerMessage.requireNumber(items.get(i + 1), 0, MAX_TOKENS);
@@ -104,8 +105,8 @@
      * @throws IllegalArgumentException if it is malformed or a value is out of range
      */
     static QuotaResponse decodeResponse(byte[] message) {
-        JsonNode list = PeerMessage.decodeList(message, RESPONSE_ELEMENTS, RESPONSE_ELEMENTS);
-        JsonNode items = requireItems(list.get(3), ELEMENTS_PER_GRANT);
+        ArrayValue list = PeerMessage.decodeList(message, RESPONSE_ELEMENTS, RESPONSE_ELEMENTS);
+        ArrayValue items = requireItems(list.get(3), ELEMENTS_PER_GRANT);
         Map<AccountName, Grant> grants = new LinkedHashMap<>();
         for (int i = 0; i < items.size(); i += ELEMENTS_PER_GRANT) {
             int tokens = (int) PeerMessage.requireNumber(items.get(i + 1), 0, MAX_TOKENS);
@@ -130,23 +131,23 @@
         return bounded.plusNanos(999_999).toMillis();
     }
 
-    private static JsonNode requireItems(JsonNode value, int elementsPerItem) {
-        JsonNode items = PeerMessage.requireList(value, 0, MAX_ACCOUNTS * elementsPerItem);
+    private static ArrayValue requireItems(Value value, int elementsPerItem) {
+        ArrayValue items = PeerMessage.requireList(value, 0, MAX_ACCOUNTS * elementsPerItem);
         if (items.size() % elementsPerItem != 0) {
             throw new IllegalArgumentException("incomplete item");
         }
         return items;
     }
 
-    private static QuotaShard shard(JsonNode value) {
+    private static QuotaShard shard(Value value) {
         return new QuotaShard((int) PeerMessage.requireNumber(value, 0, QuotaShard.COUNT - 1));
     }
 
-    private static long sequence(JsonNode value) {
+    private static long sequence(Value value) {
         return PeerMessage.requireNumber(value, 0, Long.MAX_VALUE);
     }
 
-    private static AccountName account(JsonNode value) {
+    private static AccountName account(Value value) {
         return AccountName.of(PeerMessage.requireText(value, MAX_NAME_LENGTH));
     }
 
--- a/carobstage/src/test/java/org/carobstage/quota/QuotaMessageCodecTest.java
+++ b/carobstage/src/test/java/org/carobstage/quota/QuotaMessageCodecTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.Map;
 import java.util.Optional;
 import net.jqwik.api.Arbitraries;
@@ -36,6 +37,19 @@
         assertThat(QuotaMessageCodec.decodeResponse(encoded(RESPONSE))).isEqualTo(RESPONSE);
     }
 
+    // During an upgrade, processes of earlier builds exchange these bytes with new ones. They were
+    // written by the build of commit 4251b19.
+    @Test
+    void shouldEncodeAndDecodeBytesOfEarlierBuild() {
+        byte[] request = HexFormat.of().parseHex("9503cf100000000000000005c392a4c3bc206ecd012c");
+        byte[] response = HexFormat.of().parseHex("940307c393a161045a");
+
+        assertThat(encoded(REQUEST)).isEqualTo(request);
+        assertThat(encoded(RESPONSE)).isEqualTo(response);
+        assertThat(QuotaMessageCodec.decodeRequest(request)).isEqualTo(REQUEST);
+        assertThat(QuotaMessageCodec.decodeResponse(response)).isEqualTo(RESPONSE);
+    }
+
     // A client that comes back before the bucket has a token is rejected again.
     @Test
     void shouldRoundRetryTimeUpAndLimitIt() {
