Delay watch calls by up to 800 ms unless a failover is in progress

Cause: each change in the store completes the watch of every process.

Change: after a burst the next watch follows after 800 ms in place of 200 ms, so that its response combines more changes. While a vote, a lease or a due failover is known, it stays at 200 ms: votes and the new primary travel over the same watch. A burst of six calls still follows at 40 ms each.

--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -150,6 +150,17 @@
         groups.forEach(group -> tick(group, members, lease));
     }
 
+    /**
+     * Returns whether a primary is voted on, replaced, or due to be replaced.
+     *
+     * @return true if changes that other processes write may decide on a failover
+     */
+    public boolean isFailoverInProgress() {
+        return !leases.isEmpty()
+                || !votes.isEmpty()
+                || states.values().stream().anyMatch(s -> s.failoverDueSince.isPresent());
+    }
+
     /**
      * Discards what rests on the lost history. Members and votes may be missing, and votes that
      * were withdrawn may be back, so no failover starts until the processes have written them
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverVotes.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverVotes.java
@@ -35,6 +35,11 @@
         vote.ifPresentOrElse(v -> serviceVotes.put(vm, v), () -> serviceVotes.remove(vm));
     }
 
+    /** Returns whether no process has a vote. */
+    boolean isEmpty() {
+        return votes.values().stream().allMatch(Map::isEmpty);
+    }
+
     /** Returns how many members voted to replace a primary. */
     long count(ServiceName service, InstanceId primary, Set<VmId> members) {
         return of(service).entrySet().stream()
--- a/carobstage/src/main/java/org/carobstage/failover/ObservedLeases.java
+++ b/carobstage/src/main/java/org/carobstage/failover/ObservedLeases.java
@@ -36,6 +36,10 @@
         voidSince.remove(service);
     }
 
+    boolean isEmpty() {
+        return entries.isEmpty();
+    }
+
     boolean contains(ServiceName service) {
         return entries.containsKey(service);
     }
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -114,9 +114,8 @@
                         clock,
                         events,
                         StoreWatcher.Listener.of(
-                                this::onStoreChange,
-                                this::onStoreListed,
-                                this::onStoreReconnected));
+                                this::onStoreChange, this::onStoreListed, this::onStoreReconnected),
+                        failoverCoordinator::isFailoverInProgress);
     }
 
     /**
--- a/carobstage/src/main/java/org/carobstage/store/StoreWatcher.java
+++ b/carobstage/src/main/java/org/carobstage/store/StoreWatcher.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.carobstage.event.EventCode;
 import org.carobstage.event.EventLog;
@@ -41,6 +42,7 @@
     private final Clock clock;
     private final EventLog events;
     private final Listener listener;
+    private final BooleanSupplier failoverInProgress;
     private final WatchPacing pacing;
     private final FailureIsolation isolation;
     private final Map<String, StoreRevision> revisions = new HashMap<>();
@@ -52,11 +54,17 @@
     private boolean initialListComplete;
     private boolean closed;
 
-    private StoreWatcher(MetadataStore store, Clock clock, EventLog events, Listener listener) {
+    private StoreWatcher(
+            MetadataStore store,
+            Clock clock,
+            EventLog events,
+            Listener listener,
+            BooleanSupplier failoverInProgress) {
         this.store = store;
         this.clock = clock;
         this.events = events;
         this.listener = listener;
+        this.failoverInProgress = failoverInProgress;
         this.pacing = WatchPacing.of(clock.nanoTime());
         this.isolation =
                 FailureIsolation.of(
@@ -68,7 +76,8 @@
     }
 
     /**
-     * Creates a watcher; {@link #start} sends the first call.
+     * Creates a watcher for a process that takes part in no failover; {@link #start} sends the
+     * first call.
      *
      * @param store the store
      * @param clock schedules watches and retries
@@ -78,10 +87,36 @@
      */
     public static StoreWatcher of(
             MetadataStore store, Clock clock, EventLog events, Listener listener) {
+        return of(store, clock, events, listener, () -> false);
+    }
+
+    /**
+     * Creates a watcher; {@link #start} sends the first call.
+     *
+     * @param store the store
+     * @param clock schedules watches and retries
+     * @param events records when the store is lost and regained
+     * @param listener receives the changes
+     * @param failoverInProgress returns whether the changes of other processes are awaited for a
+     *     failover
+     * @return the watcher
+     */
+    public static StoreWatcher of(
+            MetadataStore store,
+            Clock clock,
+            EventLog events,
+            Listener listener,
+            BooleanSupplier failoverInProgress) {
         requireNonNull(store, "store is null");
         requireNonNull(clock, "clock is null");
         requireNonNull(events, "events is null");
-        return new StoreWatcher(store, clock, events, requireNonNull(listener, "listener is null"));
+        requireNonNull(listener, "listener is null");
+        return new StoreWatcher(
+                store,
+                clock,
+                events,
+                listener,
+                requireNonNull(failoverInProgress, "failoverInProgress is null"));
     }
 
     /** Starts the first listing. */
@@ -212,7 +247,8 @@
             success.value().entries().forEach(this::apply);
             StoreRevision nextRevision = revision.max(success.value().revision());
             clock.schedule(
-                    () -> watch(currentRun, nextRevision), pacing.nextDelay(clock.nanoTime()));
+                    () -> watch(currentRun, nextRevision),
+                    pacing.nextDelay(clock.nanoTime(), failoverInProgress.getAsBoolean()));
         } else if (response instanceof StoreResponse.HistoryGone<Page>) {
             list();
         } else {
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
@@ -182,7 +182,8 @@
                             clock,
                             events,
                             StoreWatcher.Listener.of(
-                                    coordinator::onStoreChange, () -> {}, () -> {}));
+                                    coordinator::onStoreChange, () -> {}, () -> {}),
+                            coordinator::isFailoverInProgress);
             storeWatcher.start();
             register();
             storeClient.era().addListener(era -> register());
