--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionShare.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionShare.java
@@ -39,13 +39,6 @@
     /** The idle time after which connections above the minimum are closed. */
     static final Duration IDLE_TIMEOUT = Duration.ofMillis(1_000);
 
-    /**
-     * The idle time after which connections within the equal share are closed where they belong to
-     * accounts. Another account closes the least recently used one before, so that keeping it takes
-     * room from nobody.
-     */
-    static final Duration ACCOUNT_IDLE_TIMEOUT = Duration.ofMillis(10_000);
-
     /** The interval of increases; an unused increase is withdrawn after the same time. */
     private static final Duration INCREASE_INTERVAL = EXTRA_IDLE_TIMEOUT;
 
@@ -89,10 +82,7 @@
 
     /** Returns how long a connection may stay idle if the given number is open. */
     Duration idleTimeout(int openCount) {
-        if (!quota.isElastic()) {
-            return IDLE_TIMEOUT;
-        }
-        return openCount > equalShare() ? EXTRA_IDLE_TIMEOUT : ACCOUNT_IDLE_TIMEOUT;
+        return quota.isElastic() && openCount > equalShare() ? EXTRA_IDLE_TIMEOUT : IDLE_TIMEOUT;
     }
 
     /** Returns whether another process is likely to need a connection that is no longer in use. */
