Take over the shards of an earlier run of the same process at once

Until then each process decides by its equal share, a thirty-fourth of the rate.

Change: a process replaces the entry of an earlier run on its VM, if it was written in the same era and names the address at which this process listens. The first shows that the writer had waited for owners of earlier eras, the second that it has ended, since no two processes listen at one address. The write is conditional on the revision. The buckets start empty, as those of every new owner.

Ruled out for now: letting processes that are cut off from the store learn a new owner from other processes.

--- a/carobstage/src/main/java/org/carobstage/quota/ShardClaim.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardClaim.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.carobstage.model.Address;
 import org.carobstage.model.VmId;
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreEntry;
@@ -9,7 +10,8 @@
 
 /**
  * What this process knows of the store key of one shard, and what it does about it: takes the key
- * when it is free, and deletes an entry that no process holds. Contains no I/O.
+ * when it is free or an earlier run of this process had it, and deletes an entry that no process
+ * holds. Contains no I/O.
  */
 final class ShardClaim {
     /** A member with a lower rank has written the key, and the watch has shown it, by then. */
@@ -127,6 +129,10 @@
                             .isPresent();
             return isTurn ? new Action.Acquire() : new Action.None();
         }
+        if (situation.mayAcquireSince().isPresent()
+                && owner.filter(o -> isPredecessor(o, situation)).isPresent()) {
+            return new Action.Replace(entry.get().revision());
+        }
         return isTurn(freeSinceNanos, situation)
                         && owner.filter(o -> isUnused(o, situation.era())).isPresent()
                 ? new Action.Delete(entry.get().revision())
@@ -152,6 +158,19 @@
         return named.era() < era || named.isProcess(vm, run) && heldAt.isEmpty();
     }
 
+    /**
+     * Returns whether an entry is that of an earlier run of this process. It was written in this
+     * era, so that its writer has waited for the owners of earlier eras, and the writer has ended:
+     * there is nobody to wait for.
+     */
+    private boolean isPredecessor(ShardOwner named, Situation situation) {
+        return named.era() == situation.era()
+                && situation
+                        .address()
+                        .filter(listening -> named.isEarlierRunOf(vm, run, listening))
+                        .isPresent();
+    }
+
     private static boolean isTurn(long sinceNanos, Situation situation) {
         Duration delay =
                 RANK_DELAY
@@ -166,6 +185,7 @@
      * @param nowNanos the monotonic time
      * @param era the era of the store
      * @param lease the current lease
+     * @param address the address at which the process listens for other processes
      * @param mayAcquireSince the monotonic time since which the process may own shards, as an owner
      *     of an earlier era has stopped; empty if it may not
      * @param stopping whether the process owns no shard any more
@@ -176,6 +196,7 @@
             long nowNanos,
             long era,
             Optional<LeaseId> lease,
+            Optional<Address> address,
             Optional<Long> mayAcquireSince,
             boolean stopping,
             int rank,
@@ -189,6 +210,13 @@
         /** Write the key if it does not exist. */
         record Acquire() implements Action {}
 
+        /**
+         * Write the key in place of the entry of an earlier run of this process.
+         *
+         * @param revision the revision that the key must have
+         */
+        record Replace(StoreRevision revision) implements Action {}
+
         /**
          * Delete the entry, which no process holds.
          *
--- a/carobstage/src/main/java/org/carobstage/quota/ShardOwner.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardOwner.java
@@ -35,6 +35,14 @@
         return vm.equals(otherVm) && run.equals(otherRun);
     }
 
+    /**
+     * Returns whether this is an earlier run of a process. It has ended if the process listens at
+     * its address, which no two processes can do at the same time.
+     */
+    boolean isEarlierRunOf(VmId otherVm, String otherRun, Address listening) {
+        return vm.equals(otherVm) && !run.equals(otherRun) && address.equals(listening);
+    }
+
     String format() {
         Map<String, Object> fields = new LinkedHashMap<>();
         fields.put("vm", vm.value());
--- a/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
@@ -30,7 +30,8 @@
  * under the key of the shard; the entries of a process are bound to one lease. An owner stops
  * before its lease ends and at once when the store is restored from a copy. After a restore, and
  * after its start, a process owns nothing for the lifetime of a lease, since an owner that has not
- * learned of the restore may act for that long.
+ * learned of the restore may act for that long. Only the shards that an earlier run of the process
+ * has acquired in the same era are taken over at once.
  */
 final class ShardOwnership {
     private static final String KEY_PREFIX = "carobstage/quota/";
@@ -188,7 +189,17 @@
             Action action = claim.decide(situation(each.getKey()));
             if (action instanceof Action.Acquire) {
                 leaseNeeded = true;
-                lease.id().ifPresent(id -> acquire(each.getKey(), claim, id));
+                lease.id().ifPresent(id -> acquire(each.getKey(), claim, id, Optional.empty()));
+            } else if (action instanceof Action.Replace replace) {
+                leaseNeeded = true;
+                lease.id()
+                        .ifPresent(
+                                id ->
+                                        acquire(
+                                                each.getKey(),
+                                                claim,
+                                                id,
+                                                Optional.of(replace.revision())));
             } else if (action instanceof Action.Delete delete) {
                 delete(each.getKey(), claim, delete.revision());
             }
@@ -198,12 +209,16 @@
         }
     }
 
-    private void acquire(QuotaShard shard, ShardClaim claim, LeaseId id) {
+    /** Writes the key if it does not exist, or if its entry has the given revision. */
+    private void acquire(
+            QuotaShard shard, ShardClaim claim, LeaseId id, Optional<StoreRevision> replaced) {
         long era = store.era().current();
         ShardOwner self = new ShardOwner(vm, run, era, id, address.orElseThrow());
         claim.onCalling();
+        String key = key(shard);
         store.write(
-                StoreWrite.putIfAbsent(key(shard), self.format(), id),
+                replaced.map(r -> StoreWrite.put(key, self.format(), id).onlyIf(key, r))
+                        .orElseGet(() -> StoreWrite.putIfAbsent(key, self.format(), id)),
                 response -> {
                     boolean valid =
                             lease.id().equals(Optional.of(id))
@@ -239,6 +254,7 @@
                 nowNanos,
                 store.era().current(),
                 lease.id(),
+                address,
                 formerOwnersStop.filter(stop -> needed && address.isPresent()),
                 stopping,
                 ranks.computeIfAbsent(shard, s -> RendezvousOrder.rank(key(s), vm, members)),
