--- a/review/lib.sh
+++ b/review/lib.sh
@@ -35,10 +35,10 @@
   unable "no $1 within $3 s"
 }
 
-# start_platform SECONDS: the store and the instances; sets $store
+# start_platform SECONDS [ARGUMENT...]: the store and the instances; sets $store
 start_platform() {
   java -Xmx128m -cp target/review:target/carobstage.jar org.carobstage.review.Platform \
-    "$record" "$1" > "$work/platform.out" 2> "$work/platform.err" &
+    "$record" "$@" > "$work/platform.out" 2> "$work/platform.err" &
   pids+=($!)
   wait_for '^store ' "$work/platform.out" 20
   store=$(sed -n 's/^store //p' "$work/platform.out")
--- a/review/standin/org/carobstage/review/Instance.java
+++ b/review/standin/org/carobstage/review/Instance.java
@@ -27,6 +27,7 @@
     private final ServerSocket listener;
     private long pausedTerm;
     private long signatures;
+    private volatile long darkUntilNanos = System.nanoTime();
 
     Instance(
             String service,
@@ -52,6 +53,19 @@
         return listener.getLocalPort();
     }
 
+    /** Lets the instance answer nothing for a time; it then goes on with what it was sent. */
+    void goDark(long millis) {
+        record.add("instance " + id + ": dark for " + millis + " ms");
+        darkUntilNanos = System.nanoTime() + millis * 1_000_000;
+    }
+
+    private void awaitLight() throws InterruptedException {
+        long left = darkUntilNanos - System.nanoTime();
+        if (left > 0) {
+            Thread.sleep(left / 1_000_000 + 1);
+        }
+    }
+
     private void accept() {
         while (true) {
             try {
@@ -79,6 +93,7 @@
         private void run(Socket socket) {
             try (Lines lines = new Lines(socket)) {
                 String[] startup = String.valueOf(lines.read()).split(" ");
+                awaitLight();
                 if (startup.length < 3
                         || !startup[1].equals(service)
                         || startup.length > 3 && !startup[3].equals(id)) {
@@ -91,7 +106,9 @@
                     if (!fields[0].equals("QUERY") || fields.length < 3) {
                         return;
                     }
+                    awaitLight();
                     String answer = query(fields[1], fields[2]);
+                    awaitLight();
                     lines.write(answer + "READY " + (open ? "T " : "I ") + position() + "\r\n");
                 }
             } catch (IOException e) {
@@ -166,7 +183,7 @@
             String[] arguments = (shape == null ? text.substring(words[0].length()).trim() : words[2])
                     .split(" ", 2);
             record.add(
-                    "instance " + id + ": runs id=" + request + " text=[" + text + "]"
+                    "instance " + id + ": runs id=" + request + " text=[" + shorten(text) + "]"
                             + (shape == null ? "" : " shape=[" + shape + "]"));
             slots.acquire();
             try {
@@ -195,6 +212,10 @@
             return rows + "COMPLETE " + id + "." + ++signatures + "\r\n";
         }
 
+        private String shorten(String text) {
+            return text.length() > 200 ? text.substring(0, 200) + "..." : text;
+        }
+
         private void apply(String[] write) {
             data.put(write[0], write.length > 1 ? write[1] : "");
         }
--- a/review/standin/org/carobstage/review/Platform.java
+++ b/review/standin/org/carobstage/review/Platform.java
@@ -5,8 +5,10 @@
 import java.util.Map;
 
 /**
- * Runs the store and the three instances of one service. Arguments: the file of the record, and the
- * seconds to run. Prints the address of the store.
+ * Runs the store and the three instances of one service. Arguments: the file of the record, the
+ * seconds to run, and, if the primary shall go dark, the seconds until then, the milliseconds that
+ * it is dark, and those that the store is down after the first vote. Prints the address of the
+ * store.
  */
 public final class Platform {
     private static final String SERVICE = "forms";
@@ -20,7 +22,8 @@
                         (service, instance, holder, token) -> {
                             record.add("platform: failover to " + instance + " by " + holder);
                             return 200;
-                        });
+                        },
+                        record);
         int port = store.start();
         Map<String, String> data = new HashMap<>();
         long[] commits = {1};
@@ -28,21 +31,48 @@
             boolean primary = id.equals("i-a");
             Instance instance = new Instance(SERVICE, id, primary, data, commits, record);
             beat(store, id, instance.port(), primary);
+            if (primary && args.length > 2) {
+                long delay = Long.parseLong(args[2]) * 1_000;
+                new Thread(() -> disrupt(store, instance, delay, args[3], args[4])).start();
+            }
         }
+        configure(store, 1);
+        System.out.println("store 127.0.0.1:" + port);
+        Thread.sleep(Long.parseLong(args[1]) * 1_000);
+        System.exit(0);
+    }
+
+    /** Writes a change of the configuration each 80 ms for 2 s; the primary fails meanwhile. */
+    private static void disrupt(
+            Store store, Instance primary, long delay, String dark, String down) {
+        try {
+            Thread.sleep(delay);
+            store.failAfterWrite("carobstage/votes/", Long.parseLong(down));
+            for (int i = 0; i < 25; i++) {
+                if (i == 12) {
+                    primary.goDark(Long.parseLong(dark));
+                }
+                configure(store, 2 + i);
+                Thread.sleep(80);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void configure(Store store, int version) {
+        int timeout = 800 + version;
         store.put(
                 "op/config",
                 Map.of(
-                        "version", 1,
+                        "version", version,
                         "routes",
                                 List.of(
-                                        route("filings", "primary", 0, 800, 150),
+                                        route("filings", "primary", 0, timeout, 150),
                                         route("status", "bounded_staleness", 1_500, 2_000, 500),
-                                        route("drafts", "read_your_writes", 2_500, 800, 250)),
+                                        route("drafts", "read_your_writes", 2_500, timeout, 250)),
                         "services", List.of(Map.of("name", SERVICE, "max_conns", 22)),
                         "limits", Map.of("tx_idle_ms", 3_000)));
-        System.out.println("store 127.0.0.1:" + port);
-        Thread.sleep(Long.parseLong(args[1]) * 1_000);
-        System.exit(0);
     }
 
     private static Map<String, Object> route(
--- a/review/standin/org/carobstage/review/Session.java
+++ b/review/standin/org/carobstage/review/Session.java
@@ -11,6 +11,7 @@
     private final String name;
     private final Lines lines;
     private final Record record;
+    private boolean quiet;
 
     Session(String name, int port, String database, Record record) throws IOException {
         this.name = name;
@@ -30,7 +31,9 @@
      * what came before the connection ended, followed by "closed", "reset" or "no answer".
      */
     String query(String id, String text) throws IOException {
-        record.add("client " + name + ": sends id=" + id + " text=[" + text + "]");
+        if (!quiet) {
+            record.add("client " + name + ": sends id=" + id + " text=[" + text + "]");
+        }
         lines.write("QUERY " + id + " " + text + "\r\n");
         String answer = readAnswer();
         record.add("client " + name + ": gets  id=" + id + " answer=[" + answer + "]");
@@ -58,6 +61,11 @@
         }
     }
 
+    /** Records no more statements, only their answers. */
+    void quiet() {
+        quiet = true;
+    }
+
     void setTimeout(int millis) throws IOException {
         lines.setTimeout(millis);
     }
--- a/review/standin/org/carobstage/review/Store.java
+++ b/review/standin/org/carobstage/review/Store.java
@@ -25,11 +25,25 @@
     private final List<Map<String, Object>> history = new ArrayList<>();
     private final Map<Long, long[]> leases = new HashMap<>();
     private final Failover failover;
+    private final Record record;
     private long revision = 1;
     private long lastLease;
+    private String outageAfterKey = "";
+    private long outageMillis;
+    private long downUntil;
 
-    Store(Failover failover) {
+    Store(Failover failover, Record record) {
         this.failover = failover;
+        this.record = record;
+    }
+
+    /**
+     * Lets the store be down for a time, once it has answered the next write of a key with the
+     * given prefix. Leases go on to run out meanwhile.
+     */
+    synchronized void failAfterWrite(String prefix, long millis) {
+        outageAfterKey = prefix;
+        outageMillis = millis;
     }
 
     int start() throws IOException {
@@ -58,16 +72,40 @@
             Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
             byte[] bytes = exchange.getRequestBody().readAllBytes();
             JsonNode body = json.readTree(bytes.length == 0 ? new byte[] {'{', '}'} : bytes);
-            Object[] reply = execute(exchange, path, query, body);
+            Object[] reply = isDown() ? null : execute(exchange, path, query, body);
+            if (reply == null || path.equals("/api/kv-watch") && isDown()) {
+                // The connection is closed without an answer.
+                return;
+            }
             byte[] answer = json.writeValueAsBytes(reply[1]);
             exchange.getResponseHeaders().set("Content-Type", "application/json");
             exchange.sendResponseHeaders((int) reply[0], answer.length);
             exchange.getResponseBody().write(answer);
+            exchange.getResponseBody().close();
+            beginOutageAfter(body);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private synchronized boolean isDown() {
+        return now() < downUntil;
+    }
+
+    private synchronized void beginOutageAfter(JsonNode body) {
+        boolean due = false;
+        for (JsonNode write : body.path("writes")) {
+            due |= !outageAfterKey.isEmpty()
+                    && write.path("key").asText().startsWith(outageAfterKey);
+        }
+        if (due) {
+            record.add("store: down for " + outageMillis + " ms, leases run out");
+            outageAfterKey = "";
+            downUntil = now() + outageMillis;
+            notifyAll();
+        }
+    }
+
     private synchronized Object[] execute(
             HttpExchange exchange, String path, Map<String, String> query, JsonNode body)
             throws InterruptedException {
@@ -123,7 +161,7 @@
                             .filter(e -> ((String) e.get("key")).startsWith(prefix))
                             .toList();
             long left = deadline - now();
-            if (!events.isEmpty() || left <= 0) {
+            if (!events.isEmpty() || left <= 0 || isDown()) {
                 return reply(200, Map.of("events", events, "store_revision", revision));
             }
             wait(left);
