--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 . "$case_dir/../lib.sh"
 start_platform 60
 start_front front-1
-client Smuggling "$port" "$record" "$TROUBLE"
+client PreparedShapes "$port" "$record" "$TROUBLE"
