--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,6 +3,11 @@
 set -euo pipefail
 case_dir=$(cd "$(dirname "$0")" && pwd)
 . "$case_dir/../lib.sh"
-start_platform 60
-start_front front-1
-client PreparedShapes "$port" "$record" "$TROUBLE"
+platform_class=LossPlatform
+if [ "$TROUBLE" = 0 ]; then start_platform 14 0 80; else start_platform 14 4 80; fi
+ports=()
+for name in front-1 front-2 front-3; do
+  start_front "$name"
+  ports+=("$port")
+done
+client Writers "$record" 40 "${ports[@]}"
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -35,9 +35,9 @@
   unable "no $1 within $3 s"
 }
 
-# start_platform SECONDS [ARGUMENT...]: the store and the instances; sets $store
+# start_platform ARGUMENT...: the store and the instances, $platform_class or Platform; sets $store
 start_platform() {
-  java -Xmx128m -cp target/review:target/carobstage.jar org.carobstage.review.Platform \
+  java -Xmx128m -cp target/review:target/carobstage.jar "org.carobstage.review.${platform_class:-Platform}" \
     "$record" "$@" > "$work/platform.out" 2> "$work/platform.err" &
   pids+=($!)
   wait_for '^store ' "$work/platform.out" 20
--- a/review/standin/org/carobstage/review/Session.java
+++ b/review/standin/org/carobstage/review/Session.java
@@ -12,6 +12,7 @@
     private final Lines lines;
     private final Record record;
     private boolean quiet;
+    private boolean silent;
 
     Session(String name, int port, String database, Record record) throws IOException {
         this.name = name;
@@ -36,7 +37,9 @@
         }
         lines.write("QUERY " + id + " " + text + "\r\n");
         String answer = readAnswer();
-        record.add("client " + name + ": gets  id=" + id + " answer=[" + answer + "]");
+        if (!silent) {
+            record.add("client " + name + ": gets  id=" + id + " answer=[" + answer + "]");
+        }
         return answer;
     }
 
@@ -66,6 +69,12 @@
         quiet = true;
     }
 
+    /** Records nothing more. */
+    void quietAll() {
+        quiet = true;
+        silent = true;
+    }
+
     void setTimeout(int millis) throws IOException {
         lines.setTimeout(millis);
     }
