--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,8 +1,7 @@
-# Functions that the scripts of the cases share. They start processes on loopback addresses and end
-# those that they started.
+# Functions that the scripts of the cases share; $case_dir and $record are set. They start processes on
+# loopback addresses and end those that they started.
 top=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 cd "$top"
-record=$case_dir/record.txt
 TROUBLE=${TROUBLE:-1}
 work=$(mktemp -d)
 pids=()
