--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -92,6 +92,10 @@
     CALLBACK_FAILED(3026, Level.WARNING),
     /** The key of a failover lease that has no holder is deleted. */
     FAILOVER_LEASE_VOID(3027, Level.WARNING),
+    /** This process sends a request to promote a replica. */
+    PROMOTION_REQUESTED(3028, Level.INFO),
+    /** The failover lease of a service or the record of a promotion request has changed. */
+    FAILOVER_KEY_OBSERVED(3029, Level.INFO),
     /** The store responds again. */
     STORE_REGAINED(2020, Level.INFO),
     /** The store does not respond or rejects calls. */
--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -346,6 +346,15 @@
         promotionRequested = true;
         promotionRequestedNanos = context.clock().nanoTime();
         InstanceId promoted = target.orElseThrow();
+        context.record(
+                EventCode.PROMOTION_REQUESTED,
+                group.name(),
+                "target="
+                        + promoted
+                        + " fence="
+                        + fencingToken
+                        + " lease_age_ms="
+                        + lease.age().toMillis());
         context.promotionClient()
                 .promote(
                         group.name(),
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -86,12 +86,14 @@
         if (entry.key().startsWith(FailoverKeys.LEASE_PREFIX)) {
             ServiceName service =
                     ServiceName.of(entry.key().substring(FailoverKeys.LEASE_PREFIX.length()));
+            recordObserved(service, entry);
             entry.value()
                     .ifPresentOrElse(
                             holder -> leases.put(service, entry), () -> onLeaseEnded(service));
         } else if (entry.key().startsWith(FailoverKeys.PROMOTION_PREFIX)) {
             ServiceName service =
                     ServiceName.of(entry.key().substring(FailoverKeys.PROMOTION_PREFIX.length()));
+            recordObserved(service, entry);
             PendingPromotion.parse(entry, ClockReading.now(context.clock()))
                     .ifPresentOrElse(
                             p -> pendingPromotions.put(service, p),
@@ -337,6 +339,18 @@
         return group.instances().stream().filter(e -> e.id().equals(id)).findFirst();
     }
 
+    private void recordObserved(ServiceName service, StoreEntry entry) {
+        context.record(
+                EventCode.FAILOVER_KEY_OBSERVED,
+                service,
+                "key="
+                        + entry.key()
+                        + " value="
+                        + entry.value().orElse("none")
+                        + " at="
+                        + entry.revision());
+    }
+
     /** Schedules a status query, since the holder may have crashed and left replicas paused. */
     private void onLeaseEnded(ServiceName service) {
         leases.remove(service);
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
@@ -46,8 +46,12 @@
     }
 
     boolean isHeld() {
-        return lease.isPresent()
-                && renewedAt.age(ClockReading.now(context.clock())).compareTo(USABLE_TIME) < 0;
+        return lease.isPresent() && age().compareTo(USABLE_TIME) < 0;
+    }
+
+    /** Returns the time since the lease was renewed. */
+    Duration age() {
+        return renewedAt.age(ClockReading.now(context.clock()));
     }
 
     /**
