--- a/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
@@ -203,6 +203,10 @@
                     });
         }
 
+        VmId vm() {
+            return vm;
+        }
+
         private MessageFilter.Fate fateOf(String message) {
             return ended ? MessageFilter.Fate.LOST : filter.fateOf(vm + " " + message);
         }
--- a/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
@@ -71,6 +71,11 @@
         revoke(lease);
     }
 
+    /** Ends the lease of a key before it expires; its holder is not told. */
+    public void endLeaseOf(String key) {
+        revoke(values.get(key).lease());
+    }
+
     public Optional<String> get(String key) {
         return Optional.ofNullable(values.get(key)).map(Value::text);
     }
--- a/carobstage/src/test/java/org/carobstage/fake/FakeService.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeService.java
@@ -33,11 +33,13 @@
     private final Map<InstanceId, FakeInstance> instances = new TreeMap<>();
     private final List<String> receivedPromotionRequests = new ArrayList<>();
     private long highestFencingToken;
+    private long highestReceivedToken;
     private boolean droppingPromotionResponses;
     private boolean keepingFormerPrimary;
     private boolean ignoringFencingTokens;
     private boolean countingReceivableOnly;
     private Duration promotionDelay = Duration.ZERO;
+    private Predicate<VmId> refusedHolder = holder -> false;
     private LogPosition newestAcknowledged = LogPosition.empty();
     private final Map<Long, VmId> holders = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
@@ -90,7 +92,15 @@
         keepingFormerPrimary = keep;
     }
 
-    /** Accepts promotion requests whatever their fencing tokens are. */
+    /** Refuses the promotion requests of some holders, as a platform that is too busy. */
+    public void refusePromotionsOf(Predicate<VmId> holder) {
+        refusedHolder = holder;
+    }
+
+    /**
+     * Accepts promotion requests whatever their fencing tokens are. A token below one that was
+     * received before is then a violation.
+     */
     public void ignoreFencingTokens(boolean ignore) {
         ignoringFencingTokens = ignore;
     }
@@ -108,7 +118,10 @@
         promotionDelay = delay;
     }
 
-    /** Returns the acknowledged commits that a promotion lost, and tokens used by two holders. */
+    /**
+     * Returns the acknowledged commits that a promotion lost, tokens used by two holders, and lower
+     * tokens after higher ones.
+     */
     public List<String> violations() {
         return violations;
     }
@@ -176,6 +189,15 @@
         if (!holders.computeIfAbsent(fencingToken, t -> holder).equals(holder)) {
             violations.add("token " + fencingToken + " was used by two holders");
         }
+        if (ignoringFencingTokens && fate.isReceived() && fencingToken < highestReceivedToken) {
+            violations.add("token " + fencingToken + " came after " + highestReceivedToken);
+        }
+        highestReceivedToken = Math.max(highestReceivedToken, fate.isReceived() ? fencingToken : 0);
+        if (refusedHolder.test(holder)) {
+            clock.schedule(
+                    () -> callback.accept(PromotionClient.Outcome.REFUSED), Duration.ofMillis(5));
+            return;
+        }
         if (fate.answered()) {
             PromotionClient.Outcome outcome = promote(target, fencingToken);
             clock.schedule(() -> callback.accept(outcome), Duration.ofMillis(5));
--- a/carobstage/src/test/java/org/carobstage/fake/MessageFilter.java
+++ b/carobstage/src/test/java/org/carobstage/fake/MessageFilter.java
@@ -23,6 +23,11 @@
         public static final Fate ANSWER_LOST = new Fate(true, Duration.ZERO, false);
         public static final Fate LOST = new Fate(false, Duration.ZERO, false);
 
+        /** Returns whether the message arrives, even if it is executed later. */
+        boolean isReceived() {
+            return executed;
+        }
+
         /** Returns the fate of a message that is executed late; its answer does not arrive. */
         public static Fate late(Duration delay) {
             return new Fate(true, delay, false);
