Leave the replicas to the next holder once the failover lease has ended

Cause: the holder of an ended lease goes on with its failover. It told the replicas to resume when it gave up, which ends the pause of the next holder's failover between choice and effect, since the command names no term; what the old primary then gets acknowledged is missing from the promoted log. And it went on pausing replicas, with ever higher terms, also those of a primary that the next holder had promoted.

A holder now pauses and resumes replicas only while it holds its lease.

--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -400,15 +400,21 @@
                         this::onPromotionOutcome);
     }
 
-    /** Pauses replicas that have restarted or registered since the choice. */
+    /**
+     * Pauses replicas that have restarted or registered since the choice. A holder whose lease has
+     * ended leaves them to the next one.
+     */
     private void renewPauses() {
-        if (!ended && !isPromoted()) {
-            pauses.renew(
-                    replicasToPause().stream()
-                            .filter(id -> !target.equals(Optional.of(id)))
-                            .toList());
-            context.clock().schedule(this::renewPauses, PAUSE_RENEWAL_INTERVAL);
+        if (ended || isPromoted()) {
+            return;
+        }
+        if (!lease.isHeld()) {
+            pauses.end();
+            return;
         }
+        pauses.renew(
+                replicasToPause().stream().filter(id -> !target.equals(Optional.of(id))).toList());
+        context.clock().schedule(this::renewPauses, PAUSE_RENEWAL_INTERVAL);
     }
 
     private boolean isPromoted() {
@@ -481,7 +487,7 @@
             record.clear(lease);
         }
         context.record(EventCode.FAILOVER_ENDED, group.name(), outcome);
-        if (isPromoted() || !hasUnansweredRequest) {
+        if (lease.isHeld() && (isPromoted() || !hasUnansweredRequest)) {
             pauses.resume(
                     replicasToPause().stream()
                             .filter(id -> !group.leadership().isLeader(id))
--- a/carobstage/src/test/java/org/carobstage/failover/SupersededHolderTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/SupersededHolderTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.carobstage.fake.FakeInstance;
@@ -114,6 +116,28 @@
         assertThat(fixture.service.violations()).isEmpty();
     }
 
+    // The command would end the pause of the next holder's failover, since it names no term.
+    @Test
+    void shouldNotResumeReplicasWhenStoreHasEndedLease() {
+        List<String> resumed = new ArrayList<>();
+        fixture.service.refusePromotionsOf(holder -> requests.getAndIncrement() == 0);
+        fixture.instance("a").crash();
+        advanceUntil(() -> requests.get() == 1);
+        VmId first = leaseHolder();
+        fixture.filter =
+                message -> {
+                    if (message.startsWith(first + " RESUME")) {
+                        resumed.add(message);
+                    }
+                    return Fate.DELIVERED;
+                };
+        process(first).storeClient.setReachable(false);
+        fixture.store.endLeaseOf(LEASE);
+        fixture.advanceWriting(3_000);
+
+        assertThat(resumed).isEmpty();
+    }
+
     private void advanceUntil(BooleanSupplier condition) {
         for (int i = 0; i < 1_000 && !condition.getAsBoolean(); i++) {
             fixture.advanceMillis(10);
