--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -10,7 +10,6 @@
 import org.carobstage.failover.FailoverCandidateSelector.Replica;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
-import org.carobstage.sql.InstanceStatus;
 import org.carobstage.sql.Statement;
 import org.carobstage.store.StoreResponse;
 import org.carobstage.upstream.ServiceGroup;
@@ -58,9 +57,8 @@
     private final Consumer<Boolean> onEnded;
     private final long startedNanos;
     private final ReplicaPauses pauses;
+    private final PlannedSuccessor successor;
     private Optional<InstanceId> target = Optional.empty();
-    private Optional<LogPosition> primaryPosition = Optional.empty();
-    private Optional<InstanceStatus> successorStatus = Optional.empty();
     private long pauseStartedNanos;
     private long promotionRequestedNanos;
     private boolean promotionRequested;
@@ -89,11 +87,12 @@
         this.onEnded = onEnded;
         this.startedNanos = context.clock().nanoTime();
         this.pauses = new ReplicaPauses(context, group);
+        this.successor = new PlannedSuccessor(group, oldPrimary);
     }
 
     void start() {
         if (planned) {
-            target = selectSuccessor();
+            target = successor.select(replicas());
             if (target.isEmpty()) {
                 abandon("no replica is available as successor");
                 return;
@@ -156,15 +155,6 @@
         pauseReplicas();
     }
 
-    private Optional<InstanceId> selectSuccessor() {
-        return replicas().stream()
-                .filter(e -> !e.draining() && !group.isSuspected(e.id()))
-                .filter(e -> group.status(e.id()).isPresent())
-                .map(e -> new Replica(e.id(), group.status(e.id()).get().receivedPosition(), false))
-                .max(java.util.Comparator.comparing(Replica::received))
-                .map(Replica::id);
-    }
-
     private List<InstanceEntry> replicas() {
         return group.instances().stream().filter(e -> !e.id().equals(oldPrimary)).toList();
     }
@@ -274,7 +264,6 @@
         if (ended) {
             return;
         }
-        InstanceId successor = target.orElseThrow();
         List<InstanceId> others = replicasToPause();
         if (!pauses.areAllPaused(others)) {
             abandon("not every other replica paused replication in time");
@@ -287,50 +276,21 @@
         LogPosition newest =
                 others.stream()
                         .map(pauses::receivedPosition)
-                        .reduce(primaryPosition.orElse(LogPosition.empty()), LogPosition::max);
-        boolean caughtUp =
-                primaryPosition.isPresent()
-                        && successorStatus
-                                .filter(s -> !s.isPrimary() && !ReplicaPauses.isPaused(s))
-                                .filter(s -> s.receivedPosition().isAtLeast(newest))
-                                .isPresent();
-        if (caughtUp) {
+                        .reduce(LogPosition.empty(), LogPosition::max);
+        if (successor.hasCaughtUp(newest)) {
             context.record(
                     EventCode.FAILOVER_CHOICE,
                     group.name(),
-                    "target=" + successor + " newest=" + newest + " stopped=" + others);
+                    "target=" + target.get() + " newest=" + newest + " stopped=" + others);
             recordPromotion();
         } else if (elapsedSince(pauseStartedNanos).compareTo(CATCH_UP_TIMEOUT) > 0) {
             abandon("the successor did not catch up in time");
         } else {
-            querySuccessorAndPrimary(successor);
+            successor.query(target.orElseThrow());
             context.clock().schedule(this::awaitSuccessorCatchUp, POLL_INTERVAL);
         }
     }
 
-    /**
-     * Queries the end of the old primary's log, which covers every commit that was acknowledged
-     * before the other replicas were paused, and whether the successor receives. An earlier
-     * failover may have left it paused.
-     */
-    private void querySuccessorAndPrimary(InstanceId successor) {
-        if (primaryPosition.isEmpty()) {
-            group.trySendControlCommand(
-                    oldPrimary,
-                    new Statement.QueryStatus(),
-                    response ->
-                            primaryPosition =
-                                    response.status()
-                                            .filter(InstanceStatus::isPrimary)
-                                            .map(InstanceStatus::receivedPosition));
-        }
-        boolean paused = successorStatus.filter(ReplicaPauses::isPaused).isPresent();
-        group.trySendControlCommand(
-                successor,
-                paused ? new Statement.ResumeReplication() : new Statement.QueryStatus(),
-                response -> successorStatus = response.status());
-    }
-
     /** Records the request, so that a later holder knows what may still be executed. */
     private void recordPromotion() {
         if (ended) {
