Explore superseded holders message by message, with the failures found

Where the platform compares no fencing tokens, users saw a lower token after a higher one and promotions that lost commits. Three sequences were known (SupersededHolderTest). The exploration supersedes the first holder at each of its messages: its lease ends, it is suspended, cut off or replaced, the watches of the others are held, and a promotion request is lost, refused, executed late or held up on its way.

The fixture gains processes that can be suspended, whose time of day can be stepped, and instances that report their roles; the fake platform sees the token of a request that is held up when it arrives.

Besides the known sequences: a superseded holder and a process that is cut off from the store resume replicas whose pause a failover relies on; a step of the time of day deletes the record of an unanswered request and lets a vote of a restarted process count; the record of a request that was refused for long expires while a repetition may be executed.

--- a/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
@@ -14,6 +14,7 @@
 import org.carobstage.event.EventLog;
 import org.carobstage.fake.FakeInstance;
 import org.carobstage.fake.FakeMetadataStore;
+import org.carobstage.fake.FakeProcess;
 import org.carobstage.fake.FakeService;
 import org.carobstage.fake.MessageFilter;
 import org.carobstage.model.FailureDomain;
@@ -24,6 +25,7 @@
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.StatementResult;
 import org.carobstage.store.LeaseId;
+import org.carobstage.store.MetadataStore;
 import org.carobstage.store.StoreResponse;
 import org.carobstage.store.StoreWatcher;
 import org.carobstage.upstream.ConnectionRequest;
@@ -92,6 +94,21 @@
         processes.forEach(p -> p.group.put(entry));
     }
 
+    /** Lets the instances report a change of their roles to all processes at once. */
+    void reportRoles() {
+        service.onRolesChanged(this::putEntries);
+    }
+
+    /** Lets all processes know the entries of all instances that have one. */
+    void putEntries() {
+        List<InstanceEntry> entries =
+                service.instances().stream()
+                        .map(FakeInstance::instanceEntry)
+                        .filter(e -> !droppedEntries.contains(e.id()))
+                        .toList();
+        processes.forEach(p -> p.process.run(() -> entries.forEach(p.group::put)));
+    }
+
     /** Announces that the primary is about to stop. */
     void drainPrimary() {
         FakeInstance primary = service.primary().orElseThrow();
@@ -145,20 +162,23 @@
         final ServiceGroup group;
         private final FailoverCoordinator coordinator;
         private final StoreWatcher storeWatcher;
+        private final FakeProcess process = FakeProcess.of(clock);
+        private final MetadataStore reachedStore = process.store(storeClient);
         private Optional<LeaseId> lease = Optional.empty();
 
         private Process(String name) {
             vm = VmId.of(name);
             storeClient.setMessageFilter(this::fateOf);
-            EventLog events = EventLog.of(vm, clock, 100);
+            EventLog events = EventLog.of(vm, process, 100);
             group =
                     ServiceGroup.of(
                             FakeService.NAME,
                             new UpstreamContext(
-                                    clock,
-                                    service.connector(
-                                            id -> !ended && !unreachable.contains(id),
-                                            this::fateOf),
+                                    process,
+                                    process.connector(
+                                            service.connector(
+                                                    id -> !ended && !unreachable.contains(id),
+                                                    this::fateOf)),
                                     FailureDomain.of("domain-b"),
                                     events,
                                     fencingEnforced));
@@ -170,16 +190,16 @@
                     FailoverCoordinator.of(
                             new FailoverContext(
                                     vm,
-                                    clock,
-                                    storeClient,
-                                    service.promotionClient(this::fateOf),
+                                    process,
+                                    reachedStore,
+                                    process.promotionClient(service.promotionClient(this::fateOf)),
                                     events,
                                     fencingEnforced));
             coordinator.add(group);
             storeWatcher =
                     StoreWatcher.of(
-                            storeClient,
-                            clock,
+                            reachedStore,
+                            process,
                             events,
                             StoreWatcher.Listener.of(
                                     coordinator::onStoreChange, () -> {}, () -> {}),
@@ -187,18 +207,18 @@
             storeWatcher.start();
             register();
             storeClient.era().addListener(era -> register());
-            clock.schedule(this::tick, Duration.ofMillis(50));
+            process.schedule(this::tick, Duration.ofMillis(50));
         }
 
         /** Obtains the lease of the membership, also when a restored store has lost it. */
         private void register() {
-            storeClient.grantLease(
+            reachedStore.grantLease(
                     Duration.ofHours(1),
                     response -> {
                         if (response instanceof StoreResponse.Success<LeaseId> granted) {
                             lease = Optional.of(granted.value());
                         } else if (!ended) {
-                            clock.schedule(this::register, REGISTRATION_RETRY_DELAY);
+                            process.schedule(this::register, REGISTRATION_RETRY_DELAY);
                         }
                     });
         }
@@ -236,7 +256,7 @@
                             ConnectionRequest.Purpose.PRIMARY,
                             Set.of(),
                             Map.of(),
-                            clock.nanoTime() + Duration.ofSeconds(1).toNanos(),
+                            process.nanoTime() + Duration.ofSeconds(1).toNanos(),
                             connection -> {
                                 granted.add(connection.instance().id());
                                 connection.release();
@@ -244,14 +264,28 @@
                             reason -> {}));
         }
 
+        /** Suspends the process; its monotonic clock may or may not count that time. */
+        void suspend(Duration length, boolean counted) {
+            process.suspend(length, counted);
+        }
+
+        /** Steps the time of day of the process. */
+        void stepTimeOfDay(Duration step) {
+            process.stepTimeOfDay(step);
+        }
+
         /** Writes once if the primary is known and may be written to; gives up after a timeout. */
         void write(Runnable onAcknowledged) {
+            process.run(() -> acquireAndWrite(onAcknowledged));
+        }
+
+        private void acquireAndWrite(Runnable onAcknowledged) {
             group.acquire(
                     new ConnectionRequest(
                             ConnectionRequest.Purpose.PRIMARY,
                             Set.of(),
                             Map.of(),
-                            clock.nanoTime() + Duration.ofMillis(300).toNanos(),
+                            process.nanoTime() + Duration.ofMillis(300).toNanos(),
                             connection -> sendWrite(connection, onAcknowledged),
                             reason -> {}));
         }
@@ -263,7 +297,7 @@
             }
             TrackedCommit commit = group.trackCommit();
             Clock.Timer timeout =
-                    clock.schedule(
+                    process.schedule(
                             () -> {
                                 commit.abandon();
                                 connection.discard();
@@ -294,7 +328,7 @@
                             .collect(Collectors.toSet());
             coordinator.setStoreReachable(storeWatcher.isReachable());
             coordinator.tick(List.of(group), members, lease);
-            clock.schedule(this::tick, Duration.ofMillis(50));
+            process.schedule(this::tick, Duration.ofMillis(50));
         }
     }
 }
--- a/carobstage/src/test/java/org/carobstage/fake/FakeService.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeService.java
@@ -40,6 +40,7 @@
     private boolean countingReceivableOnly;
     private Duration promotionDelay = Duration.ZERO;
     private Predicate<VmId> refusedHolder = holder -> false;
+    private Runnable roleListener = () -> {};
     private LogPosition newestAcknowledged = LogPosition.empty();
     private final Map<Long, VmId> holders = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
@@ -113,6 +114,11 @@
         countingReceivableOnly = true;
     }
 
+    /** Sets what happens when a promotion has changed the roles of the instances. */
+    public void onRolesChanged(Runnable listener) {
+        roleListener = listener;
+    }
+
     /** Delays the promotion requests that are sent from now on; their fences are checked then. */
     public void delayPromotions(Duration delay) {
         promotionDelay = delay;
@@ -176,7 +182,8 @@
         return new MessageFilter.Fate(
                 fate.executed(),
                 fate.delay().plus(promotionDelay),
-                fate.answered() && !droppingPromotionResponses);
+                fate.answered() && !droppingPromotionResponses,
+                fate.transit());
     }
 
     private void send(
@@ -186,6 +193,23 @@
             MessageFilter.Fate fate,
             Consumer<PromotionClient.Outcome> callback) {
         receivedPromotionRequests.add(target + " " + fencingToken);
+        if (!fate.transit().isZero()) {
+            clock.schedule(
+                    () -> receive(target, holder, fencingToken, fate, outcome -> {}),
+                    fate.transit());
+            clock.schedule(
+                    () -> callback.accept(PromotionClient.Outcome.UNKNOWN), PROMOTION_TIMEOUT);
+        } else {
+            receive(target, holder, fencingToken, fate, callback);
+        }
+    }
+
+    private void receive(
+            InstanceId target,
+            VmId holder,
+            long fencingToken,
+            MessageFilter.Fate fate,
+            Consumer<PromotionClient.Outcome> callback) {
         if (!holders.computeIfAbsent(fencingToken, t -> holder).equals(holder)) {
             violations.add("token " + fencingToken + " was used by two holders");
         }
@@ -242,6 +266,7 @@
                 .forEach(instance -> instance.follow(newPrimary, term));
         newPrimary.becomePrimary(term);
         replicate(newPrimary);
+        roleListener.run();
     }
 
     /** Makes a replica of a primary whose term is over. */
