--- a/carobstage/src/test/java/org/carobstage/fake/FakeService.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeService.java
@@ -11,6 +11,7 @@
 import java.util.function.Predicate;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.failover.PromotionClient;
+import org.carobstage.failover.PromotionRequest;
 import org.carobstage.model.Address;
 import org.carobstage.model.FailureDomain;
 import org.carobstage.model.InstanceId;
@@ -40,6 +41,7 @@
     private boolean countingReceivableOnly;
     private Duration promotionDelay = Duration.ZERO;
     private Predicate<VmId> refusedHolder = holder -> false;
+    private Runnable roleListener = () -> {};
     private LogPosition newestAcknowledged = LogPosition.empty();
     private final Map<Long, VmId> holders = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
@@ -113,6 +115,11 @@
         countingReceivableOnly = true;
     }
 
+    /** Sets what happens when a promotion has changed the roles of the instances. */
+    public void onRolesChanged(Runnable listener) {
+        roleListener = listener;
+    }
+
     /** Delays the promotion requests that are sent from now on; their fences are checked then. */
     public void delayPromotions(Duration delay) {
         promotionDelay = delay;
@@ -163,48 +170,72 @@
 
     /** Returns the client of a process, which sends nothing once the filter loses its requests. */
     public PromotionClient promotionClient(MessageFilter filter) {
-        return (request, callback) ->
+        return (request, callback) -> {
+            if (request.permit().timeLeft().isZero()) {
+                callback.accept(PromotionClient.Outcome.NOT_SENT);
+            } else {
                 send(
-                        request.target(),
-                        request.holder(),
-                        request.fencingToken(),
+                        request,
                         fateOfPromotion(filter.fateOf("PROMOTE " + request.target())),
                         callback);
+            }
+        };
     }
 
     private MessageFilter.Fate fateOfPromotion(MessageFilter.Fate fate) {
         return new MessageFilter.Fate(
                 fate.executed(),
                 fate.delay().plus(promotionDelay),
-                fate.answered() && !droppingPromotionResponses);
+                fate.answered() && !droppingPromotionResponses,
+                fate.transit());
     }
 
+    /** A request that is held up does not arrive if its sender has reset the connection before. */
     private void send(
-            InstanceId target,
-            VmId holder,
-            long fencingToken,
+            PromotionRequest request,
+            MessageFilter.Fate fate,
+            Consumer<PromotionClient.Outcome> callback) {
+        receivedPromotionRequests.add(request.target() + " " + request.fencingToken());
+        if (fate.transit().isZero()) {
+            receive(request, fate, callback);
+            return;
+        }
+        clock.schedule(
+                () -> {
+                    if (!request.permit().timeLeft().isZero()) {
+                        receive(request, fate, outcome -> {});
+                    }
+                },
+                fate.transit());
+        clock.schedule(() -> callback.accept(PromotionClient.Outcome.UNKNOWN), PROMOTION_TIMEOUT);
+    }
+
+    private void receive(
+            PromotionRequest request,
             MessageFilter.Fate fate,
             Consumer<PromotionClient.Outcome> callback) {
-        receivedPromotionRequests.add(target + " " + fencingToken);
-        if (!holders.computeIfAbsent(fencingToken, t -> holder).equals(holder)) {
-            violations.add("token " + fencingToken + " was used by two holders");
+        InstanceId target = request.target();
+        VmId holder = request.holder();
+        long token = request.fencingToken();
+        if (!holders.computeIfAbsent(token, t -> holder).equals(holder)) {
+            violations.add("token " + token + " was used by two holders");
         }
-        if (ignoringFencingTokens && fate.isReceived() && fencingToken < highestReceivedToken) {
-            violations.add("token " + fencingToken + " came after " + highestReceivedToken);
+        if (ignoringFencingTokens && fate.isReceived() && token < highestReceivedToken) {
+            violations.add("token " + token + " came after " + highestReceivedToken);
         }
-        highestReceivedToken = Math.max(highestReceivedToken, fate.isReceived() ? fencingToken : 0);
+        highestReceivedToken = Math.max(highestReceivedToken, fate.isReceived() ? token : 0);
         if (refusedHolder.test(holder)) {
             clock.schedule(
                     () -> callback.accept(PromotionClient.Outcome.REFUSED), Duration.ofMillis(5));
             return;
         }
         if (fate.answered()) {
-            PromotionClient.Outcome outcome = promote(target, fencingToken);
+            PromotionClient.Outcome outcome = promote(target, token);
             clock.schedule(() -> callback.accept(outcome), Duration.ofMillis(5));
             return;
         }
         if (fate.executed()) {
-            clock.schedule(() -> promote(target, fencingToken), fate.delay());
+            clock.schedule(() -> promote(target, token), fate.delay());
         }
         clock.schedule(() -> callback.accept(PromotionClient.Outcome.UNKNOWN), PROMOTION_TIMEOUT);
     }
@@ -242,6 +273,7 @@
                 .forEach(instance -> instance.follow(newPrimary, term));
         newPrimary.becomePrimary(term);
         replicate(newPrimary);
+        roleListener.run();
     }
 
     /** Makes a replica of a primary whose term is over. */
