Read the record of replicas without using stack for each id

The record carobstage/replicas/SERVICE was matched by a pattern that repeats a group, which recurses for each id. A value of 1 MB (value_bytes of a deployment) with 500,000 words overflowed the stack; an Error is caught nowhere on the way, so the call that continues the watch was never made, in each process and again after each start.

Failed before: ReplicaSetTest#shouldReplaceRecordWhenItIsVeryLong and 3 of 231 cases of OddStoreEntryTest, "java.lang.StackOverflowError". Ids are now checked one by one, and a list of over 1,000 is unreadable, since each change of the set is logged with all of it.

Of the other values tried under our own keys (nesting of 10,000 and 209,715 levels, 400 digits, 1e400, NUL, a lone surrogate, 1 MB of text, empty, repeated fields, ports out of range), none ended the watch before the fix.

--- a/carobstage/src/main/java/org/carobstage/failover/ReplicaSet.java
+++ b/carobstage/src/main/java/org/carobstage/failover/ReplicaSet.java
@@ -33,7 +33,9 @@
     private static final Duration RETRY_DELAY = Duration.ofMillis(1_000);
 
     private static final Pattern ID = Pattern.compile("[^\\s\\p{Cntrl}\\uFFFD]+");
-    private static final Pattern RECORD = Pattern.compile(ID + "( " + ID + ")*");
+
+    /** A service has a few instances; a longer list is no record of a process. */
+    private static final int MAX_RECORDED_IDS = 1_000;
 
     private final FailoverContext context;
     private final ServiceName service;
@@ -78,9 +80,7 @@
         }
         boolean sameEra = entry.revision().era() == lastChange.era();
         Set<InstanceId> before = sameEra ? parse(recorded) : Set.of();
-        entry.value()
-                .filter(text -> !RECORD.matcher(text).matches())
-                .ifPresent(text -> recordUnreadable());
+        entry.value().filter(text -> !isRecord(text)).ifPresent(text -> recordUnreadable());
         apply(entry.revision(), entry.value());
         Set<InstanceId> after = parse(recorded);
         after.forEach(id -> members.computeIfAbsent(id, i -> Member.unknown(nowNanos())));
@@ -180,12 +180,19 @@
     }
 
     private static Set<InstanceId> parse(Optional<String> text) {
-        return text.filter(t -> RECORD.matcher(t).matches()).stream()
+        return text.filter(ReplicaSet::isRecord).stream()
                 .flatMap(t -> Arrays.stream(t.split(" ")))
                 .map(InstanceId::of)
                 .collect(Collectors.toSet());
     }
 
+    /** Checks id by id, since a pattern of the whole list uses stack for each. */
+    private static boolean isRecord(String text) {
+        String[] ids = text.split(" ", MAX_RECORDED_IDS + 1);
+        return ids.length <= MAX_RECORDED_IDS
+                && Arrays.stream(ids).allMatch(id -> ID.matcher(id).matches());
+    }
+
     /**
      * Returns the monotonic time in ns. Unlike the time of day it can't be stepped, which would cut
      * an absence short.
--- a/carobstage/src/test/java/org/carobstage/failover/ReplicaSetTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/ReplicaSetTest.java
@@ -6,6 +6,8 @@
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.event.EventLog;
@@ -141,6 +143,31 @@
         }
     }
 
+    // A long record of another writer overflows the stack, which ends the watch.
+    @Test
+    void shouldReplaceRecordWhenItIsVeryLong() {
+        observe(100, "a", "b");
+        for (String value : List.of("x ".repeat(500_000) + "x", "x".repeat(1 << 20) + " ")) {
+            store.put(KEY, value);
+            observe(500, "a");
+            assertThat(replicas.absent()).containsExactly(InstanceId.of("b"));
+            assertThat(store.get(KEY)).contains("a b");
+        }
+    }
+
+    // Each change of the members of a record with thousands of ids is logged with all of them.
+    @Test
+    void shouldReplaceRecordWhenItListsTooManyIds() {
+        observe(100, "a", "b");
+        store.put(
+                KEY,
+                IntStream.range(0, 1_001).mapToObj(i -> "x" + i).collect(Collectors.joining(" ")));
+        observe(500, "a");
+
+        assertThat(replicas.absent()).containsExactly(InstanceId.of("b"));
+        assertThat(store.get(KEY)).contains("a b");
+    }
+
     // A deleted record empties the set, also for the processes that start later.
     @Test
     void shouldWriteRecordAgainWhenItWasDeleted() {
