Go on watching the store after an overflow of the stack

StoreWatcher applies entries in isolation from each other, but the isolation caught exceptions only. An overflow of the stack left through the HTTP client, which had completed the call already: no further list or watch call was ever sent, and the process served an ever older configuration without a line in the log.

Failed before: StoreWatcherTest#shouldContinueWatchingWhenEntryOverflowsTheStack, "java.lang.StackOverflowError". Other errors (no memory) are not caught.

--- a/carobstage/src/main/java/org/carobstage/runtime/FailureIsolation.java
+++ b/carobstage/src/main/java/org/carobstage/runtime/FailureIsolation.java
@@ -23,7 +23,7 @@
     }
 
     /**
-     * Runs a task; an exception is reported and not thrown.
+     * Runs a task; an exception or an overflow of the stack is reported and not thrown.
      *
      * @param name what the task does, for the report
      * @param task the task
@@ -33,6 +33,8 @@
             task.run();
         } catch (RuntimeException e) {
             onFailure.accept(name, e);
+        } catch (StackOverflowError e) {
+            onFailure.accept(name, new IllegalStateException("the stack overflowed", e));
         }
     }
 }
--- a/carobstage/src/test/java/org/carobstage/store/StoreWatcherTest.java
+++ b/carobstage/src/test/java/org/carobstage/store/StoreWatcherTest.java
@@ -49,6 +49,17 @@
         assertThat(values).containsEntry("op/config", "2");
     }
 
+    // The stack overflowed on one entry, and the call that would have continued the watch was lost.
+    @Test
+    void shouldContinueWatchingWhenEntryOverflowsTheStack() {
+        store.put("servers/deep", "x");
+        clock.advance(Duration.ofMillis(100));
+        store.put("op/config", "2");
+        clock.advance(Duration.ofMillis(400));
+
+        assertThat(values).containsEntry("op/config", "2");
+    }
+
     @Test
     void shouldListAgainWhenHistoryIsCompacted() {
         store.put("servers/a", "x");
@@ -146,6 +157,9 @@
         if (entry.key().endsWith("faulty")) {
             throw new IllegalStateException("faulty entry");
         }
+        if (entry.key().endsWith("deep")) {
+            applyChange(entry);
+        }
         entry.value()
                 .ifPresentOrElse(
                         value -> values.put(entry.key(), value), () -> values.remove(entry.key()));
