--- a/carobstage/src/main/java/org/carobstage/model/Address.java
+++ b/carobstage/src/main/java/org/carobstage/model/Address.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
 
 /**
@@ -57,6 +58,23 @@
         }
     }
 
+    /**
+     * Parses an address in the form {@code host:port} whose host is an IP address. The lookup of a
+     * name would block the caller.
+     *
+     * @param text the text to parse
+     * @return the address
+     * @throws IllegalArgumentException if the text does not have this form
+     */
+    public static Address parseIp(String text) {
+        Address address = parse(text);
+        if (!NetUtil.isValidIpV4Address(address.host)
+                && !NetUtil.isValidIpV6Address(address.host)) {
+            throw new IllegalArgumentException("not an IP address: " + address.host);
+        }
+        return address;
+    }
+
     /**
      * Returns this address as a socket address.
      *
--- a/carobstage/src/main/java/org/carobstage/quota/ShardOwner.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardOwner.java
@@ -3,7 +3,6 @@
 import static java.util.Objects.requireNonNull;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.netty.util.NetUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -78,16 +77,6 @@
                 fields.path("run").asText(),
                 fields.path("era").asLong(),
                 new LeaseId(fields.path("lease").asLong()),
-                parseAddress(fields.path("peer").asText()));
-    }
-
-    /** Parses an address; the lookup of a name would block the event loop. */
-    private static Address parseAddress(String text) {
-        Address address = Address.parse(text);
-        if (!NetUtil.isValidIpV4Address(address.host())
-                && !NetUtil.isValidIpV6Address(address.host())) {
-            throw new IllegalArgumentException("not an IP address: " + address.host());
-        }
-        return address;
+                Address.parseIp(fields.path("peer").asText()));
     }
 }
