Apply later entries of an instance after one with a huge heartbeat

An entry of the same run with a lower seq than the known one counts as an outdated one of a restored store. After one odd entry with a seq of, say, 2^63 - 1 and the instance's born, every entry that the instance wrote was ignored until its restart: a draining instance stayed in use, a new primary was not seen.

An outdated entry is still ignored; when the next one is outdated too, but has advanced, the instance is writing them, and the later one is applied. Two writes of an instance that the store executes late, in order, now replace the newer entry until the next heartbeat. Comparing the era instead was ruled out: such a late write would replace it at once.

--- a/carobstage/src/main/java/org/carobstage/discovery/InstanceRegistry.java
+++ b/carobstage/src/main/java/org/carobstage/discovery/InstanceRegistry.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,7 @@
 
     private final Map<InstanceId, InstanceEntry> entries = new TreeMap<>();
     private final Map<InstanceId, Long> missingSince = new LinkedHashMap<>();
+    private final Map<InstanceId, InstanceEntry> outdated = new HashMap<>();
 
     private InstanceRegistry() {}
 
@@ -45,6 +47,25 @@
         return Optional.ofNullable(entries.put(entry.id(), entry));
     }
 
+    /**
+     * Returns whether an entry is outdated: the same run of the instance wrote another one later,
+     * as in a store that was restored from a copy. Once such entries advance, the instance is
+     * writing them, and the later one is an odd entry of another writer.
+     *
+     * @param entry the entry that the store shows
+     * @return true if the entry must not replace the known one
+     */
+    public boolean isOutdated(InstanceEntry entry) {
+        requireNonNull(entry, "entry is null");
+        InstanceEntry earlier = outdated.remove(entry.id());
+        boolean advances = earlier != null && earlier.isEarlierThan(entry);
+        if (advances || find(entry.id()).filter(entry::isEarlierThan).isEmpty()) {
+            return false;
+        }
+        outdated.put(entry.id(), entry);
+        return true;
+    }
+
     /**
      * Marks an entry as missing, which starts its grace period.
      *
@@ -88,6 +109,7 @@
                         .map(Map.Entry::getKey)
                         .toList();
         expired.forEach(missingSince::remove);
+        expired.forEach(outdated::remove);
         return expired.stream().map(entries::remove).toList();
     }
 
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -270,7 +270,7 @@
     }
 
     private void register(InstanceEntry entry) {
-        if (instanceRegistry.find(entry.id()).filter(entry::isEarlierThan).isPresent()) {
+        if (instanceRegistry.isOutdated(entry)) {
             instanceRegistry.markPresent(entry.id());
             return;
         }
--- a/carobstage/src/test/java/org/carobstage/discovery/InstanceRegistryTest.java
+++ b/carobstage/src/test/java/org/carobstage/discovery/InstanceRegistryTest.java
@@ -50,6 +50,40 @@
         assertThat(registry.expire(seconds(10))).isEmpty();
     }
 
+    // An earlier entry of a restored store replaces the newer one until the next heartbeat.
+    @Test
+    void shouldTakeEarlierEntryOfSameRunAsOutdated() {
+        registry.put(withHeartbeat(9));
+
+        assertThat(registry.isOutdated(withHeartbeat(5))).isTrue();
+        assertThat(registry.isOutdated(withHeartbeat(5))).isTrue();
+        assertThat(registry.isOutdated(withHeartbeat(10))).isFalse();
+    }
+
+    // One odd entry with a huge heartbeat: every later entry of the instance was ignored.
+    @Test
+    void shouldTakeAdvancingEntriesAsCurrentWhenKnownHeartbeatIsTooLarge() {
+        registry.put(withHeartbeat(Long.MAX_VALUE));
+
+        assertThat(registry.isOutdated(withHeartbeat(5))).isTrue();
+        assertThat(registry.isOutdated(withHeartbeat(6))).isFalse();
+        registry.put(withHeartbeat(6));
+        assertThat(registry.isOutdated(withHeartbeat(7))).isFalse();
+    }
+
+    private InstanceEntry withHeartbeat(long heartbeat) {
+        return new InstanceEntry(
+                entry.id(),
+                entry.service(),
+                entry.address(),
+                entry.domain(),
+                entry.slots(),
+                entry.draining(),
+                entry.primary(),
+                entry.bornMillis(),
+                heartbeat);
+    }
+
     private static long seconds(long seconds) {
         return TimeUnit.SECONDS.toNanos(seconds);
     }
