Bound what a kept and logged event quotes

The reason of an unreadable entry quotes it ("not host:port: ..."), and so do the events of failover keys and registrations. Values have up to 1 MB (value_bytes of a deployment), 512 events are kept, and a process runs with a heap of 160 MB (deploy/system.toml): an odd entry that its writer repeats fills the heap, and each restarted process fills it again.

A detail is cut to 8,192 characters and says how many were left out. That a process ends by it was not run.

--- a/carobstage/src/main/java/org/carobstage/event/EventLog.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventLog.java
@@ -22,6 +22,9 @@
 
     private static final long SEQUENCES_PER_MILLI = 1_000;
 
+    /** Holds the members of a fleet of 300 VMs; a detail may quote an entry of 1 MB. */
+    private static final int MAX_DETAIL_LENGTH = 8_192;
+
     private final VmId vm;
     private final Clock clock;
     private final int capacity;
@@ -83,7 +86,7 @@
      */
     public EventId record(
             EventCode code, EventScope scope, String detail, Optional<EventId> cause) {
-        Event event = append(code, scope, detail, cause);
+        Event event = append(code, scope, bound(detail), cause);
         LOGGER.log(code.level(), "{0}", event);
         return event.id();
     }
@@ -145,6 +148,15 @@
         return Stream.concat(localEvents.stream(), peerEvents.values().stream()).toList();
     }
 
+    private static String bound(String detail) {
+        if (detail.length() <= MAX_DETAIL_LENGTH) {
+            return detail;
+        }
+        boolean isWithinPair = Character.isHighSurrogate(detail.charAt(MAX_DETAIL_LENGTH - 1));
+        int end = isWithinPair ? MAX_DETAIL_LENGTH - 1 : MAX_DETAIL_LENGTH;
+        return detail.substring(0, end) + " ... " + (detail.length() - end) + " more characters";
+    }
+
     private synchronized Event append(
             EventCode code, EventScope scope, String detail, Optional<EventId> cause) {
         EventId id = new EventId(vm, ++sequence);
