Drop a failover lease when the watch shows that its key is gone

A holder went by its clock alone until the next renewal, although its watch had delivered the end of its lease or the key of the next holder. The order of requests does not rest on this, since a VM that the store turns away sees no change; it ends pauses and failovers of a superseded holder earlier. FailoverLeaseTest.shouldNotHoldLeaseWhenItsKeyIsGone does not compile, or fails, without it.

--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -84,6 +84,7 @@
             ServiceName service =
                     ServiceName.of(entry.key().substring(FailoverKeys.LEASE_PREFIX.length()));
             recordObserved(service, entry);
+            state(service).lease.onStoreChange(entry);
             entry.value()
                     .ifPresentOrElse(
                             holder -> leases.put(service, entry), () -> onLeaseEnded(service));
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
@@ -106,6 +106,13 @@
                         });
     }
 
+    /** Drops the lease if the watch shows that its key has been deleted or written again. */
+    void onStoreChange(StoreEntry entry) {
+        if (lease.isPresent() && entry.revision().compareTo(acquiredAt) > 0) {
+            lease = Optional.empty();
+        }
+    }
+
     /** Drops the lease, which a restored store may have lost or granted to another process. */
     void onStoreRestored() {
         lease = Optional.empty();
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverLeaseTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverLeaseTest.java
@@ -51,6 +51,19 @@
         assertThat(lease.isHeldAs(Optional.empty())).isFalse();
     }
 
+    // The store may end a lease before it expires, and another process acquire it.
+    @Test
+    void shouldNotHoldLeaseWhenItsKeyIsGone() {
+        StoreRevision acquired = acquire();
+        lease.onStoreChange(entry(acquired));
+        assertThat(lease.isHeld()).isTrue();
+
+        StoreRevision deleted = new StoreRevision(acquired.era(), acquired.number() + 1);
+        lease.onStoreChange(new StoreEntry(entry(acquired).key(), Optional.empty(), deleted));
+
+        assertThat(lease.isHeld()).isFalse();
+    }
+
     // The id may be the lease of another process's membership, in an era not seen here yet.
     @Test
     void shouldNotRevokeLeaseWhenItsWriteHadNoAnswer() {
