Keep a pending request when a restored store holds the record of an earlier one

Its revision is of the next era, so that it replaced the newer, pending request that this process knew, and another instance was promoted under it. A record of another era with a lower token is that of an earlier request and no longer replaces a pending one; tokens grow over eras.

PromotionRecordTest.shouldKeepPendingRequestWhenRestoredStoreHoldsOlderRecord fails without it. The other tests of the class guard the condition on the revision of the key, which no test held before (all passed without it), the second write after a lost answer, and a value without a target, which threw after its revision had been taken for known.

--- a/carobstage/src/main/java/org/carobstage/failover/PendingPromotion.java
+++ b/carobstage/src/main/java/org/carobstage/failover/PendingPromotion.java
@@ -44,13 +44,14 @@
     /** Reads the store entry of a request; empty if the request has ended or is unreadable. */
     static Optional<PendingPromotion> parse(StoreEntry entry, long nowNanos) {
         return entry.value()
-                .filter(text -> !text.isBlank())
+                .map(text -> text.split(" ")[0])
+                .filter(target -> !target.isBlank())
                 .map(
-                        text ->
+                        target ->
                                 new PendingPromotion(
-                                        InstanceId.of(text.split(" ")[0]),
-                                        parseToken(text),
-                                        text.endsWith(UNANSWERED),
+                                        InstanceId.of(target),
+                                        parseToken(entry.value().get()),
+                                        entry.value().get().endsWith(UNANSWERED),
                                         nowNanos,
                                         entry.revision()));
     }
--- a/carobstage/src/main/java/org/carobstage/failover/PromotionRecord.java
+++ b/carobstage/src/main/java/org/carobstage/failover/PromotionRecord.java
@@ -41,17 +41,24 @@
     /** Applies a change of the record that the watch has delivered. */
     void onStoreChange(StoreEntry entry) {
         if (entry.revision().compareTo(lastChange) > 0) {
-            boolean lost =
-                    entry.value().isEmpty()
-                            && recorded.filter(p -> p.revision().era() != entry.revision().era())
-                                    .isPresent();
             lastChange = entry.revision();
             keyRevision = entry.value().map(v -> entry.revision()).orElse(StoreRevision.NONE);
-            // The platform may still execute a request whose record a restored store has lost.
-            recorded = lost ? recorded : PendingPromotion.parse(entry, nowNanos());
+            Optional<PendingPromotion> read = PendingPromotion.parse(entry, nowNanos());
+            recorded = recorded.filter(p -> isLost(p, entry, read)).or(() -> read);
         }
     }
 
+    /**
+     * Returns whether a restored store has lost a request that the platform may still execute. A
+     * record with a lower token is that of an earlier request.
+     */
+    private boolean isLost(
+            PendingPromotion known, StoreEntry entry, Optional<PendingPromotion> read) {
+        return known.isPending(nowNanos())
+                && known.revision().era() != entry.revision().era()
+                && read.filter(p -> p.fencingToken() >= known.fencingToken()).isEmpty();
+    }
+
     /**
      * Records a request before it is sent. The permit to send it begins with the write, since the
      * store confirms the lease as of some moment after that.
