Keep what an unanswered promotion request needs after its failover

- The next holder gave up because a request of an earlier one may still be executed, and resumed the replicas, although that request relies on their pause.
Replicas now stay paused while another request is pending.
- Where tokens are compared, the record was removed with the promotion although an unanswered request had the same token; if the instance was lost, the same holder promoted another one with that token, and the first request, not lower, took effect on top (LOST).
The record now stays, and the lease has to expire before another instance is promoted.
After 4 s in which none was accepted or unanswered it ends, and lets another process acquire the lease.

--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -41,6 +41,9 @@
     /** The delay before a request that the platform did not accept or receive is sent again. */
     private static final Duration REFUSED_RETRY_DELAY = Duration.ofMillis(200);
 
+    /** A platform that accepts no request of this process may accept those of another one. */
+    private static final Duration TURNED_AWAY_TIMEOUT = Duration.ofMillis(4_000);
+
     /** The delay before a record that the store did not confirm is written again. */
     private static final Duration STORE_RETRY_DELAY = Duration.ofMillis(100);
 
@@ -54,7 +57,7 @@
     private final Optional<PendingPromotion> pending;
     private final Optional<InstanceId> pendingTarget;
     private final FailoverEvidence evidence;
-    private final Consumer<Boolean> onEnded;
+    private final Consumer<Outcome> onEnded;
     private final long startedNanos;
     private final ReplicaPauses pauses;
     private final PlannedSuccessor successor;
@@ -63,6 +66,7 @@
     private long promotionRequestedNanos;
     private boolean promotionRequested;
     private boolean hasUnansweredRequest;
+    private boolean turnedAway;
     private boolean ended;
 
     Failover(
@@ -73,7 +77,7 @@
             FailoverLease lease,
             PromotionRecord record,
             FailoverEvidence evidence,
-            Consumer<Boolean> onEnded) {
+            Consumer<Outcome> onEnded) {
         this.context = context;
         this.group = group;
         this.oldPrimary = oldPrimary;
@@ -264,6 +268,10 @@
         if (ended) {
             return;
         }
+        if (!lease.isHeld()) {
+            abandon("the lease ended before the successor had caught up");
+            return;
+        }
         List<InstanceId> others = replicasToPause();
         if (!pauses.areAllPaused(others)) {
             abandon("not every other replica paused replication in time");
@@ -300,7 +308,7 @@
         boolean otherPending = pendingTarget.filter(p -> !p.equals(promoted)).isPresent();
         if (otherPending && !(context.fencingEnforced() && lease.hasNewToken())) {
             abandon("a request to promote " + pendingTarget.get() + " may still be executed");
-        } else if (isSelectionOutdated()) {
+        } else if (isOtherRequestKnown()) {
             abandon("the request of an earlier holder has become known: " + record.pending());
         } else {
             boolean unanswered =
@@ -311,7 +319,7 @@
     }
 
     /** Returns whether the watch has delivered another holder's request since the start. */
-    private boolean isSelectionOutdated() {
+    private boolean isOtherRequestKnown() {
         return record.pending()
                 .filter(p -> p.fencingToken() != fencingToken)
                 .filter(p -> !pending.equals(Optional.of(p)))
@@ -393,16 +401,20 @@
                         + outcome
                         + " took_ms="
                         + elapsedSince(promotionRequestedNanos).toMillis());
+        boolean notAccepted =
+                outcome == PromotionClient.Outcome.REFUSED
+                        || outcome == PromotionClient.Outcome.NOT_SENT;
+        turnedAway = notAccepted && !hasUnansweredRequest;
         if (outcome == PromotionClient.Outcome.UNKNOWN && !hasUnansweredRequest) {
             hasUnansweredRequest = true;
             record.write(lease, target.orElseThrow(), true, response -> {});
         }
         if (outcome == PromotionClient.Outcome.REJECTED) {
             abandon("the promotion request was rejected");
-        } else if (outcome == PromotionClient.Outcome.REFUSED
-                || outcome == PromotionClient.Outcome.NOT_SENT) {
-            if (elapsedSince(startedNanos).compareTo(PendingPromotion.TIMEOUT) > 0) {
-                end("the platform refused the promotion request for too long");
+        } else if (notAccepted) {
+            Duration timeout = turnedAway ? TURNED_AWAY_TIMEOUT : PendingPromotion.TIMEOUT;
+            if (elapsedSince(startedNanos).compareTo(timeout) > 0) {
+                end("the platform accepted no promotion request for too long");
             } else {
                 context.clock().schedule(this::recordPromotion, REFUSED_RETRY_DELAY);
             }
@@ -440,23 +452,39 @@
         }
         ended = true;
         pauses.end();
+        boolean otherPending = isEarlierHolderRecorded() || isOtherRequestKnown();
+        boolean isOtherRejected = isPromoted() && context.fencingEnforced();
         boolean mayBeExecuted =
-                (hasUnansweredRequest || pendingTarget.isPresent())
-                        && !(isPromoted() && context.fencingEnforced());
+                hasUnansweredRequest
+                        || pending.filter(p -> p.fencingToken() == fencingToken).isPresent()
+                        || otherPending && !isOtherRejected;
         if (promotionRequested && !mayBeExecuted) {
             record.clear(lease);
         }
         context.record(EventCode.FAILOVER_ENDED, group.name(), outcome);
-        if (lease.isHeld() && (isPromoted() || !hasUnansweredRequest)) {
+        if (lease.isHeld() && (isPromoted() || !hasUnansweredRequest && !otherPending)) {
             pauses.resume(
                     replicasToPause().stream()
                             .filter(id -> !group.leadership().isLeader(id))
                             .toList());
         }
-        onEnded.accept(promotionRequested);
+        onEnded.accept(
+                !promotionRequested
+                        ? Outcome.NOT_REQUESTED
+                        : turnedAway ? Outcome.TURNED_AWAY : Outcome.REQUESTED);
     }
 
     private Duration elapsedSince(long startNanos) {
         return Duration.ofNanos(context.clock().nanoTime() - startNanos);
     }
+
+    /** What became of a failover's request. */
+    enum Outcome {
+        /** None was sent. */
+        NOT_REQUESTED,
+        /** The last one was accepted, rejected or not answered. */
+        REQUESTED,
+        /** The platform accepted none, so another process should try. */
+        TURNED_AWAY
+    }
 }
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -33,6 +33,9 @@
     /** The minimum time between two failovers of a service. */
     private static final Duration FAILOVER_COOLDOWN = Duration.ofMillis(1_000);
 
+    /** Lets the lease expire and another process acquire it. */
+    private static final Duration TURNED_AWAY_COOLDOWN = FailoverLease.TTL.plus(FAILOVER_COOLDOWN);
+
     /**
      * A process that has ended may have acknowledged commits that no vote covers. They matter if a
      * replica that is out of reach may still hold them.
@@ -224,7 +227,7 @@
             state.failoverDueSince = Optional.of(nowNanos);
         }
         boolean canStart = nowNanos - state.nextFailoverNanos >= 0 && !state.failoverRunning;
-        boolean holdsLease = state.lease.isHeld();
+        boolean holdsLease = state.lease.isHeld() && !needsNewToken(state);
         boolean isTurn = nowNanos - state.failoverDueSince.get() >= leaseAttemptDelay(group.name());
         if (canStart && (holdsLease || isTurn && !leases.contains(group.name()))) {
             boolean planned = suspected.isEmpty() && !unfinished;
@@ -232,6 +235,19 @@
         }
     }
 
+    /**
+     * Returns whether a request with the token of the lease may still be executed. The platform
+     * accepts that token again, also for another instance, so the lease has to expire first.
+     */
+    private boolean needsNewToken(State state) {
+        return context.fencingEnforced()
+                && state.promotion
+                        .pending()
+                        .filter(p -> p.fencingToken() == state.lease.fencingToken())
+                        .filter(p -> state.lastPrimary.equals(Optional.of(p.target())))
+                        .isPresent();
+    }
+
     /** Returns the last known primary if its entry has expired before it was replaced. */
     private static Optional<InstanceId> expiredPrimary(ServiceGroup group, State state) {
         return state.lastPrimary.filter(id -> findInstance(group, id).isEmpty());
@@ -278,15 +294,17 @@
                                         state.lease,
                                         state.promotion,
                                         new Evidence(group, state, oldPrimary, members),
-                                        requested -> onFailoverEnded(state, requested))
+                                        outcome -> onFailoverEnded(state, outcome))
                                 .start(),
-                () -> onFailoverEnded(state, false));
+                () -> onFailoverEnded(state, Failover.Outcome.NOT_REQUESTED));
     }
 
-    private void onFailoverEnded(State state, boolean promotionRequested) {
+    private void onFailoverEnded(State state, Failover.Outcome outcome) {
         state.failoverRunning = false;
-        state.lease.release(promotionRequested);
-        state.postponeFailover(context.clock().nanoTime() + FAILOVER_COOLDOWN.toNanos());
+        state.lease.release(outcome != Failover.Outcome.NOT_REQUESTED);
+        Duration delay =
+                outcome == Failover.Outcome.TURNED_AWAY ? TURNED_AWAY_COOLDOWN : FAILOVER_COOLDOWN;
+        state.postponeFailover(context.clock().nanoTime() + delay.toNanos());
     }
 
     /** Returns the known leader or, if there is none, the instance that registered as primary. */
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverLease.java
@@ -106,6 +106,11 @@
                         });
     }
 
+    /** Drops the lease, which the store may have ended; its key expires. */
+    void drop() {
+        lease = Optional.empty();
+    }
+
     /** Drops the lease if the watch shows that its key has been deleted or written again. */
     void onStoreChange(StoreEntry entry) {
         if (lease.isPresent() && entry.revision().compareTo(acquiredAt) > 0) {
@@ -204,6 +209,9 @@
                                 .renewLease(
                                         id,
                                         response -> {
+                                            if (!lease.equals(Optional.of(id))) {
+                                                return;
+                                            }
                                             if (response
                                                     instanceof StoreResponse.Success<LeaseId>) {
                                                 renewedAt = requestedAt;
--- a/carobstage/src/test/java/org/carobstage/failover/SupersededHolderTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/SupersededHolderTest.java
@@ -116,6 +116,20 @@
         assertThat(fixture.service.violations()).isEmpty();
     }
 
+    // A holder that keeps the lease while the platform turns it away leaves no primary for ever.
+    @Test
+    void shouldLetOtherProcessTryWhenPlatformAcceptsNoRequestOfHolder() {
+        fixture.service.refusePromotionsOf(holder -> requests.getAndIncrement() == 0);
+        fixture.instance("a").crash();
+        advanceUntil(() -> requests.get() == 1);
+        VmId first = leaseHolder();
+        fixture.service.refusePromotionsOf(first::equals);
+        fixture.advanceWriting(20_000);
+
+        assertThat(fixture.service.instances()).anyMatch(i -> i.isPrimary() && !i.isCrashed());
+        assertThat(fixture.service.violations()).isEmpty();
+    }
+
     // The command would end the pause of the next holder's failover, since it names no term.
     @Test
     void shouldNotResumeReplicasWhenStoreHasEndedLease() {
--- a/carobstage/src/test/java/org/carobstage/failover/UnansweredPromotionTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/UnansweredPromotionTest.java
@@ -75,6 +75,37 @@
         assertThat(fixture.service.violations()).isEmpty();
     }
 
+    // The promoted instance is lost while an earlier request with the same token is unanswered.
+    @Test
+    void shouldNotPromoteOtherInstanceWithSameTokenWhenFirstRequestIsExecutedLate() {
+        FailoverFixture fixture = new FailoverFixture(true);
+        fixture.advanceMillis(16_000);
+        fixture.advanceWriting(1_000);
+        fixture.filter =
+                message ->
+                        isPromotion(message) && requests.getAndIncrement() == 0
+                                ? Fate.late(Duration.ofSeconds(11))
+                                : Fate.DELIVERED;
+        fixture.instance("a").crash();
+        FakeInstance target = awaitRequest(fixture);
+        while (!target.isPrimary()) {
+            fixture.advanceMillis(10);
+        }
+        fixture.instance("a").recover();
+        fixture.instance("a").demote(target.term());
+        fixture.putEntries();
+        fixture.advanceWriting(500);
+        target.crash();
+        fixture.advanceWriting(5_500);
+        target.setReplicationBlocked(true);
+        target.recover();
+        fixture.advanceWriting(12_000);
+
+        assertThat(fixture.service.violations()).isEmpty();
+        assertThat(fixture.service.receivedPromotionRequests())
+                .anyMatch(r -> !r.startsWith(target.id() + " "));
+    }
+
     // A planned failover that is abandoned after an unanswered request may still take effect.
     @Test
     void shouldSendNoWritesWhenPlannedPromotionMayStillBeExecuted() {
