Hold back requests of a very low priority without an overflow

The priority of a route or account may be any 32-bit integer. Its square overflowed from 46,341 on: priority 65,536 divided by zero and was never held back, 46,341 gave a negative bound and was never sent beside another one.

The pause between two requests and the other durations from the configuration were followed too (read): they have at most 32 bits of milliseconds and stay within Duration and nanoseconds.

--- a/carobstage/src/main/java/org/carobstage/upstream/DispatchPolicy.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/DispatchPolicy.java
@@ -44,7 +44,7 @@
             return true;
         }
         // Of two priorities, the lower one is held back first, although its target is longer.
-        double fraction = DELAY_FRACTION / (priority * priority);
+        double fraction = DELAY_FRACTION / ((double) priority * priority);
         boolean current = idle || load.quietTime().compareTo(MAX_AGE) < 0;
         return current
                 && !load.refusing()
