Use no instance whose service the configuration does not name

One entry with db_role primary and an unknown service created a group: connections were opened to its address, and as it did not respond, the process voted, acquired a failover lease and tried again and again: 350 store calls in a minute instead of 75, in one process in memory (no promotion was requested).

Such an entry is now logged once as ENTRY_UNREADABLE and kept aside, and is used once a configuration names its service. An instance that is known stays for the grace period. Services that have a group already, and everything until a configuration is loaded, are handled as before.

--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.discovery.InstanceRegistry;
+import org.carobstage.discovery.UnnamedInstances;
 import org.carobstage.error.CodedException;
 import org.carobstage.error.ErrorCode;
 import org.carobstage.event.EventCode;
@@ -51,6 +52,7 @@
     private final FailoverCoordinator failoverCoordinator;
     private final StoreWatcher storeWatcher;
     private final InstanceRegistry instanceRegistry = InstanceRegistry.empty();
+    private final UnnamedInstances unnamedInstances = UnnamedInstances.empty();
     private final Map<ServiceName, ServiceGroup> groups = new TreeMap<>();
     private final ClientSessions sessions;
     private final ProxyMetrics metrics = ProxyMetrics.empty();
@@ -225,8 +227,9 @@
         if (decoded instanceof DecodedEntry.Routes newer) {
             applyRoutes(newer.table());
         } else if (decoded instanceof DecodedEntry.InstanceRegistered registered) {
-            register(registered.entry());
+            registerIfNamed(registered.entry());
         } else if (decoded instanceof DecodedEntry.InstanceMissing missing) {
+            unnamedInstances.remove(missing.id());
             missing.reason().ifPresent(reason -> recordUnreadableEntry(entry.key(), reason));
             instanceRegistry.markMissing(missing.id(), clock.nanoTime());
         } else if (decoded instanceof DecodedEntry.Unreadable unreadable) {
@@ -261,6 +264,7 @@
                 EventScope.empty(),
                 "version=" + newer.version() + " before=" + routeTable.version());
         routeTable = newer;
+        unnamedInstances.removeNamed(newer::names).forEach(this::register);
         updateConnectionLimits();
         sessions.revoke(newer)
                 .ifPresent(
@@ -269,6 +273,19 @@
                                         EventCode.SESSIONS_REVOKED, EventScope.empty(), detail));
     }
 
+    private void registerIfNamed(InstanceEntry entry) {
+        ServiceName service = entry.service();
+        if (!routeTable.isLoaded() || groups.containsKey(service) || routeTable.names(service)) {
+            unnamedInstances.remove(entry.id());
+            register(entry);
+            return;
+        }
+        if (unnamedInstances.put(entry)) {
+            recordUnreadableEntry(entry.id().value(), "no configuration names service=" + service);
+        }
+        instanceRegistry.markMissing(entry.id(), clock.nanoTime());
+    }
+
     private void register(InstanceEntry entry) {
         if (instanceRegistry.isOutdated(entry)) {
             instanceRegistry.markPresent(entry.id());
--- a/carobstage/src/main/java/org/carobstage/route/RouteTable.java
+++ b/carobstage/src/main/java/org/carobstage/route/RouteTable.java
@@ -69,6 +69,17 @@
         return Optional.ofNullable(routes.get(database));
     }
 
+    /**
+     * Returns whether a service has a route or a connection limit.
+     *
+     * @param service the service
+     * @return true if this version names the service
+     */
+    public boolean names(ServiceName service) {
+        return connectionLimits.containsKey(service)
+                || routes.values().stream().anyMatch(r -> r.service().equals(service));
+    }
+
     /**
      * Returns the newer of two tables, so that the version never decreases.
      *
--- a/carobstage/src/test/java/org/carobstage/front/FakePlatformAdapter.java
+++ b/carobstage/src/test/java/org/carobstage/front/FakePlatformAdapter.java
@@ -13,6 +13,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.carobstage.account.ApiKey;
+import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.failover.PromotionClient;
 import org.carobstage.fake.FakeMetadataStore;
 import org.carobstage.fake.FakePeerNetwork;
@@ -41,6 +42,7 @@
     RouteTable routeTable = RouteTable.empty();
     final FakePeerNetwork peers = FakePeerNetwork.of(clock);
     final Map<String, RouteTable> routeTables = new HashMap<>();
+    final Map<String, InstanceEntry> instanceEntries = new HashMap<>();
     String failingKey = "";
     int remainingConnectFailures;
     private final FakeMetadataStore.Client storeClient = store.client();
@@ -113,7 +115,9 @@
         } else if (entry.key().startsWith("instances/")) {
             String id = entry.key().substring("instances/".length());
             return entry.value().isPresent()
-                    ? new DecodedEntry.InstanceRegistered(service.instanceEntry(id))
+                    ? new DecodedEntry.InstanceRegistered(
+                            Optional.ofNullable(instanceEntries.get(id))
+                                    .orElseGet(() -> service.instanceEntry(id)))
                     : new DecodedEntry.InstanceMissing(InstanceId.of(id), Optional.empty());
         }
         return new DecodedEntry.InternalKey();
