Reword the pages and comments on promotion requests

From the review and a reading of the whole change: what a permit is, which failure two tests guard against, the outcome of a request as a method of its own. No change of behaviour.

--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -468,10 +468,14 @@
                             .filter(id -> !group.leadership().isLeader(id))
                             .toList());
         }
-        onEnded.accept(
-                !promotionRequested
-                        ? Outcome.NOT_REQUESTED
-                        : turnedAway ? Outcome.TURNED_AWAY : Outcome.REQUESTED);
+        onEnded.accept(requestOutcome());
+    }
+
+    private Outcome requestOutcome() {
+        if (!promotionRequested) {
+            return Outcome.NOT_REQUESTED;
+        }
+        return turnedAway ? Outcome.TURNED_AWAY : Outcome.REQUESTED;
     }
 
     private Duration elapsedSince(long startNanos) {
--- a/carobstage/src/main/java/org/carobstage/failover/PendingPromotion.java
+++ b/carobstage/src/main/java/org/carobstage/failover/PendingPromotion.java
@@ -18,7 +18,8 @@
  *
  * @param target the instance to promote
  * @param fencingToken the token of the request, or 0 if an earlier build has recorded it
- * @param unanswered whether the request had no response, so that its holder cannot tell its end
+ * @param unanswered whether the request had no response, so that its holder does not know the
+ *     outcome
  * @param recordedNanos the monotonic time at which this process learned of the request; a step of
  *     the time of day must not end it early
  * @param revision the revision of the record
--- a/carobstage/src/main/java/org/carobstage/failover/PromotionPermit.java
+++ b/carobstage/src/main/java/org/carobstage/failover/PromotionPermit.java
@@ -7,16 +7,16 @@
 import org.carobstage.runtime.Clock;
 
 /**
- * The time in which a holder of the failover lease may send a promotion request and receive its
- * response. It begins before the store has confirmed that the lease is held. The next holder waits
- * for its end, so that no request of the earlier one follows its own, even if the store has ended
- * the lease before it expired.
+ * Permits a holder of the failover lease to send one promotion request and to await its response,
+ * for a limited time that begins before the store confirms the lease. The next holder waits for the
+ * end of the permit, so that no request of the earlier one follows its own, even if the store has
+ * ended the lease before it expired.
  */
 public final class PromotionPermit {
     /** Covers a response of the store and one of the platform that take half a second each. */
     static final Duration VALIDITY = Duration.ofMillis(1_200);
 
-    /** The time in which a request that was sent at the end of the permit has arrived. */
+    /** The time that a request sent at the end of the permit needs to arrive. */
     static final Duration TRANSIT_TIME = Duration.ofMillis(200);
 
     private final Clock clock;
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverCoordinatorTest.java
@@ -227,6 +227,7 @@
         assertThat(fixture.service.primary()).map(FakeInstance::id).contains(InstanceId.of("b"));
     }
 
+    // The earlier request may be executed after the promotion, where no token rejects it.
     @Test
     void shouldPromoteTargetOfEarlierRequestWhenItsLogIsAsLong() {
         promoteTargetOfEarlierRequest(fixture);
@@ -237,6 +238,7 @@
         assertThat(fixture.store.keys("carobstage/promotions/")).isEmpty();
     }
 
+    // A record that is kept without need blocks the promotion of other instances.
     @Test
     void shouldRemoveRecordOfEarlierRequestAtOnceWhenPlatformComparesTokens() {
         FailoverFixture enforcing = new FailoverFixture(true);
