--- a/carobstage/src/test/java/org/carobstage/fake/FakeProcess.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeProcess.java
@@ -22,7 +22,7 @@
 
 /**
  * A process that a test can suspend. Its timers run and its responses arrive once it continues, in
- * their order; what it has sent before goes on.
+ * their order; what it has sent before is delivered.
  */
 public final class FakeProcess implements Clock {
     private final Clock clock;
