--- a/carobstage/src/main/java/org/carobstage/front/ClientSession.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientSession.java
@@ -254,7 +254,7 @@
             finish(StatementResult.success(transactionState()));
         } else if (statement instanceof Statement.Prepare prepare) {
             preparedStatements.put(
-                    prepare.name(), new PreparedStatement(prepare.isWrite(), prepare.queryText()));
+                    prepare.name(), PreparedStatement.of(prepare.isWrite(), prepare.queryText()));
             finish(StatementResult.success(transactionState()));
         } else if (statement instanceof Statement.Deallocate deallocate) {
             preparedStatements.remove(deallocate.name());
