Scope idempotency keys to their service without ambiguity

Callers of the HTTP interface: with a slash in a service's name or in a key, a write could be taken as done because a write of another service had been recorded (service "a", key "b/c" and service "a/b", key "c").

Found by looking for it.

Change: slashes and percent signs in the service are encoded. Keys of services without them stay as they were, so that processes of earlier builds find the same outcomes.

--- a/carobstage/src/main/java/org/carobstage/statement/IdempotencyKeyFactory.java
+++ b/carobstage/src/main/java/org/carobstage/statement/IdempotencyKeyFactory.java
@@ -35,13 +35,15 @@
     }
 
     /**
-     * Scopes a caller's key to its service, so that equal keys of different services don't collide.
+     * Scopes a caller's key to its service, so that keys of different services don't collide.
      *
      * @param service the service
      * @param key the caller's key
      * @return the key under which the outcome is recorded
      */
     public static IdempotencyKey scope(ServiceName service, IdempotencyKey key) {
-        return IdempotencyKey.of("service/" + service + "/" + key);
+        // Without slashes in the service, the first one ends it.
+        String segment = service.value().replace("%", "%25").replace("/", "%2F");
+        return IdempotencyKey.of("service/" + segment + "/" + key);
     }
 }
