Answer every statement before the exit of a stopping process

Cause: the schedule of a stop left 1.2 s to a statement that starts last, whatever the timeout of its route, and dropped what was in progress at the exit.

Change: from half of the limit on, a statement starts only if its timeout ends before the exit, and is refused at once as not run otherwise (StatementGate). Statements of the first half that are still in progress at the exit are answered as if their timeout had passed.

Ruled out: refusing long timeouts from SIGTERM on, since clients are still sent here for two probes and most statements end in a small part of their timeout.

--- a/carobstage/src/main/java/org/carobstage/front/ClientSession.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientSession.java
@@ -152,6 +152,13 @@
         }
     }
 
+    /** Answers a statement in progress as if its timeout had passed. */
+    void timeOutStatement() {
+        String reason = EndingSession.Reason.STOPPING.text();
+        activeExecution.ifPresent(e -> e.timeOut(reason));
+        transaction.ifPresent(t -> t.timeOut(reason));
+    }
+
     Optional<AccountName> account() {
         return account;
     }
@@ -233,6 +240,9 @@
     }
 
     private void handle(String id, Statement statement) {
+        transaction
+                .filter(t -> !context.gate().mayStart(t.timeout()))
+                .ifPresent(t -> t.abort("stopping"));
         boolean failed = transaction.map(ClientTransaction::isFailed).orElse(false);
         if (statement instanceof Statement.Rollback) {
             transaction.ifPresent(t -> t.rollback(id));
@@ -345,6 +355,15 @@
             context.requestLog()
                     .record(EventCode.STATEMENT_REFUSED, database, id, "no instance is registered");
             finish(failure(FailureCode.BUSY, "no instance is registered"));
+        } else if (!context.gate().mayStart(route.get().timeout())) {
+            context.requestLog()
+                    .record(
+                            EventCode.STATEMENT_REFUSED,
+                            database,
+                            id,
+                            "stopping, timeout_ms=" + route.get().timeout().toMillis());
+            finish(failure(FailureCode.BUSY, EndingSession.Reason.STOPPING.text()));
+            return Optional.empty();
         }
         return route.flatMap(r -> group.map(g -> new RouteTarget(r, g)));
     }
--- a/carobstage/src/main/java/org/carobstage/front/ClientSessions.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientSessions.java
@@ -63,6 +63,11 @@
         }
     }
 
+    /** Answers the statements in progress, which will get no result before the process exits. */
+    void timeOutStatements() {
+        List.copyOf(sessions).forEach(ClientSession::timeOutStatement);
+    }
+
     void abortTransactions() {
         List.copyOf(sessions).forEach(ClientSession::abortTransaction);
     }
--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -80,14 +80,15 @@
         startIdleTimer();
     }
 
+    Duration timeout() {
+        return route.timeout();
+    }
+
     boolean isFailed() {
         return failed;
     }
 
-    /**
-     * Returns whether the client still has to be notified that the transaction was rolled back, and
-     * clears the notification.
-     */
+    /** Returns whether the client must still be notified of the rollback, which this call ends. */
     boolean pollRollbackNotification() {
         boolean notificationPending = rollbackNotificationPending;
         rollbackNotificationPending = false;
@@ -108,7 +109,8 @@
         awaitingResult = false;
         attempts = 0;
         statementReceivedAt = ClockReading.now(context.clock());
-        statementTimer.set(context.clock().schedule(this::onTimeout, route.timeout()));
+        statementTimer.set(
+                context.clock().schedule(() -> timeOut("timeout passed"), route.timeout()));
         if (connection.isPresent()) {
             setUpAndSend(connection.get(), prepared);
         } else {
@@ -370,14 +372,9 @@
             return;
         }
         if (!statementResult.isSuccessful()) {
-            log(
-                    EventCode.STATEMENT_FAILED,
-                    "instance="
-                            + pooled.instance().id()
-                            + " code="
-                            + statementResult.failure().get().code()
-                            + " state="
-                            + statementResult.transactionState());
+            String code = statementResult.failure().get().code().name();
+            String detail = " code=" + code + " state=" + statementResult.transactionState();
+            log(EventCode.STATEMENT_FAILED, "instance=" + pooled.instance().id() + detail);
             finishFailed(statementResult);
             return;
         }
@@ -415,13 +412,15 @@
                                 delay));
     }
 
-    private void onTimeout() {
+    /** Answers the statement in progress, if any, without waiting for a result any longer. */
+    void timeOut(String cause) {
         if (resultCallback.isEmpty()) {
             return;
         }
         connectionRequest.ifPresent(group::cancel);
         String reason =
-                "timeout_ms="
+                cause
+                        + " timeout_ms="
                         + route.timeout().toMillis()
                         + " sent="
                         + awaitingResult
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -54,6 +54,7 @@
     private final InstanceRegistry instanceRegistry = InstanceRegistry.empty();
     private final UnnamedInstances unnamedInstances = UnnamedInstances.empty();
     private final Map<ServiceName, ServiceGroup> groups = new TreeMap<>();
+    private final StatementGate gate;
     private final ClientSessions sessions;
     private final ProxyMetrics metrics = ProxyMetrics.empty();
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -76,6 +77,7 @@
         this.events = EventLog.of(settings.vm(), clock, MAX_RETAINED_EVENTS);
         this.isolation = FailureIsolation.of(this::recordTaskFailure);
         this.quota = settings.quota().map(this::createQuotaService);
+        this.gate = StatementGate.open(clock);
         this.context =
                 new SessionContext(
                         clock,
@@ -83,6 +85,7 @@
                         name -> Optional.ofNullable(groups.get(name)),
                         quota.<OperationLimiter>map(QuotaService::limiter)
                                 .orElseGet(OperationLimiter::unlimited),
+                        gate,
                         RequestEventLog.of(events, clock),
                         metrics);
         this.sessions = ClientSessions.of(context);
@@ -399,6 +402,7 @@
                 EventCode.SHUTDOWN_STARTED, EventScope.empty(), "sessions=" + sessions.size());
         quota.ifPresent(QuotaService::stopOwning);
         ShutdownSchedule schedule = ShutdownSchedule.of(shutdownTimeout);
+        gate.beginShutdown(schedule);
         clock.schedule(() -> closeIdleSessions(schedule), schedule.readinessPropagationDelay());
         clock.schedule(sessions::abortTransactions, schedule.transactionAbortDelay());
         clock.schedule(this::endSessions, schedule.sessionEndDelay());
@@ -436,6 +440,7 @@
         }
         shutdownEnded = true;
         adapter.stopListening();
+        sessions.timeOutStatements();
         membership.leave();
         quota.ifPresent(QuotaService::close);
         events.record(EventCode.SHUTDOWN_ENDED, EventScope.empty(), "sessions=" + sessions.size());
--- a/carobstage/src/main/java/org/carobstage/front/SessionContext.java
+++ b/carobstage/src/main/java/org/carobstage/front/SessionContext.java
@@ -18,6 +18,7 @@
  * @param routeTable returns the current route table
  * @param groupLookup finds the instances of a service
  * @param operationLimiter decides whether an operation of a client account may run
+ * @param gate decides whether a statement may start
  * @param requestLog the log of request events
  * @param metrics the statement metrics
  */
@@ -26,6 +27,7 @@
         Supplier<RouteTable> routeTable,
         Function<ServiceName, Optional<ServiceGroup>> groupLookup,
         OperationLimiter operationLimiter,
+        StatementGate gate,
         RequestEventLog requestLog,
         ProxyMetrics metrics) {
     SessionContext {
@@ -33,6 +35,7 @@
         requireNonNull(routeTable, "routeTable is null");
         requireNonNull(groupLookup, "groupLookup is null");
         requireNonNull(operationLimiter, "operationLimiter is null");
+        requireNonNull(gate, "gate is null");
         requireNonNull(requestLog, "requestLog is null");
         requireNonNull(metrics, "metrics is null");
     }
--- a/carobstage/src/main/java/org/carobstage/front/ShutdownSchedule.java
+++ b/carobstage/src/main/java/org/carobstage/front/ShutdownSchedule.java
@@ -9,9 +9,9 @@
  *     platform has detected that it is not ready
  * @param idleCloseWindow the period over which the closing of idle sessions is spread
  * @param transactionAbortDelay the delay after which idle transactions are rolled back
- * @param sessionEndDelay the delay after which no more statements start, so that those in progress
- *     end before the process exits
- * @param exitDelay the delay after which the process exits even if sessions remain
+ * @param sessionEndDelay the delay after which no more statements start, whatever their timeout
+ * @param exitDelay the delay after which statements in progress are answered as timed out and the
+ *     process exits
  */
 record ShutdownSchedule(
         Duration readinessPropagationDelay,
@@ -24,6 +24,19 @@
 
     private static final Duration EXIT_MARGIN = Duration.ofMillis(600);
 
+    /**
+     * Returns whether a statement that starts now ends before the process exits. In the first half
+     * of the shutdown every statement starts, since clients still connect and most statements need
+     * a small part of their timeout; one that does not end in time is answered at the exit.
+     *
+     * @param statementTimeout the longest time that the statement may take
+     * @param elapsed the time since the start of the shutdown
+     */
+    boolean hasTimeFor(Duration statementTimeout, Duration elapsed) {
+        return elapsed.compareTo(transactionAbortDelay) <= 0
+                || elapsed.plus(statementTimeout).compareTo(exitDelay) <= 0;
+    }
+
     static ShutdownSchedule of(Duration timeout) {
         Duration third = timeout.dividedBy(3);
         Duration readinessDelay =
--- a/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
@@ -97,7 +97,7 @@
     }
 
     void start() {
-        timers.add(context.clock().schedule(this::onTimeout, route.timeout()));
+        timers.add(context.clock().schedule(() -> timeOut("timeout passed"), route.timeout()));
         if (!primaryOnly) {
             Duration hedgeDelay = route.targetLatency().dividedBy(HEDGE_DIVISOR);
             Duration delay =
@@ -330,12 +330,14 @@
         }
     }
 
-    private void onTimeout() {
+    /** Answers the statement without waiting for a result any longer. */
+    void timeOut(String cause) {
         if (completed) {
             return;
         }
         String detail =
-                "timeout_ms="
+                cause
+                        + " timeout_ms="
                         + route.timeout().toMillis()
                         + " "
                         + describeProgress()
--- a/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
+++ b/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
@@ -67,6 +67,7 @@
                         () -> routeTable,
                         name -> Optional.of(group),
                         (account, callback) -> limiter.acquire(account, callback),
+                        StatementGate.open(clock),
                         RequestEventLog.of(events, clock),
                         metrics);
         group.setConnectionLimit(4, 5);
