--- a/carobstage/src/main/java/org/carobstage/failover/Failover.java
+++ b/carobstage/src/main/java/org/carobstage/failover/Failover.java
@@ -66,7 +66,10 @@
     private long pauseStartedNanos;
     private long chosenNanos;
     private long promotionRequestedNanos;
+
+    /** Whether the target of an earlier request receives while it is compared with the others. */
     private boolean pendingTargetReceives;
+
     private boolean targetReceiving;
     private boolean promotionRequested;
     private boolean hasUnansweredRequest;
@@ -161,10 +164,7 @@
         }
     }
 
-    /**
-     * Leaves the target of a request that may still be executed unpaused, so that it holds what a
-     * replica confirms whose restart ends its pause.
-     */
+    /** Leaves the target of a request that may still be executed unpaused, if it responds. */
     private void startPausing() {
         pauseStartedNanos = context.clock().nanoTime();
         pendingTargetReceives =
--- a/carobstage/src/main/java/org/carobstage/failover/TargetReplication.java
+++ b/carobstage/src/main/java/org/carobstage/failover/TargetReplication.java
@@ -8,8 +8,8 @@
 import org.carobstage.upstream.ServiceGroup;
 
 /**
- * Replication at the target of a promotion. A target that receives holds each commit that another
- * replica confirms, also one that a restart has ended the pause of.
+ * Replication at the target of a promotion. While the target receives, it also gets the commits
+ * that another replica confirms after a restart, which ends the pause of that replica.
  */
 final class TargetReplication {
     private final ServiceGroup group;
@@ -46,12 +46,7 @@
         query(target, () -> {});
     }
 
-    /**
-     * Does the same as {@link #query(InstanceId)}.
-     *
-     * @param target the target
-     * @param onStatus runs when the target has responded
-     */
+    /** Queries the target as {@link #query(InstanceId)} does, and runs a task when it responds. */
     void query(InstanceId target, Runnable onStatus) {
         boolean receiving = status.filter(TargetReplication::isReceiving).isPresent();
         group.trySendControlCommand(
--- a/carobstage/src/main/java/org/carobstage/front/ClientSession.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientSession.java
@@ -240,6 +240,7 @@
     }
 
     private void handle(String id, Statement statement) {
+        // A statement that a stop leaves no time for is answered as one of a failed transaction.
         transaction
                 .filter(t -> !context.gate().mayStart(t.timeout()))
                 .ifPresent(t -> t.abort("stopping"));
