--- a/carobstage/src/main/java/org/carobstage/front/ShutdownSchedule.java
+++ b/carobstage/src/main/java/org/carobstage/front/ShutdownSchedule.java
@@ -25,14 +25,14 @@
     private static final Duration EXIT_MARGIN = Duration.ofMillis(600);
 
     /**
-     * Returns whether a statement that starts now ends before the process exits. In the first half
-     * of the shutdown every statement starts, since clients still connect and most statements need
-     * a small part of their timeout; one that does not end in time is answered at the exit.
+     * Returns whether a statement may start. In the first half of the shutdown every statement may,
+     * since clients still connect and most statements need a small part of their timeout; one that
+     * does not end in time is answered at the exit. Later, its timeout must end before the exit.
      *
-     * @param statementTimeout the longest time that the statement may take
+     * @param statementTimeout the timeout of the statement's route
      * @param elapsed the time since the start of the shutdown
      */
-    boolean hasTimeFor(Duration statementTimeout, Duration elapsed) {
+    boolean mayStart(Duration statementTimeout, Duration elapsed) {
         return elapsed.compareTo(transactionAbortDelay) <= 0
                 || elapsed.plus(statementTimeout).compareTo(exitDelay) <= 0;
     }
--- a/carobstage/src/main/java/org/carobstage/front/StatementGate.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementGate.java
@@ -37,8 +37,7 @@
      */
     boolean mayStart(Duration timeout) {
         long nowNanos = clock.nanoTime();
-        return shutdown.map(s -> s.schedule().hasTimeFor(timeout, s.elapsed(nowNanos)))
-                .orElse(true);
+        return shutdown.map(s -> s.schedule().mayStart(timeout, s.elapsed(nowNanos))).orElse(true);
     }
 
     private record Shutdown(ShutdownSchedule schedule, long startedNanos) {
