--- a/carobstage/src/test/java/org/carobstage/failover/LostCommitByPauseTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/LostCommitByPauseTest.java
@@ -89,7 +89,7 @@
         assertThat(fixture.service.violations()).isEmpty();
     }
 
-    // A process that the store turns away takes part in no vote and goes on writing; the primary
+    // A process that the store turns away takes part in no vote and still writes; the primary
     // acknowledges what a replica confirms whose restart has ended its pause.
     @Test
     void shouldNotLoseCommitsOfCutOffProcessWhenOtherReplicaRestartsBeforePromotion() {
--- a/carobstage/src/test/java/org/carobstage/failover/RestartedReplicaTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/RestartedReplicaTest.java
@@ -15,8 +15,8 @@
 
 /**
  * Restarts the replica that is not promoted at each moment of a failover, while a process that the
- * store turns away goes on writing at the old primary. The restart ends the pause of that replica,
- * so that the primary acknowledges what it confirms.
+ * store turns away still writes at the old primary. The restart ends the pause of that replica, so
+ * that the primary acknowledges what it confirms.
  */
 class RestartedReplicaTest {
     private static final int PROCESSES = 5;
