Count openings of connections by cause and log the counts

New counters: openings by cause, the time they took (an opening takes a slot, so a mean above the instance's 12 ms is the wait for one), failed openings by reason and statements that found the queue of an instance full. Event 3030 logs what they gained, at most one line in 5 s and process. No decision changes.

--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -96,6 +96,8 @@
     PROMOTION_REQUESTED(3028, Level.INFO),
     /** The failover lease of a service or the record of a promotion request has changed. */
     FAILOVER_KEY_OBSERVED(3029, Level.INFO),
+    /** What happened to the connections to instances since the last such line. */
+    CONNECTION_COUNTS(3030, Level.INFO),
     /** The store responds again. */
     STORE_REGAINED(2020, Level.INFO),
     /** The store does not respond or rejects calls. */
--- a/carobstage/src/main/java/org/carobstage/front/ProxyMetrics.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyMetrics.java
@@ -54,6 +54,13 @@
         histogram.recordValue(Math.max(1, Math.min(MAX_LATENCY_MICROS, micros)));
     }
 
+    /** Returns the counters of connections to instances and of statements that found them busy. */
+    Map<String, Long> connectionCounters() {
+        Map<String, Long> selected = new TreeMap<>(counters);
+        selected.keySet().removeIf(n -> !n.startsWith("connection_") && !n.startsWith("instance_"));
+        return selected;
+    }
+
     Map<String, Long> counters() {
         Map<String, Long> all = new TreeMap<>(counters);
         all.putAll(accounts.counters());
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -62,6 +62,7 @@
     private final FailureIsolation isolation;
     private volatile Optional<Throwable> listenFailure = Optional.empty();
     private RouteTable routeTable = RouteTable.empty();
+    private final ConnectionCountLog connectionCounts;
     private boolean storeListed;
     private boolean ready;
     private boolean stopping;
@@ -89,6 +90,7 @@
                         RequestEventLog.of(events, clock),
                         metrics);
         this.sessions = ClientSessions.of(context);
+        this.connectionCounts = ConnectionCountLog.of(metrics, events, clock);
         this.upstream =
                 new UpstreamContext(
                                 clock,
@@ -345,6 +347,7 @@
         all.forEach(group -> isolation.run("tick of " + group.name(), group::tick));
         isolation.run("tick of failovers", () -> tickFailovers(all));
         isolation.run("updating quota members", this::updateQuotaMembers);
+        isolation.run("logging connection counts", connectionCounts::tick);
         ready = ready || storeListed && routeTable.isLoaded() && hasConnections();
     }
 
--- a/carobstage/src/main/java/org/carobstage/upstream/ConnectionDispatcher.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ConnectionDispatcher.java
@@ -126,7 +126,12 @@
                         .flatMap(Optional::stream)
                         .findFirst();
         if (connection.isEmpty()) {
-            accepting.stream().findFirst().ifPresent(p -> p.openIfAllowed(Optional.empty()));
+            accepting.stream()
+                    .findFirst()
+                    .ifPresent(
+                            p ->
+                                    p.openIfAllowed(
+                                            Optional.empty(), OpeningCause.of(request.purpose())));
             if (accepting.stream().findFirst().filter(p -> p.canOpen(Optional.empty())).isEmpty()) {
                 exhausted.add(request);
             }
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
@@ -157,14 +157,14 @@
     /** Opens the connection that is kept open without demand, if any is. */
     void openWarmConnection() {
         if (connections.size() + openings.size() < share.minConnections(detector.needsProbe())) {
-            openIfAllowed(Optional.empty());
+            openIfAllowed(Optional.empty(), OpeningCause.WARM);
         }
     }
 
     /** Opens a connection if the limit and the delay after a failure allow it. */
-    void openIfAllowed(Optional<AccountName> account) {
+    void openIfAllowed(Optional<AccountName> account, OpeningCause cause) {
         if (canOpen(account)) {
-            openMakingRoom(account);
+            openMakingRoom(account, cause);
         }
     }
 
@@ -179,12 +179,12 @@
     }
 
     /** Opens a connection, for which an idle one of another account is closed at the limit. */
-    Opening openMakingRoom(Optional<AccountName> account) {
+    Opening openMakingRoom(Optional<AccountName> account, OpeningCause cause) {
         if (!hasRoom()) {
             statistics.onEvicted();
             connections.evictable(account).ifPresent(PoolEntry::discard);
         }
-        return open(account);
+        return open(account, cause);
     }
 
     /** Raises the limit if all connections are in use, no instance refuses and the quota allows. */
@@ -236,7 +236,7 @@
                                 .compareTo(FailureDetector.PROBE_AFTER_SILENCE)
                         > 0;
         if (silent && openings.isEmpty() && share.mayOpen(nowNanos)) {
-            open(Optional.empty());
+            open(Optional.empty(), OpeningCause.PROBE);
         }
     }
 
@@ -263,6 +263,9 @@
         }
         detector.recordResponse(entry);
         StatementResult result = response.get();
+        if (result.hasFailureCode(FailureCode.BUSY)) {
+            countBusy(statement.getClass().getSimpleName());
+        }
         if (result.hasFailureCode(FailureCode.NOT_PRIMARY)) {
             group.onNotPrimary(entry.id());
         } else if (result.isSuccessful() && requiresPrimary(statement)) {
@@ -326,6 +329,9 @@
         if (response.hasResponse()) {
             detector.recordResponse(entry);
         }
+        if (response.hasResponse() && response.status().isEmpty()) {
+            countBusy("ControlCommand");
+        }
         response.status().ifPresent(s -> group.onStatus(entry.id(), s, sentAt));
     }
 
@@ -371,6 +377,10 @@
         return idle;
     }
 
+    private void countBusy(String statement) {
+        context.metrics().accept("instance_busy_total{statement=\"" + statement + "\"}", 1);
+    }
+
     private boolean hasRoom() {
         return connections.size() + openings.size() < share.limit();
     }
@@ -380,7 +390,7 @@
             return false;
         }
         if (openings.isEmpty()) {
-            openIfAllowed(Optional.empty());
+            openIfAllowed(Optional.empty(), OpeningCause.CONTROL_COMMAND);
         }
         if (openings.isEmpty()) {
             return false;
@@ -399,9 +409,9 @@
                 || statement instanceof Statement.Begin begin && !begin.isReadOnly();
     }
 
-    private Opening open(Optional<AccountName> account) {
+    private Opening open(Optional<AccountName> account, OpeningCause cause) {
         statistics.onOpeningStarted();
-        return openings.start(new PoolEntry(this, account));
+        return openings.start(new PoolEntry(this, account), cause);
     }
 
     void onOpened(PoolEntry pooled, InstanceConnection connection, Opening opening) {
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnector.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnector.java
@@ -1,6 +1,7 @@
 package org.carobstage.upstream;
 
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.carobstage.discovery.InstanceEntry;
@@ -85,6 +86,10 @@
         /** Another service or instance responds at the address. */
         WRONG_INSTANCE,
         /** The instance refused the connection for another reason. */
-        REFUSED
+        REFUSED;
+
+        String label() {
+            return name().toLowerCase(Locale.ROOT);
+        }
     }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/Opening.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/Opening.java
@@ -8,16 +8,26 @@
 final class Opening {
     private final InstanceEntry target;
     private final Optional<AccountName> account;
+    private final OpeningCause cause;
     private final long startedNanos;
 
-    private Opening(InstanceEntry target, Optional<AccountName> account, long startedNanos) {
+    private Opening(
+            InstanceEntry target,
+            Optional<AccountName> account,
+            OpeningCause cause,
+            long startedNanos) {
         this.target = target;
         this.account = account;
+        this.cause = cause;
         this.startedNanos = startedNanos;
     }
 
-    static Opening of(InstanceEntry target, Optional<AccountName> account, long startedNanos) {
-        return new Opening(target, account, startedNanos);
+    static Opening of(
+            InstanceEntry target,
+            Optional<AccountName> account,
+            OpeningCause cause,
+            long startedNanos) {
+        return new Opening(target, account, cause, startedNanos);
     }
 
     InstanceEntry target() {
@@ -28,6 +38,10 @@
         return account;
     }
 
+    OpeningCause cause() {
+        return cause;
+    }
+
     long startedNanos() {
         return startedNanos;
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/OpeningPlanner.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/OpeningPlanner.java
@@ -83,7 +83,9 @@
     /** Opens a connection for a status query only if it can't expect one of any account soon. */
     private static void openForStatus(List<InstanceConnectionPool> pools) {
         if (pools.stream().noneMatch(InstanceConnectionPool::hasUnpinned)) {
-            pools.stream().findFirst().ifPresent(p -> p.openIfAllowed(Optional.empty()));
+            pools.stream()
+                    .findFirst()
+                    .ifPresent(p -> p.openIfAllowed(Optional.empty(), OpeningCause.STATUS_QUERY));
         }
     }
 
@@ -96,6 +98,6 @@
         return pools.stream()
                 .filter(p -> p.canOpen(account))
                 .findFirst()
-                .map(p -> p.openMakingRoom(account));
+                .map(p -> p.openMakingRoom(account, OpeningCause.of(request.purpose())));
     }
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/Openings.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/Openings.java
@@ -37,10 +37,11 @@
     }
 
     /** Starts to open a connection, whose outcome is reported to the pool. */
-    Opening start(PoolEntry connection) {
+    Opening start(PoolEntry connection, OpeningCause cause) {
         Opening opening =
-                Opening.of(pool.entry(), connection.account(), context.clock().nanoTime());
+                Opening.of(pool.entry(), connection.account(), cause, context.clock().nanoTime());
         inProgress.add(opening);
+        count(cause.counter("connection_openings_by_cause_total"), 1);
         if (!pool.runCallback(() -> connect(connection, opening))) {
             context.clock().schedule(() -> onConnectorFailed(opening), Duration.ZERO);
         }
@@ -56,6 +57,7 @@
                         InstanceConnector.Listener.of(
                                 opened -> {
                                     inProgress.remove(opening);
+                                    countOpeningTime(opening);
                                     pool.onOpened(connection, opened, opening);
                                 },
                                 reason -> onFailed(reason, opening),
@@ -65,6 +67,18 @@
                                 }));
     }
 
+    /** An opening takes a slot, so that its time shows how long statements wait for one. */
+    private void countOpeningTime(Opening opening) {
+        long nanos = context.clock().nanoTime() - opening.startedNanos();
+        count(
+                opening.cause().counter("connection_opening_millis_total"),
+                Duration.ofNanos(nanos).toMillis());
+    }
+
+    private void count(String name, long value) {
+        context.metrics().accept(name, value);
+    }
+
     /** Ends an opening whose connector has failed unexpectedly and may not report an outcome. */
     private void onConnectorFailed(Opening opening) {
         if (inProgress.contains(opening)) {
@@ -74,6 +88,7 @@
 
     private void onFailed(OpenFailure reason, Opening opening) {
         inProgress.remove(opening);
+        count("connection_openings_failed_total{reason=\"" + reason.label() + "\"}", 1);
         pool.onOpenFailed(reason, opening);
     }
 }
