--- a/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
@@ -139,7 +139,13 @@
             join();
         }
         if (!before.equals(members)) {
-            events.record(EventCode.MEMBERS_CHANGED, EventScope.empty(), "members=" + members);
+            events.record(
+                    EventCode.MEMBERS_CHANGED,
+                    EventScope.empty(),
+                    (members.contains(member) ? "joined=" : "left=")
+                            + member
+                            + " count="
+                            + members.size());
         }
     }
 
