Run a primary read on the connection on which the primary confirms

With more processes than connections, a read of a primary route opened a connection to the primary for the status query of its read index, then one to a local replica, which lagged by 50 ms and rejected it, and then one to the primary again (STATEMENT_RETRIED, REPLICA_BEHIND). Where promotions are fenced, the primary's own confirmation suffices as a read index, so the read now takes one connection to the primary, queries its status there and runs once the primary confirms that it leads. A former primary reports a replica's role or an older term; the read is then repeated.

--- a/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
@@ -17,6 +17,7 @@
 import org.carobstage.runtime.Clock;
 import org.carobstage.sql.Failure;
 import org.carobstage.sql.FailureCode;
+import org.carobstage.sql.InstanceStatus;
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.StatementResult;
 import org.carobstage.sql.TransactionState;
@@ -129,6 +130,9 @@
         Optional<LogPosition> position = isWrite ? Optional.empty() : requiredPosition();
         if (isWrite || position.isPresent()) {
             acquire(position);
+        } else if (mayConfirmOnConnection()) {
+            primaryOnly = true;
+            acquire(Optional.empty());
         } else {
             group.requestReadIndex(
                     receivedAt, deadlineNanos, false, this::onReadIndex, this::reject);
@@ -202,12 +206,38 @@
                         retry("connection lost in set-up", Duration.ZERO);
                     } else if (completed) {
                         connection.release();
+                    } else if (!isWrite && requiredPosition.isEmpty()) {
+                        confirmAndSend(connection);
                     } else {
                         send(connection, requiredPosition);
                     }
                 });
     }
 
+    private boolean mayConfirmOnConnection() {
+        return route.consistency() == Consistency.PRIMARY && group.confirmsPrimaryOnConnection();
+    }
+
+    /** Sends a read without a required position once the instance has confirmed that it leads. */
+    private void confirmAndSend(PooledConnection connection) {
+        InstanceId instance = connection.instance().id();
+        connection.queryStatus(
+                response -> {
+                    boolean leads =
+                            response.status().filter(InstanceStatus::isPrimary).isPresent()
+                                    && group.leadership().isLeader(instance);
+                    if (completed || !leads) {
+                        connection.release();
+                        retry(
+                                "instance=" + instance + " did not confirm that it leads",
+                                retryDelay());
+                    } else {
+                        positionSource = "confirmed=" + instance;
+                        send(connection, Optional.empty());
+                    }
+                });
+    }
+
     private void send(PooledConnection connection, Optional<LogPosition> requiredPosition) {
         if (isWrite && !group.tryAcquireWritePermission(connection.instance().id())) {
             connection.release();
--- a/carobstage/src/main/java/org/carobstage/upstream/ControlCommands.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ControlCommands.java
@@ -24,6 +24,19 @@
 
     /** Sends a command on a busy connection, which is released with the response. */
     void send(PoolEntry connection, Statement statement, Consumer<StatusResponse> callback) {
+        sendAndKeep(
+                connection,
+                statement,
+                response -> {
+                    pool.runCallback(() -> callback.accept(response));
+                    if (connection.isOpen()) {
+                        pool.release(connection);
+                    }
+                });
+    }
+
+    /** Sends a command on a busy connection, which its holder keeps. */
+    void sendAndKeep(PoolEntry connection, Statement statement, Consumer<StatusResponse> callback) {
         ClockReading sentAt = pool.now();
         connection.setSentAt(sentAt);
         connection
@@ -32,10 +45,7 @@
                         statement,
                         response -> {
                             pool.onStatusResponse(connection, response, sentAt);
-                            pool.runCallback(() -> callback.accept(response));
-                            if (connection.isOpen()) {
-                                pool.release(connection);
-                            }
+                            callback.accept(response);
                         });
     }
 
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
@@ -342,6 +342,11 @@
         controlCommands.send(connection, statement, callback);
     }
 
+    /** Queries the status of the instance on a busy connection, which its holder keeps. */
+    void queryStatus(PoolEntry connection, Consumer<StatusResponse> callback) {
+        controlCommands.sendAndKeep(connection, new Statement.QueryStatus(), callback);
+    }
+
     void onStatusResponse(PoolEntry connection, StatusResponse response, ClockReading sentAt) {
         connection.setSentAt(null);
         if (response.hasResponse()) {
--- a/carobstage/src/main/java/org/carobstage/upstream/PoolEntry.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PoolEntry.java
@@ -17,6 +17,7 @@
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.StatementResult;
 import org.carobstage.sql.TransactionState;
+import org.carobstage.upstream.InstanceConnection.StatusResponse;
 
 /** An open connection of a pool, with the state that earlier statements have left on it. */
 final class PoolEntry {
@@ -118,6 +119,11 @@
         }
     }
 
+    /** Queries the status of the instance; no other holder gets the connection meanwhile. */
+    void queryStatus(Consumer<StatusResponse> callback) {
+        pool.queryStatus(this, callback);
+    }
+
     /** Queries the status of the instance and then releases the connection. */
     void requestStatus(Runnable callback) {
         pool.sendControlCommand(this, new Statement.QueryStatus(), response -> callback.run());
--- a/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/PooledConnection.java
@@ -13,6 +13,7 @@
 import org.carobstage.model.LogPosition;
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.StatementResult;
+import org.carobstage.upstream.InstanceConnection.StatusResponse;
 
 /**
  * The use of a pooled connection by one holder. It ends with the first release, after which the
@@ -148,6 +149,19 @@
         runHolderCallback(() -> request.onGranted().accept(this));
     }
 
+    /**
+     * Queries the status of the instance on this connection, which the holder keeps.
+     *
+     * @param callback called once, with no response if the connection is lost or was released
+     */
+    public void queryStatus(Consumer<StatusResponse> callback) {
+        if (released) {
+            callback.accept(new StatusResponse(false, Optional.empty()));
+        } else {
+            entry.queryStatus(response -> runHolderCallback(() -> callback.accept(response)));
+        }
+    }
+
     /** Queries the status of the instance and then releases the connection. */
     void requestStatus(Runnable callback) {
         released = true;
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -257,6 +257,17 @@
         return context.fencingEnforced();
     }
 
+    /**
+     * Returns whether a read of a primary route runs on the connection on which the primary
+     * confirms that it leads. Where connections are opened on demand, a status query and the read
+     * that waits for it would open one each.
+     *
+     * @return false if such a read waits for a read index
+     */
+    public boolean confirmsPrimaryOnConnection() {
+        return pools.quota().belowOne() && context.fencingEnforced() && hasUsablePrimary();
+    }
+
     /**
      * Finds a position that covers all commits acknowledged before a time; calls share one query.
      *
