Take step-down commands and candidates out of the service group and the pool

StepDownCommands, PoolCandidates and the state of StandbyConnections hold what was theirs; no decision changes.

--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
@@ -35,12 +35,6 @@
      */
     private static final int STATEMENTS_PER_SLOT = 2;
 
-    /**
-     * The wait for a replica before a read goes to a primary that is reserved for statements that
-     * only it can run; longer than a round trip to another failure domain with an opening.
-     */
-    private static final Duration PRIMARY_RESERVATION = Duration.ofMillis(60);
-
     private final ServiceGroup group;
     private final UpstreamContext context;
     private final ConnectionSet connections = ConnectionSet.empty();
@@ -118,20 +112,19 @@
         return connections.size() == 0 && openings.isEmpty();
     }
 
-    InstanceSelector.Candidate toCandidate() {
-        return toCandidate(connections.busyCount(), Duration.ZERO);
+    /** Returns how long an opening that starts now is expected to take. */
+    Duration expectedOpeningTime() {
+        return statistics.expectedOpeningTime(openings(), now().monotonicNanos());
+    }
+
+    /** Returns whether the instance is in the failure domain of this process. */
+    boolean isLocal() {
+        return entry.domain().equals(context.domain());
     }
 
-    /** Returns the candidate for a request, with the cost of choosing this instance for it. */
-    InstanceSelector.Candidate toCandidate(ConnectionRequest request) {
-        Duration opening =
-                hasIdle(request)
-                        ? Duration.ZERO
-                        : statistics.expectedOpeningTime(openings(), now().monotonicNanos());
-        boolean leavesToWrites = !request.needsPrimary() && group.isReserved(entry.id());
-        return toCandidate(
-                connections.busyCount() + openings.size(),
-                leavesToWrites ? opening.plus(PRIMARY_RESERVATION) : opening);
+    /** Returns whether reads leave the instance to statements that only a primary runs. */
+    boolean isReserved() {
+        return share.quota().belowOne() && group.leadership().isLeader(entry.id());
     }
 
     /** Returns the moving average of the statement latency. */
@@ -377,18 +370,6 @@
         return ConnectionUsage.of(connections, share.limit());
     }
 
-    private InstanceSelector.Candidate toCandidate(int runningCount, Duration opening) {
-        return new InstanceSelector.Candidate(
-                entry.id(),
-                isLocal(),
-                isSuspected(),
-                entry.draining(),
-                runningCount,
-                entry.slots(),
-                statistics.latency().millis(),
-                opening.toNanos() / 1e6);
-    }
-
     private Stream<PoolEntry> idle(ConnectionRequest request) {
         return request.acceptsAnyAccount()
                 ? connections.idle()
@@ -422,10 +403,6 @@
         return true;
     }
 
-    private boolean isLocal() {
-        return entry.domain().equals(context.domain());
-    }
-
     private boolean isReplaced(InstanceEntry former) {
         return !former.address().equals(entry.address())
                 || former.bornMillis() != entry.bornMillis();
--- a/carobstage/src/main/java/org/carobstage/upstream/InstancePools.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstancePools.java
@@ -101,15 +101,15 @@
 
     /** Sorts pools by the expected latency of their instances. */
     Stream<InstanceConnectionPool> rankByLatency(Stream<InstanceConnectionPool> candidates) {
-        return InstanceSelector.rankByLatency(candidates.map(InstanceConnectionPool::toCandidate))
-                .stream()
+        return InstanceSelector.rankByLatency(candidates.map(PoolCandidates::of)).stream()
                 .map(c -> pools.get(c.id()));
     }
 
     /** Sorts pools by the expected latency of a request, with the opening that it needs. */
     Stream<InstanceConnectionPool> rankByLatency(
             Stream<InstanceConnectionPool> candidates, ConnectionRequest request) {
-        return InstanceSelector.rankByLatency(candidates.map(p -> p.toCandidate(request))).stream()
+        return InstanceSelector.rankByLatency(candidates.map(p -> PoolCandidates.of(p, request)))
+                .stream()
                 .map(c -> pools.get(c.id()));
     }
 
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceSelector.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceSelector.java
@@ -40,7 +40,7 @@
         double loadFactor =
                 1 + (double) c.runningCount() / Math.max(1, c.slotCount()) + queueFactor;
         return c.latencyMillis() * loadFactor
-                + c.openingMillis()
+                + c.costMillis()
                 + (c.isLocal() ? 0 : REMOTE_PENALTY_MILLIS);
     }
 
@@ -54,7 +54,9 @@
      * @param runningCount how many statements of this process it runs
      * @param slotCount how many statements it runs at once
      * @param latencyMillis its recent latency, in ms
-     * @param openingMillis how long a connection takes to open if none is idle, in ms
+     * @param costMillis the cost of choosing it: how long a connection takes to open if none is
+     *     idle, and the wait before a read goes to a primary that is left to other statements, in
+     *     ms
      */
     record Candidate(
             InstanceId id,
@@ -64,5 +66,5 @@
             int runningCount,
             int slotCount,
             double latencyMillis,
-            double openingMillis) {}
+            double costMillis) {}
 }
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -22,17 +21,14 @@
 
 /** The instances of one service: their pools, the leader and the queue for connections. */
 public final class ServiceGroup {
-    /** The interval at which a former primary that still reports to lead is told to step down. */
-    private static final Duration STEP_DOWN_INTERVAL = Duration.ofMillis(500);
-
     private final ServiceName name;
     private final UpstreamContext context;
     private final InstancePools pools = InstancePools.empty();
     private final LeaderTracker leader;
     private final ConnectionDispatcher connections;
-    private boolean standbyChanged;
+    private final StandbyConnections standby;
     private long lastRequestNanos;
-    private long stepDownNotBeforeNanos;
+    private final StepDownCommands stepDown;
     private Optional<InstanceId> fencedInstance = Optional.empty();
     private final ReadIndexService readIndex;
     private final StatusSchedule schedule;
@@ -41,8 +37,9 @@
         this.name = name;
         this.context = context;
         this.lastRequestNanos = context.clock().nanoTime();
-        this.stepDownNotBeforeNanos = lastRequestNanos;
+        this.stepDown = StepDownCommands.of(this, context);
         this.leader = new LeaderTracker(name, context, this::onLeadershipChanged);
+        this.standby = StandbyConnections.of(pools, context.domain());
         this.schedule = new StatusSchedule(leader, pools);
         this.connections =
                 new ConnectionDispatcher(
@@ -179,7 +176,7 @@
      * @param entry the entry
      */
     public void put(InstanceEntry entry) {
-        standbyChanged = true;
+        standby.onChange();
         Optional<InstanceConnectionPool> known = pools.find(entry.id());
         if (known.isEmpty()) {
             leader.add(entry.id());
@@ -204,7 +201,7 @@
      * @param id the instance
      */
     public void remove(InstanceId id) {
-        standbyChanged = true;
+        standby.onChange();
         pools.remove(id);
         leader.remove(id);
     }
@@ -229,7 +226,9 @@
                 || quota.accountsInUse() != pools.quota().accountsInUse()) {
             record(EventCode.CONNECTION_SHARING_CHANGED, quota.toString());
         }
-        standbyChanged |= !quota.equals(pools.quota());
+        if (!quota.equals(pools.quota())) {
+            standby.onChange();
+        }
         pools.setQuota(quota);
     }
 
@@ -319,10 +318,7 @@
     /** Opens connections, queries statuses and probes silent instances; called by a timer. */
     public void tick() {
         long nowNanos = context.clock().nanoTime();
-        if (standbyChanged) {
-            standbyChanged = false;
-            keepStandbyConnections();
-        }
+        standby.update(leadership().leader());
         for (InstanceConnectionPool pool : pools.all()) {
             pool.tick(nowNanos);
             if (schedule.isStatusDue(pool, nowNanos)) {
@@ -447,16 +443,11 @@
     void onStatus(InstanceId id, InstanceStatus status, ClockReading requestedAt) {
         leader.onStatus(id, status, requestedAt);
         if (leader.isReplacedPrimary(id)) {
-            stepDown(id);
+            stepDown.request(id);
         }
         readIndex.completeReads();
     }
 
-    /** Returns whether an instance is the primary and serves reads only if replicas are slow. */
-    boolean isReserved(InstanceId id) {
-        return pools.quota().belowOne() && leadership().isLeader(id);
-    }
-
     boolean hasNoLeader() {
         return leadership().leader().isEmpty();
     }
@@ -486,35 +477,11 @@
                 "instance=" + entry.id() + " reason=" + reason + " connections=" + open);
     }
 
-    /** Tells a primary that was replaced while it was unreachable that its term has ended. */
-    private void stepDown(InstanceId id) {
-        long nowNanos = context.clock().nanoTime();
-        if (nowNanos - stepDownNotBeforeNanos >= 0) {
-            stepDownNotBeforeNanos = nowNanos + STEP_DOWN_INTERVAL.toNanos();
-            // The only connection may still be in use for the report; it is released afterwards.
-            context.clock().schedule(() -> sendStepDown(id), Duration.ZERO);
-        }
-    }
-
-    private void sendStepDown(InstanceId id) {
-        Statement.StepDown command = new Statement.StepDown(leadership().term());
-        if (trySendControlCommand(id, command, response -> {})) {
-            record(EventCode.STEP_DOWN_REQUESTED, "instance=" + id + " term=" + command.term());
-        }
-    }
-
     private void onLeadershipChanged() {
-        standbyChanged = true;
+        standby.onChange();
         dispatch();
     }
 
-    private void keepStandbyConnections() {
-        Set<InstanceId> kept =
-                StandbyConnections.select(
-                        pools.entries(), context.domain(), leadership().leader(), pools.quota());
-        pools.all().forEach(pool -> pool.setKeepsOpen(kept.contains(pool.entry().id())));
-    }
-
     private Optional<InstanceConnectionPool> primaryPool() {
         return leadership()
                 .leader()
--- a/carobstage/src/main/java/org/carobstage/upstream/StandbyConnections.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/StandbyConnections.java
@@ -16,7 +16,32 @@
  * than connections, so that its reads open none.
  */
 final class StandbyConnections {
-    private StandbyConnections() {}
+    private final InstancePools pools;
+    private final FailureDomain domain;
+    private boolean changed = true;
+
+    private StandbyConnections(InstancePools pools, FailureDomain domain) {
+        this.pools = requireNonNull(pools, "pools is null");
+        this.domain = requireNonNull(domain, "domain is null");
+    }
+
+    static StandbyConnections of(InstancePools pools, FailureDomain domain) {
+        return new StandbyConnections(pools, domain);
+    }
+
+    /** Records that the instances, the primary or the quota have changed. */
+    void onChange() {
+        changed = true;
+    }
+
+    /** Selects the instances again if something has changed. */
+    void update(Optional<InstanceId> primary) {
+        if (changed) {
+            changed = false;
+            Set<InstanceId> kept = select(pools.entries(), domain, primary, pools.quota());
+            pools.all().forEach(pool -> pool.setKeepsOpen(kept.contains(pool.entry().id())));
+        }
+    }
 
     /**
      * Selects the instances in the failure domain of the process and, if none of them is a replica,
