Bound the standby connections of local and other processes separately

The processes next to a primary keep a connection to a replica of another domain besides those of its own domain, so that the sum could exceed the connections of the replica (53 of its own and 26 of the other domain for 71) and some of them would have been refused again and again. Processes of the own domain now keep up to 65 %, others up to 25 %. The new test of StandbyConnectionsTest failed before.

--- a/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClusterMembership.java
@@ -47,9 +47,9 @@
 
     /**
      * The fraction of an instance's connections that the processes of its failure domain may keep
-     * open; the others are for statements of other domains and for transactions.
+     * open; the others are for processes without a local replica, transactions and writes.
      */
-    private static final double STANDBY_FRACTION = 0.75;
+    private static final double STANDBY_FRACTION = 0.65;
 
     private final VmId vm;
     private final FailureDomain domain;
--- a/carobstage/src/main/java/org/carobstage/upstream/StandbyConnections.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/StandbyConnections.java
@@ -16,6 +16,12 @@
  * than connections, so that its reads open none.
  */
 final class StandbyConnections {
+    /**
+     * The fraction of a replica's connections that processes of other failure domains may keep
+     * open.
+     */
+    private static final double REMOTE_FRACTION = 0.25;
+
     private final InstancePools pools;
     private final FailureDomain domain;
     private boolean changed = true;
@@ -45,7 +51,7 @@
 
     /**
      * Selects the instances in the failure domain of the process and, if none of them is a replica,
-     * a replica of another domain, by the rank of the process.
+     * a replica of another domain, by the rank of the process; the last ones have none.
      *
      * @param instances the instances of the service
      * @param domain the failure domain of the process
@@ -73,11 +79,12 @@
                         .map(InstanceEntry::id)
                         .filter(id -> !primary.equals(Optional.of(id)))
                         .toList();
-        boolean needsReplica = !replicas.isEmpty() && local.stream().noneMatch(replicas::contains);
+        int rank = quota.standbyRank().getAsInt();
+        boolean needsReplica =
+                local.stream().noneMatch(replicas::contains)
+                        && rank < (int) (quota.ceiling() * REMOTE_FRACTION) * replicas.size();
         Stream<InstanceId> remote =
-                needsReplica
-                        ? Stream.of(replicas.get(quota.standbyRank().getAsInt() % replicas.size()))
-                        : Stream.empty();
+                needsReplica ? Stream.of(replicas.get(rank % replicas.size())) : Stream.empty();
         return Stream.concat(local.stream(), remote).collect(Collectors.toUnmodifiableSet());
     }
 }
--- a/carobstage/src/test/java/org/carobstage/upstream/StandbyConnectionsTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/StandbyConnectionsTest.java
@@ -45,6 +45,17 @@
         assertThat(select(instances(true), A, 0)).containsExactly(C);
     }
 
+    // Guards against connections kept by local and other processes that are more than the limit.
+    @Test
+    void shouldKeepRemoteConnectionsWithinTheirPartOfTheLimit() {
+        List<InstanceEntry> all = instances(false);
+
+        assertThat(IntStream.range(0, 46).filter(rank -> select(all, B, rank).contains(A)))
+                .hasSize(17);
+        assertThat(IntStream.range(0, 46).filter(rank -> select(all, B, rank).contains(C)))
+                .hasSize(17);
+    }
+
     @Test
     void shouldKeepNoConnectionWithoutRank() {
         assertThat(StandbyConnections.select(instances(false), DOMAIN, Optional.of(A), ON_DEMAND))
