Write a client's id and database as one word of a log line

A message may hold line feeds now that only CR LF ends it. LineFormatter puts a blank in the place of each, so that an id with a line feed looked like further fields of the proxy (request=r1 database=other). Ids were logged in whole, up to 1 MiB each at 200 lines per second.

RequestEventLog escapes what is no printable character, and the backslash, as \uXXXX and cuts texts of over 200 characters.

--- a/carobstage/src/main/java/org/carobstage/front/RequestEventLog.java
+++ b/carobstage/src/main/java/org/carobstage/front/RequestEventLog.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.regex.Pattern;
 import org.carobstage.event.EventCode;
 import org.carobstage.event.EventLog;
 import org.carobstage.event.EventScope;
@@ -12,8 +13,13 @@
     /** At about 200 bytes per line this limits the log to 40 kB/s. */
     private static final int MAX_LINES_PER_SECOND = 200;
 
+    /** Longer than the ids that clients generate; a message may hold one of 1 MiB. */
+    private static final int MAX_VALUE_LENGTH = 200;
+
     private static final long WINDOW_NANOS = 1_000_000_000L;
 
+    private static final Pattern ESCAPED = Pattern.compile("[^!-\\[\\]-~\\u00a1-\\u00ff]");
+
     private final EventLog events;
     private final Clock clock;
     private long windowStartNanos;
@@ -47,7 +53,17 @@
         lineCount++;
         events.record(
                 code,
-                EventScope.empty().withRequest(requestId),
-                "database=" + database + " " + detail);
+                EventScope.empty().withRequest(escape(requestId)),
+                "database=" + escape(database) + " " + detail);
+    }
+
+    /** Returns a client's text as one word, which ends where the text does, of a bounded length. */
+    private static String escape(String text) {
+        String bounded =
+                text.length() <= MAX_VALUE_LENGTH
+                        ? text
+                        : text.substring(0, MAX_VALUE_LENGTH) + "...";
+        return ESCAPED.matcher(bounded)
+                .replaceAll(match -> String.format("\\\\u%04x", (int) match.group().charAt(0)));
     }
 }
