Close HTTP connections after a request whose body end may be read in two ways

The HTTP interface took a request with transfer-encoding and content-length, or with an encoding after chunked, by its chunks and handled what followed on the connection. Another reader in front of it that goes by the length sees another end.

ServerRequestFilter refuses another encoding than chunked with MALFORMED_REQUEST. ServiceTalk drops a content-length beside chunks before a filter sees it, so that the two can't be told apart from chunks alone: a connection is closed after any chunked request, as RFC 9112, 6.3 asks where there are both. Callers that send chunks reconnect.

ServiceTalk itself refuses differing lengths, signs, blanks before the colon, bare line feeds and bad chunks. Ruled out: refusing the two headers in the filter, which two of the cases still passed through.

--- a/carobstage/src/main/java/org/carobstage/http/ServerRequestFilter.java
+++ b/carobstage/src/main/java/org/carobstage/http/ServerRequestFilter.java
@@ -5,6 +5,7 @@
 import static java.util.Objects.requireNonNull;
 
 import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.api.CharSequences;
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
@@ -103,7 +104,7 @@
             return Single.defer(() -> handleWithLimits(context, request, responseFactory))
                     .onErrorResume(
                             e -> Single.succeeded(problemResponse(context, responseFactory, e)))
-                    .map(response -> withConnectionHeader(response))
+                    .map(response -> withConnectionHeader(request, response))
                     .beforeOnError(e -> requestEnded(context))
                     .beforeCancel(() -> requestEnded(context))
                     .map(
@@ -130,8 +131,14 @@
         connectionTracker.requestEnded(context);
     }
 
-    private StreamingHttpResponse withConnectionHeader(StreamingHttpResponse response) {
-        return draining ? response.setHeader("connection", "close") : response;
+    /**
+     * Asks for a new connection after a chunked body as well: the decoder drops a content-length
+     * beside it, by which another reader may see the end of the body elsewhere (RFC 9112, 6.3).
+     */
+    private StreamingHttpResponse withConnectionHeader(
+            HttpMetaData request, StreamingHttpResponse response) {
+        boolean isChunked = request.headers().contains("transfer-encoding");
+        return draining || isChunked ? response.setHeader("connection", "close") : response;
     }
 
     private void checkHeaders(StreamingHttpRequest request) {
@@ -147,11 +154,22 @@
                             + " bytes");
         }
         CharSequence length = request.headers().get("content-length");
+        checkTransferEncoding(request);
         if (length != null && exceedsBodyLimit(length.toString())) {
             throw bodyTooLarge();
         }
     }
 
+    /** Another reader may take the end of the body from an encoding that is not read here. */
+    private static void checkTransferEncoding(HttpMetaData request) {
+        CharSequence encoding = request.headers().get("transfer-encoding");
+        if (encoding != null && !CharSequences.contentEqualsIgnoreCase(encoding, "chunked")) {
+            throw CodedException.of(
+                    ErrorCode.MALFORMED_REQUEST,
+                    "the body has another transfer-encoding than chunked");
+        }
+    }
+
     private boolean exceedsBodyLimit(String contentLength) {
         try {
             return Long.parseLong(contentLength) > limits.maxBodyBytes();
--- a/carobstage/src/test/java/org/carobstage/http/JsonServerTest.java
+++ b/carobstage/src/test/java/org/carobstage/http/JsonServerTest.java
@@ -15,11 +15,15 @@
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import org.carobstage.model.Address;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @Timeout(20)
 class JsonServerTest {
@@ -28,11 +32,12 @@
     private static final ServerLimits LIMITS =
             new ServerLimits(MAX_BODY_BYTES, MAX_HEADER_BYTES, Duration.ofMillis(400));
 
+    private final Queue<String> handledPaths = new ConcurrentLinkedQueue<>();
     private final JsonServer server =
             JsonServer.of(
                     Address.of("127.0.0.1", 0),
                     ServerOptions.defaults().withLimits(LIMITS),
-                    JsonServerTest::handle);
+                    this::handle);
 
     @AfterEach
     void stop() {
@@ -81,6 +86,47 @@
         }
     }
 
+    /** Requests whose end two readers may see at different places. */
+    @Nested
+    class Framing {
+        private static final String SMUGGLED = "POST /smuggled HTTP/1.1\r\nhost: x\r\n\r\n";
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "content-length: 0\r\ncontent-length: 44\r\n\r\n",
+                    "content-length: 44\r\ncontent-length: 0\r\n\r\n",
+                    "content-length: 0, 44\r\n\r\n",
+                    "content-length: +0\r\n\r\n",
+                    "content-length: 0x0\r\n\r\n",
+                    "content-length: -1\r\n\r\n",
+                    "content-length: 0\n\n",
+                    "content-length: 0\r\n\n",
+                    "a: b\ncontent-length: 0\r\n\r\n",
+                    "content-length : 0\r\n\r\n",
+                    "transfer-encoding: chunked\r\ncontent-length: 44\r\n\r\n0\r\n\r\n",
+                    "content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+                    "transfer-encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+                    "transfer-encoding: xchunked\r\n\r\n0\r\n\r\n",
+                    "transfer-encoding: chunked\r\n\r\n0\n\n",
+                    "transfer-encoding: chunked\r\n\r\n0;a\nb\r\n\r\n",
+                    "transfer-encoding: chunked\r\n\r\nzz\r\n\r\n",
+                    "transfer-encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n"
+                })
+        void shouldHandleNothingAfterRequestOfUnclearEnd(String rest) throws IOException {
+            exchange("POST /first HTTP/1.1\r\nhost: x\r\n" + rest + SMUGGLED);
+
+            assertThat(handledPaths).doesNotContain("/smuggled");
+        }
+
+        @Test
+        void shouldHandleBothRequestsWhenTheirEndsAreClear() throws IOException {
+            exchange("POST /first HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n" + SMUGGLED);
+
+            assertThat(handledPaths).containsExactly("/first", "/smuggled");
+        }
+    }
+
     @Nested
     class SlowConnections {
         @Test
@@ -112,8 +158,9 @@
         }
     }
 
-    private static Single<HttpResponse> handle(
+    private Single<HttpResponse> handle(
             HttpServiceContext context, HttpRequest request, HttpResponseFactory responseFactory) {
+        handledPaths.add(request.path());
         if (request.path().equals("/throw")) {
             throw new IllegalStateException("a secret detail");
         }
