--- a/carobstage/src/main/java/org/carobstage/http/ServerRequestFilter.java
+++ b/carobstage/src/main/java/org/carobstage/http/ServerRequestFilter.java
@@ -132,12 +132,14 @@
     }
 
     /**
-     * Asks for a new connection after a chunked body as well: the decoder drops a content-length
-     * beside it, by which another reader may see the end of the body elsewhere (RFC 9112, 6.3).
+     * Asks for a new connection while draining, and after a chunked body of HTTP/1: the decoder
+     * drops a content-length beside it, by which another reader may see another end (RFC 9112,
+     * 6.3).
      */
     private StreamingHttpResponse withConnectionHeader(
             HttpMetaData request, StreamingHttpResponse response) {
-        boolean isChunked = request.headers().contains("transfer-encoding");
+        boolean isChunked =
+                request.version().major() == 1 && request.headers().contains("transfer-encoding");
         return draining || isChunked ? response.setHeader("connection", "close") : response;
     }
 
@@ -153,8 +155,8 @@
                             + limits.maxHeaderBytes()
                             + " bytes");
         }
-        CharSequence length = request.headers().get("content-length");
         checkTransferEncoding(request);
+        CharSequence length = request.headers().get("content-length");
         if (length != null && exceedsBodyLimit(length.toString())) {
             throw bodyTooLarge();
         }
