--- a/carobstage-testbed/src/test/java/org/carobstage/cli/CommandTreeTest.java
+++ b/carobstage-testbed/src/test/java/org/carobstage/cli/CommandTreeTest.java
@@ -60,6 +60,14 @@
             assertThat(out.toString()).contains("timeline", "history", "--replace");
         }
 
+        // An operator can't tell two builds apart.
+        @Test
+        void shouldPrintBuildWhenVersionIsRequested() {
+            assertThat(run("--version")).isEqualTo(ExitCode.OK);
+
+            assertThat(out.toString()).contains("version=", "digest=", "commit=", "jdk=17");
+        }
+
         @Test
         void shouldReturnUsageWhenCommandOrFileIsMissingOrUnknown() {
             assertThat(run()).isEqualTo(ExitCode.USAGE);
--- a/carobstage/src/main/java/org/carobstage/cli/CommandTree.java
+++ b/carobstage/src/main/java/org/carobstage/cli/CommandTree.java
@@ -13,8 +13,11 @@
 
     private final JCommander root = JCommander.newBuilder().programName("carobstage").build();
 
+    private final VersionOption versionOption = new VersionOption();
+
     private CommandTree() {
         root.addObject(new HelpOption());
+        root.addObject(versionOption);
         add(root, FRONT, new FrontCommand());
     }
 
@@ -68,6 +71,9 @@
             console.err().println(e.getMessage());
             return ExitCode.USAGE;
         }
+        if (versionOption.isRequested()) {
+            return run(new VersionCommand(), console);
+        }
         JCommander commander = root;
         while (commander.getParsedCommand() != null && !isHelpRequested(commander)) {
             commander = commander.getCommands().get(commander.getParsedCommand());
--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -4,6 +4,8 @@
 
 /** The kinds of events with their numbers and levels; docs/EVENTS.md lists them. */
 public enum EventCode {
+    /** The process starts; the detail names its build. */
+    PROCESS_STARTING(1009, Level.INFO),
     /** The process has started. */
     PROCESS_STARTED(1001, Level.INFO),
     /** The process has begun a graceful shutdown. */
--- a/carobstage/src/main/java/org/carobstage/front/PrometheusExporter.java
+++ b/carobstage/src/main/java/org/carobstage/front/PrometheusExporter.java
@@ -12,6 +12,7 @@
 import java.util.regex.Pattern;
 import org.carobstage.model.ServiceName;
 import org.carobstage.quota.QuotaService;
+import org.carobstage.runtime.BuildInfoMetric;
 import org.carobstage.upstream.PoolCounters;
 import org.carobstage.upstream.ServiceGroup;
 
@@ -30,6 +31,7 @@
             Map<ServiceName, ServiceGroup> groups,
             Optional<QuotaService> quota) {
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        BuildInfoMetric.register(registry);
         metrics.counters().forEach((name, value) -> add(registry, name, value));
         metrics.latencyHistograms()
                 .forEach(
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -25,6 +25,7 @@
 import org.carobstage.quota.QuotaService;
 import org.carobstage.quota.QuotaSettings;
 import org.carobstage.route.RouteTable;
+import org.carobstage.runtime.BuildInfo;
 import org.carobstage.runtime.Clock;
 import org.carobstage.runtime.FailureIsolation;
 import org.carobstage.store.StoreEntry;
@@ -197,6 +198,8 @@
     }
 
     private void start() {
+        events.record(
+                EventCode.PROCESS_STARTING, EventScope.empty(), BuildInfo.current().describe());
         lastTickNanos = clock.nanoTime();
         lastTickMillis = clock.instant().toEpochMilli();
         adapter.listenForClients(sessions::open).whenComplete(this::onListening);
--- a/carobstage/src/main/java/org/carobstage/node/Node.java
+++ b/carobstage/src/main/java/org/carobstage/node/Node.java
@@ -23,6 +23,8 @@
 import org.carobstage.promotion.PromotionAnnouncer;
 import org.carobstage.promotion.PromotionContext;
 import org.carobstage.promotion.ProposerRanking;
+import org.carobstage.runtime.BuildInfo;
+import org.carobstage.runtime.BuildInfoMetric;
 import org.carobstage.runtime.Clock;
 import org.carobstage.runtime.Closer;
 import org.carobstage.runtime.SerialExecutor;
@@ -139,6 +141,9 @@
     }
 
     private void start() {
+        events.record(
+                EventCode.PROCESS_STARTING, EventScope.empty(), BuildInfo.current().describe());
+        BuildInfoMetric.register(meterRegistry);
         SerialExecutor configurationExecutor =
                 closer.add(SerialExecutor.of("configuration", CONFIGURATION_QUEUE_CAPACITY));
         ConfigurationWatch watch =
--- a/carobstage/src/main/java/org/carobstage/node/StatusMessageFactory.java
+++ b/carobstage/src/main/java/org/carobstage/node/StatusMessageFactory.java
@@ -9,6 +9,7 @@
 import org.carobstage.operator.StatusMessage;
 import org.carobstage.operator.StatusMessage.GroupStatus;
 import org.carobstage.operator.StatusMessage.InstanceStatus;
+import org.carobstage.runtime.BuildInfo;
 import org.carobstage.settings.Settings;
 
 /** Creates the status message of a process. */
@@ -21,7 +22,7 @@
         return new StatusMessage(
                 settings.vm().id().value(),
                 settings.vm().domain().value(),
-                Version.current(),
+                BuildInfo.current().toString(),
                 isReady,
                 proxy.groups().stream().map(StatusMessageFactory::toGroupStatus).toList(),
                 List.of());
