Keep counting a replica that has left after draining until another one holds its log

Callers lost writes that were answered with success: a draining replica confirms commits until it ends. The replica set forgot a drained member as soon as its entry was gone, so that the choice compared one replica of one.

A drained member now counts as absent, as any other without an entry: until an instance is registered at its address, which takes over its log, for 30 s at most, or until a replica has received all that the primary reported after the member had left. If the votes name a newer commit than the remaining replica holds, the failover waits: the primary returns with its log or the successor of the drained one registers. Callers are refused writes meanwhile, at most for those 30 s, where they would have lost acknowledged ones.

--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -186,6 +186,7 @@
     private void tick(ServiceGroup group, Set<VmId> members, Optional<LeaseId> lease) {
         State state = state(group.name());
         state.replicas.observe(group.instances(), storeReachable);
+        state.drainedReplicas.query(group, ranks.isFirst(group.name()));
         state.replicas.update(lease.isPresent() && ranks.isFirst(group.name()));
         Optional<InstanceId> primary = findPrimary(group).or(() -> expiredPrimary(group, state));
         state.lastPrimary = primary.or(() -> state.lastPrimary);
@@ -430,6 +431,7 @@
         private final PausedReplicaMonitor pausedReplicas;
         private final ReplacementVote vote;
         private final ReplicaSet replicas;
+        private final DrainedReplicaMonitor drainedReplicas;
         private final PromotionRecord promotion;
         private Optional<ServiceGroup> group = Optional.empty();
 
@@ -446,6 +448,7 @@
                             context, service, fenced -> group.ifPresent(g -> g.fence(fenced)));
             this.pausedReplicas = new PausedReplicaMonitor(context);
             this.replicas = new ReplicaSet(context, service);
+            this.drainedReplicas = new DrainedReplicaMonitor(context, replicas);
             this.promotion = new PromotionRecord(context, service);
             this.nextFailoverNanos = context.clock().nanoTime();
         }
--- a/carobstage/src/main/java/org/carobstage/failover/ReplicaSet.java
+++ b/carobstage/src/main/java/org/carobstage/failover/ReplicaSet.java
@@ -13,6 +13,7 @@
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.event.EventCode;
 import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
 import org.carobstage.model.ServiceName;
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreEntry;
@@ -60,6 +61,22 @@
         return members.keySet().stream().filter(id -> !registered.contains(id)).toList();
     }
 
+    /** Returns the absent members that were draining when they left. */
+    List<InstanceId> drained() {
+        return absent().stream().filter(this::isDrained).toList();
+    }
+
+    /**
+     * Removes an absent member that was draining when it left.
+     *
+     * @param position what another replica has received, which covers what the member confirmed
+     */
+    void removeDrained(InstanceId id, LogPosition position) {
+        if (drained().contains(id)) {
+            remove(id, "it was draining, and another replica has received " + position);
+        }
+    }
+
     /**
      * Adds the registered instances, and removes the members that no longer hold commits that the
      * others lack.
@@ -117,9 +134,7 @@
         long absentSince =
                 member.absentSinceNanos().filter(since -> storeReachable).orElse(nowNanos());
         Duration absence = Duration.ofNanos(nowNanos() - absentSince);
-        if (member.entry().filter(InstanceEntry::draining).isPresent()) {
-            remove(id, "it was draining");
-        } else if (member.entry().filter(e -> isAddressTaken(e, entries)).isPresent()) {
+        if (member.entry().filter(e -> isAddressTaken(e, entries)).isPresent()) {
             remove(id, "another instance is registered at its address");
         } else if (absence.compareTo(ABSENCE_TIMEOUT) >= 0) {
             remove(id, "absent_ms=" + absence.toMillis());
@@ -131,6 +146,10 @@
         }
     }
 
+    private boolean isDrained(InstanceId id) {
+        return members.get(id).entry().filter(InstanceEntry::draining).isPresent();
+    }
+
     private static boolean isAddressTaken(InstanceEntry member, Collection<InstanceEntry> entries) {
         return entries.stream().anyMatch(e -> e.address().equals(member.address()));
     }
