Limit what peers without a session hold, in bytes, time and number

A message could have 1 MiB from the first byte on, and nothing limited the time or the number of those that had not started.

All three are settings. Refusals are counted and logged.

PendingStartupsTest, UnstartedPeersTest; two mechanisms seen to fail without them.

Ruled out: Netty's ReadTimeoutHandler, whose time goes on while a process is suspended. Budgets of sessions and of the HTTP ports are not part of this.

--- a/carobstage/src/main/java/org/carobstage/front/ClientSessions.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientSessions.java
@@ -8,10 +8,12 @@
 import java.util.Optional;
 import java.util.Set;
 import org.carobstage.account.ApiKey;
+import org.carobstage.event.EventCode;
 import org.carobstage.route.RouteTable;
+import org.carobstage.sql.FailureCode;
 
 /** The client sessions of a process. */
-final class ClientSessions {
+final class ClientSessions implements SessionFactory {
     private final SessionContext context;
     private final Set<ClientSession> sessions = new LinkedHashSet<>();
     private boolean ending;
@@ -32,7 +34,8 @@
         return sessions.isEmpty();
     }
 
-    ClientSession open(String database, ApiKey key, ClientChannel channel) {
+    @Override
+    public ClientSession open(String database, ApiKey key, ClientChannel channel) {
         ClientSession[] self = new ClientSession[1];
         self[0] =
                 new ClientSession(context, channel, database, key, () -> sessions.remove(self[0]));
@@ -45,6 +48,13 @@
         return self[0];
     }
 
+    @Override
+    public void recordRefusedStartup(FailureCode code) {
+        context.metrics().increment("startups_refused_total{code=\"" + code + "\"}");
+        context.requestLog()
+                .record(EventCode.SESSION_ENDED, "", "", "code=" + code + " before STARTUP");
+    }
+
     /** Ends the sessions that a route table no longer allows; returns the text to log, if any. */
     Optional<String> revoke(RouteTable table) {
         return SessionRevocation.apply(sessions, table);
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -202,7 +202,7 @@
                 EventCode.PROCESS_STARTING, EventScope.empty(), BuildInfo.current().describe());
         lastTickNanos = clock.nanoTime();
         lastTickMillis = clock.instant().toEpochMilli();
-        adapter.listenForClients(sessions::open).whenComplete(this::onListening);
+        adapter.listenForClients(sessions).whenComplete(this::onListening);
         adapter.listenForProbes(
                 () -> ready && !stopping, () -> PrometheusExporter.export(metrics, groups, quota));
         storeWatcher.start();
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServerSettings.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServerSettings.java
@@ -37,6 +37,7 @@
  * @param shutdownTimeout the maximum duration of a graceful shutdown
  * @param quota how account limits are enforced, or empty if they are not
  * @param admissionOrder the order in which requests for a connection are granted
+ * @param startupLimits the limits of client connections without a session
  */
 public record ProxyServerSettings(
         VmId vm,
@@ -49,7 +50,8 @@
         boolean fencingEnforced,
         Duration shutdownTimeout,
         Optional<QuotaSettings> quota,
-        AdmissionOrder admissionOrder) {
+        AdmissionOrder admissionOrder,
+        StartupLimits startupLimits) {
     private static final Duration MAX_SHUTDOWN_TIMEOUT = Duration.ofMinutes(10);
     private static final Duration MIN_QUOTA_WINDOW = Duration.ofSeconds(1);
     private static final Duration MAX_QUOTA_WINDOW = Duration.ofHours(1);
@@ -71,10 +73,12 @@
         requireNonNull(shutdownTimeout, "shutdownTimeout is null");
         requireNonNull(quota, "quota is null");
         requireNonNull(admissionOrder, "admissionOrder is null");
+        requireNonNull(startupLimits, "startupLimits is null");
     }
 
     /**
-     * Creates settings that enforce no account limits, with the default order of admission.
+     * Creates settings that enforce no account limits, with the default order of admission and
+     * limits of connections.
      *
      * @param vm the VM that the process runs on
      * @param failureDomain the failure domain of the VM
@@ -107,7 +111,8 @@
                 fencingEnforced,
                 shutdownTimeout,
                 Optional.empty(),
-                AdmissionOrder.DEADLINE);
+                AdmissionOrder.DEADLINE,
+                StartupLimits.DEFAULT);
     }
 
     /**
@@ -143,6 +148,7 @@
         Address clientAddress = front.required("listen", Address::parse);
         Address readinessAddress = front.required("readiness-listen", Address::parse);
         Address metricsAddress = front.required("metrics-listen", Address::parse);
+        StartupLimits startupLimits = StartupLimits.read(front);
         Section platform = ini.section("platform");
         Address storeAddress = platform.required("store", Address::parse);
         Address promotionAddress = platform.required("orders", Address::parse);
@@ -171,7 +177,8 @@
                                 fencingEnforced,
                                 shutdownTimeout,
                                 quota,
-                                admissionOrder);
+                                admissionOrder,
+                                startupLimits);
         return ini.build(settings);
     }
 
--- a/carobstage/src/main/java/org/carobstage/front/SessionFactory.java
+++ b/carobstage/src/main/java/org/carobstage/front/SessionFactory.java
@@ -1,6 +1,7 @@
 package org.carobstage.front;
 
 import org.carobstage.account.ApiKey;
+import org.carobstage.sql.FailureCode;
 
 /** Opens the sessions of connected clients. */
 @FunctionalInterface
@@ -14,4 +15,11 @@
      * @return the session
      */
     ClientSession open(String database, ApiKey key, ClientChannel channel);
+
+    /**
+     * Records that a client was refused before it sent STARTUP.
+     *
+     * @param code why it was refused
+     */
+    default void recordRefusedStartup(FailureCode code) {}
 }
--- a/carobstage/src/test/java/org/carobstage/front/OddStoreEntryTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/OddStoreEntryTest.java
@@ -116,7 +116,8 @@
                         Optional.of(
                                 new QuotaSettings(
                                         QuotaPolicy.standard(), Optional.of(ANY_ADDRESS))),
-                        AdmissionOrder.DEADLINE),
+                        AdmissionOrder.DEADLINE,
+                        StartupLimits.DEFAULT),
                 adapter);
         adapter.clock.advance(Duration.ofSeconds(1));
     }
--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerSettingsTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerSettingsTest.java
@@ -104,6 +104,25 @@
                 .containsExactlyInAnyOrder("window", "excess", "slack", "slak", "listen");
     }
 
+    // A limit without its unit, or one that refuses every client, would be taken.
+    @Test
+    void shouldReadStartupLimits() {
+        String keys =
+                "[front]\nstartup-bytes = 512\nstartup-timeout = 2 s\nstartup-connections = 9\n";
+
+        assertThat(read(INI_TEXT).startupLimits()).isEqualTo(StartupLimits.DEFAULT);
+        assertThat(read(INI_TEXT.replace("[front]\n", keys)).startupLimits())
+                .isEqualTo(new StartupLimits(512, Duration.ofSeconds(2), 9));
+        String invalid = keys.replace("2 s", "2").replace("512", "5").replace("= 9", "= 0");
+        assertThat(
+                        ProxyServerSettings.validate(
+                                        "one.ini", INI_TEXT.replace("[front]\n", invalid))
+                                .errors())
+                .extracting(ValidationError::key)
+                .containsExactlyInAnyOrder(
+                        "startup-bytes", "startup-timeout", "startup-connections");
+    }
+
     private static ProxyServerSettings read(String text) {
         return ProxyServerSettings.validate("one.ini", text).value().orElseThrow();
     }
--- a/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ProxyServerTest.java
@@ -59,7 +59,8 @@
                     Duration.ofSeconds(6),
                     Optional.of(
                             new QuotaSettings(QuotaPolicy.standard(), Optional.of(ANY_ADDRESS))),
-                    AdmissionOrder.DEADLINE);
+                    AdmissionOrder.DEADLINE,
+                    StartupLimits.DEFAULT);
 
     private final FakePlatformAdapter adapter = new FakePlatformAdapter();
     private ProxyServer server;
