Read a key whose expected revision the store has rejected

Each later write of the vote expected the revision of the lost one, and nothing corrected it, since a listing reports a key as gone only if the watch has shown it. The process could neither withdraw the vote, which fences its primary, nor vote again.

After a rejection the key is now read and its state applied. The record of the replica set had the same fault.

Tests, each seen to fail before: ReplacementVoteTest (withdrawal, and a later vote), ReplicaSetTest. Other keys under a condition, by reading: the failover lease is written only if absent; a void lease and an expired record are deleted at the revision the watch has shown; owners of quota shards were not tried.

--- a/carobstage/src/main/java/org/carobstage/failover/PromotionRecord.java
+++ b/carobstage/src/main/java/org/carobstage/failover/PromotionRecord.java
@@ -5,7 +5,6 @@
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.ServiceName;
 import org.carobstage.store.LeaseId;
-import org.carobstage.store.MetadataStore.Page;
 import org.carobstage.store.StoreEntry;
 import org.carobstage.store.StoreResponse;
 import org.carobstage.store.StoreRevision;
@@ -80,7 +79,13 @@
                 value,
                 response -> {
                     if (response instanceof StoreResponse.Mismatch<PromotionPermit>) {
-                        read(() -> writeAgain(lease, value, callback));
+                        KeyReader.read(
+                                context.store(),
+                                key,
+                                entry -> {
+                                    entry.ifPresent(this::onStoreChange);
+                                    writeAgain(lease, value, callback);
+                                });
                     } else {
                         callback.accept(response);
                     }
@@ -142,29 +147,6 @@
         }
     }
 
-    /**
-     * Reads the record, which may differ from what the watch has delivered and this has written.
-     */
-    private void read(Runnable onRead) {
-        context.store()
-                .list(
-                        Optional.of(FailoverKeys.PROMOTION_PREFIX),
-                        response -> {
-                            response.ifSuccess(this::apply);
-                            onRead.run();
-                        });
-    }
-
-    private void apply(Page page) {
-        Optional<StoreEntry> found =
-                page.entries().stream().filter(e -> e.key().equals(key)).findFirst();
-        boolean complete =
-                !page.hasMore()
-                        || page.entries().stream().anyMatch(e -> e.key().compareTo(key) > 0);
-        found.or(() -> Optional.of(absent(page.revision())).filter(e -> complete))
-                .ifPresent(this::onStoreChange);
-    }
-
     private StoreEntry absent(StoreRevision revision) {
         return new StoreEntry(key, Optional.empty(), revision);
     }
--- a/carobstage/src/main/java/org/carobstage/failover/ReplacementVote.java
+++ b/carobstage/src/main/java/org/carobstage/failover/ReplacementVote.java
@@ -20,7 +20,8 @@
  *
  * <p>The store may execute a write without a response seconds later. Each write therefore expects
  * the key's current revision, and a withdrawal replaces the value instead of deleting the key: a
- * vote that is executed after its withdrawal meets another revision and has no effect.
+ * vote that is executed after its withdrawal meets another revision and has no effect. If the store
+ * rejects the revision, the key is read.
  */
 final class ReplacementVote {
     /** The delay before a failed write is retried. */
@@ -209,9 +210,23 @@
                             } else {
                                 nextWriteNanos = context.clock().nanoTime() + RETRY_DELAY.toNanos();
                             }
+                            if (response instanceof StoreResponse.Mismatch<StoreRevision>) {
+                                read();
+                            }
                         });
     }
 
+    private void read() {
+        writePending = true;
+        KeyReader.read(
+                context.store(),
+                key,
+                entry -> {
+                    writePending = false;
+                    entry.ifPresent(this::onStoreChange);
+                });
+    }
+
     private void observe(StoreRevision changedAt, boolean exists) {
         if (changedAt.compareTo(lastChange) > 0) {
             lastChange = changedAt;
--- a/carobstage/src/main/java/org/carobstage/failover/ReplicaSet.java
+++ b/carobstage/src/main/java/org/carobstage/failover/ReplicaSet.java
@@ -180,9 +180,23 @@
                             } else {
                                 nextWriteNanos = nowNanos() + RETRY_DELAY.toNanos();
                             }
+                            if (response instanceof StoreResponse.Mismatch<StoreRevision>) {
+                                read();
+                            }
                         });
     }
 
+    private void read() {
+        writePending = true;
+        KeyReader.read(
+                context.store(),
+                key,
+                entry -> {
+                    writePending = false;
+                    entry.ifPresent(this::onStoreChange);
+                });
+    }
+
     private void apply(StoreRevision changedAt, Optional<String> text) {
         if (changedAt.compareTo(lastChange) > 0) {
             lastChange = changedAt;
--- a/carobstage/src/test/java/org/carobstage/failover/ReplacementVoteTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/ReplacementVoteTest.java
@@ -63,6 +63,43 @@
         assertThat(restarted.group.tryAcquireWritePermission(PRIMARY)).isTrue();
     }
 
+    // A vote whose key was deleted before the watch had shown it could never be withdrawn, so that
+    // the process sent no writes to the primary until it was restarted.
+    @Test
+    void shouldWithdrawVoteWhenItsKeyWasDeletedBeforeTheWatchShowedIt() {
+        holdWatch();
+        process.unreachable.add(PRIMARY);
+        fixture.advanceSecondsInUse(3);
+        assertThat(storedVote()).isPresent();
+        fixture.store.delete("carobstage/votes/forms/vm-0");
+        fixture.store.compact();
+        process.unreachable.clear();
+        process.storeClient.holdWatch(false);
+        fixture.advanceMillis(4_000);
+
+        assertThat(process.group.tryAcquireWritePermission(PRIMARY)).isTrue();
+        assertThat(storedVote()).isEmpty();
+    }
+
+    // The process could not vote again either, so that a later loss of the primary was not
+    // repaired.
+    @Test
+    void shouldVoteAgainWhenItsKeyWasDeletedBeforeTheWatchShowedIt() {
+        holdWatch();
+        process.unreachable.add(PRIMARY);
+        fixture.advanceSecondsInUse(3);
+        assertThat(storedVote()).isPresent();
+        fixture.store.delete("carobstage/votes/forms/vm-0");
+        fixture.store.compact();
+        process.storeClient.holdWatch(false);
+        process.unreachable.clear();
+        fixture.advanceMillis(4_000);
+        process.unreachable.add(PRIMARY);
+        fixture.advanceSecondsInUse(3);
+
+        assertThat(storedVote()).isPresent();
+    }
+
     // A commit in flight at a primary that is being replaced may be acknowledged by one replica.
     @Test
     void shouldResetWritesInFlightWhenJoiningReplacement() {
@@ -84,6 +121,12 @@
                 .hasValueSatisfying(vote -> assertThat(vote.writesEnded()).isTrue());
     }
 
+    /** Holds the watch once the call that waits for a change has ended. */
+    private void holdWatch() {
+        process.storeClient.holdWatch(true);
+        fixture.advanceMillis(20_000);
+    }
+
     private Optional<String> storedVote() {
         return fixture.store
                 .get("carobstage/votes/forms/vm-0")
--- a/carobstage/src/test/java/org/carobstage/failover/ReplicaSetTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/ReplicaSetTest.java
@@ -195,6 +195,21 @@
         assertThat(store.get(KEY)).contains("a b");
     }
 
+    // A record that was deleted before the watch had shown it could never be written again.
+    @Test
+    void shouldWriteRecordAgainWhenItWasDeletedBeforeTheWatchShowedIt() {
+        client.holdWatch(true);
+        clock.advance(Duration.ofSeconds(20));
+        observe(500, "a", "b", "c");
+        assertThat(store.get(KEY)).contains("a b c");
+        store.delete(KEY);
+        store.compact();
+        client.holdWatch(false);
+        observe(3_000, "a", "b", "c", "d");
+
+        assertThat(store.get(KEY)).contains("a b c d");
+    }
+
     // An earlier record, as of a restored store, empties the set.
     @Test
     void shouldKeepMemberWhenRestoredRecordLacksIt() {
