Read the key of a quota shard whose expected revision the store has rejected

KeyReader moves to the store's package. A key that is read as it was known is left to the delay before the next call: without this, a store that rejects for another reason is called without a pause.

--- a/carobstage/src/main/java/org/carobstage/failover/PromotionRecord.java
+++ b/carobstage/src/main/java/org/carobstage/failover/PromotionRecord.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.ServiceName;
+import org.carobstage.store.KeyReader;
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreEntry;
 import org.carobstage.store.StoreResponse;
--- a/carobstage/src/main/java/org/carobstage/failover/ReplacementVote.java
+++ b/carobstage/src/main/java/org/carobstage/failover/ReplacementVote.java
@@ -7,6 +7,7 @@
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
 import org.carobstage.model.ServiceName;
+import org.carobstage.store.KeyReader;
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.StoreEntry;
 import org.carobstage.store.StoreResponse;
--- a/carobstage/src/main/java/org/carobstage/quota/ShardClaim.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardClaim.java
@@ -44,6 +44,16 @@
         return heldAt.isPresent();
     }
 
+    /** Returns whether the key exists as far as is known. */
+    boolean hasEntry() {
+        return entry.isPresent();
+    }
+
+    /** Returns whether an entry is the one that was observed last. */
+    boolean isKnown(StoreEntry other) {
+        return entry.map(StoreEntry::revision).equals(Optional.of(other.revision()));
+    }
+
     /** Returns the owner that the entry names, unless no process holds the entry. */
     Optional<ShardOwner> owner(long era) {
         return owner.filter(o -> !isUnused(o, era));
--- a/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
+++ b/carobstage/src/main/java/org/carobstage/quota/ShardOwnership.java
@@ -18,6 +18,7 @@
 import org.carobstage.quota.ShardClaim.Action;
 import org.carobstage.quota.ShardClaim.Situation;
 import org.carobstage.runtime.Clock;
+import org.carobstage.store.KeyReader;
 import org.carobstage.store.LeaseId;
 import org.carobstage.store.MetadataStore;
 import org.carobstage.store.StoreEntry;
@@ -229,7 +230,7 @@
                         claim.onAcquired(s.value(), self);
                         update("");
                     } else {
-                        claim.onFailed(clock.nanoTime());
+                        onFailed(shard, claim, response);
                     }
                 });
     }
@@ -242,11 +243,27 @@
                     if (response instanceof StoreResponse.Success<StoreRevision>) {
                         claim.onDeleted();
                     } else {
-                        claim.onFailed(clock.nanoTime());
+                        onFailed(shard, claim, response);
                     }
                 });
     }
 
+    /** Reads a key that is not as its entry says; the watch may never tell that it is gone. */
+    private void onFailed(
+            QuotaShard shard, ShardClaim claim, StoreResponse<StoreRevision> response) {
+        claim.onFailed(clock.nanoTime());
+        if (response instanceof StoreResponse.Mismatch<StoreRevision> && claim.hasEntry()) {
+            claim.onCalling();
+            KeyReader.read(
+                    store,
+                    key(shard),
+                    entry -> {
+                        claim.onFailed(clock.nanoTime());
+                        entry.filter(e -> !claim.isKnown(e)).ifPresent(this::onStoreChange);
+                    });
+        }
+    }
+
     private Situation situation(QuotaShard shard) {
         long nowNanos = clock.nanoTime();
         Optional<Long> formerOwnersStop = eraSinceNanos.map(since -> since + ERA_DELAY.toNanos());
--- a/carobstage/src/main/java/org/carobstage/failover/KeyReader.java
+++ b/carobstage/src/main/java/org/carobstage/store/KeyReader.java
@@ -1,18 +1,15 @@
-package org.carobstage.failover;
+package org.carobstage.store;
 
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.carobstage.store.MetadataStore;
 import org.carobstage.store.MetadataStore.Page;
-import org.carobstage.store.StoreEntry;
-import org.carobstage.store.StoreResponse;
 
 /**
  * Reads a key whose expected revision the store has rejected. The watch does not report that a key
  * is gone which it has never shown, so that a revision known from an own write may be wrong for
  * good.
  */
-final class KeyReader {
+public final class KeyReader {
     private KeyReader() {}
 
     /**
@@ -23,7 +20,8 @@
      * @param callback receives its entry, without a value if the key does not exist; empty if that
      *     is not known
      */
-    static void read(MetadataStore store, String key, Consumer<Optional<StoreEntry>> callback) {
+    public static void read(
+            MetadataStore store, String key, Consumer<Optional<StoreEntry>> callback) {
         // The longest text that all stores sort before the key and after most others.
         String before = key.substring(0, key.length() - 1);
         store.list(
--- a/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeMetadataStore.java
@@ -191,6 +191,7 @@
         private MessageFilter filter = MessageFilter.NONE;
         private boolean reachable = true;
         private boolean watchHeld;
+        private boolean writesRejected;
         private boolean listingsLost;
         private int callCount;
 
@@ -199,6 +200,11 @@
             watchHeld = held;
         }
 
+        /** Answers writes as if their conditions did not hold. */
+        public void rejectWrites(boolean rejected) {
+            writesRejected = rejected;
+        }
+
         /** Leaves the listings that start from now on unanswered. */
         public void loseListings(boolean lost) {
             listingsLost = lost;
@@ -289,7 +295,7 @@
                                                 lease ->
                                                         lease.equals(LeaseId.NONE)
                                                                 || leases.containsKey(lease));
-                        if (!conditionsHold || !leasesExist) {
+                        if (writesRejected || !conditionsHold || !leasesExist) {
                             return new StoreResponse.Mismatch<>();
                         }
                         change.puts()
--- a/carobstage/src/test/java/org/carobstage/quota/ShardOwnershipTest.java
+++ b/carobstage/src/test/java/org/carobstage/quota/ShardOwnershipTest.java
@@ -127,6 +127,39 @@
         assertThat(ownedBy(processes.get(0))).contains(SHARD);
     }
 
+    // A key that was gone before the watch had shown it was deleted in vain, again and again.
+    @Test
+    void shouldOwnShardAgainWhenItsKeyWasLostBeforeTheWatchShowedIt() {
+        start(1);
+        Process process = processes.get(0);
+        process.client.holdWatch(true);
+        advance(20_000);
+        assertThat(ownedBy(process)).hasSize(QuotaShard.COUNT);
+        store.endLeaseOf(KEY);
+        store.compact();
+        advance(5_000);
+        process.client.holdWatch(false);
+        advance(10_000);
+
+        assertThat(ownedBy(process)).hasSize(QuotaShard.COUNT);
+    }
+
+    // A store that keeps rejecting is called again and again without a delay.
+    @Test
+    void shouldWaitBeforeNextCallWhenStoreRejectsKnownRevision() {
+        start(1);
+        advance(8_000);
+        Process process = processes.get(0);
+        process.client.rejectWrites(true);
+        store.endLeaseOf(KEY);
+        store.put(KEY, value(process, 1, new LeaseId(900)));
+        advance(1_000);
+        int callCount = process.client.callCount();
+        advance(5_000);
+
+        assertThat(process.client.callCount() - callCount).isLessThan(200);
+    }
+
     // A write that is executed after its lease was given up must not block the shard.
     @Test
     void shouldDeleteOwnEntryWhenItIsNotHeld() {
