--- a/carobstage/src/main/java/org/carobstage/failover/DrainedReplicaMonitor.java
+++ b/carobstage/src/main/java/org/carobstage/failover/DrainedReplicaMonitor.java
@@ -17,7 +17,7 @@
  * possibly alone.
  */
 final class DrainedReplicaMonitor {
-    /** The time until a failover need not wait for the drained replica; a query occupies a slot. */
+    /** A failover may wait for the drained replica until then, but each query occupies a slot. */
     private static final Duration QUERY_INTERVAL = Duration.ofMillis(100);
 
     private final FailoverContext context;
--- a/carobstage/src/main/java/org/carobstage/store/KeyReader.java
+++ b/carobstage/src/main/java/org/carobstage/store/KeyReader.java
@@ -22,7 +22,7 @@
      */
     public static void read(
             MetadataStore store, String key, Consumer<Optional<StoreEntry>> callback) {
-        // The longest text that all stores sort before the key and after most others.
+        // A page of keys that starts further away may end before this one.
         String before = key.substring(0, key.length() - 1);
         store.list(
                 Optional.of(before),
