Count absent instances where a position is confirmed without the primary

Cause: a commit is held by the primary and one replica, so that all instances but one confirm a position. PositionQuorum counted the instances registered at that moment. While an instance is replaced a service has four; once the primary's entry was gone, two of the remaining three were enough, though the third one alone may hold the last commits. The same hole opened when a replica left, and for a process that had never seen an instance's entry.

Change: without a report of the primary of the newest term, absent instances count as ones that do not report: those removed within 30 s, and those that the replica set in the store names, which failovers already rely on. With such a report the requirement is as before, so that reads go on after a promotion however many instances were lost.

Ruled out: to reset what replicas have reached at each removal (no read would be confirmed while the primary is down); to count absent instances also where the primary reports (a service that lost two instances would reject reads for 30 s after the promotion).

--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -186,6 +186,7 @@
     private void tick(ServiceGroup group, Set<VmId> members, Optional<LeaseId> lease) {
         State state = state(group.name());
         state.replicas.observe(group.instances(), storeReachable);
+        group.setAbsent(state.replicas.absent());
         state.drainedReplicas.query(group, ranks.isFirst(group.name()));
         state.replicas.update(lease.isPresent() && ranks.isFirst(group.name()));
         Optional<InstanceId> primary = findPrimary(group).or(() -> expiredPrimary(group, state));
--- a/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
@@ -3,15 +3,18 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.carobstage.freshness.PrimaryPositionHistory.ObservedPosition;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
+import org.carobstage.model.Term;
 
 /**
  * The log positions that the instances of a group report, and what they prove together. A commit is
@@ -20,6 +23,9 @@
  * commit acknowledged before the earliest of their requests, even if one of them is a former
  * primary that does not know that it was replaced.
  *
+ * <p>An instance that has left or lost its entry may be the only one left that holds a commit of a
+ * lost primary. So without the primary, absent instances count as instances that do not report.
+ *
  * <p>A replica counts only once it has reached a position that the primary reported after the
  * replica became known. Until then, it may lack commits that were acknowledged before it joined.
  */
@@ -28,13 +34,13 @@
     private static final int MIN_SIZE = 2;
 
     /** An instance that was removed this long ago acknowledges no commits any more. */
-    private static final Duration REMOVED_TIMEOUT = Duration.ofSeconds(30);
+    private static final Duration ABSENCE_TIMEOUT = Duration.ofSeconds(30);
 
     private final Map<InstanceId, Member> members = new TreeMap<>();
+    private final Map<InstanceId, ClockReading> absentSince = new TreeMap<>();
 
     private final boolean primarySuffices;
     private Optional<ObservedPosition> primaryPosition = Optional.empty();
-    private Optional<ClockReading> lastRemovedAt = Optional.empty();
 
     private PositionQuorum(boolean primarySuffices) {
         this.primarySuffices = primarySuffices;
@@ -60,6 +66,7 @@
     public void add(InstanceId id, ClockReading now) {
         members.put(
                 requireNonNull(id, "id is null"), new Member(requireNonNull(now, "now is null")));
+        absentSince.remove(id);
     }
 
     /**
@@ -70,20 +77,42 @@
      */
     public void remove(InstanceId id, ClockReading now) {
         if (members.remove(id) != null) {
-            lastRemovedAt = Optional.of(requireNonNull(now, "now is null"));
+            absentSince.put(id, requireNonNull(now, "now is null"));
         }
     }
 
     /**
-     * Returns how many instances have to report.
+     * Sets which instances without an entry may hold commits that the others lack.
+     *
+     * @param ids the instances, also those that this process has never seen
+     * @param now the current clock reading
+     */
+    public void setAbsent(Collection<InstanceId> ids, ClockReading now) {
+        absentSince.keySet().retainAll(ids);
+        ids.stream()
+                .filter(id -> !members.containsKey(id))
+                .forEach(id -> absentSince.putIfAbsent(id, now));
+    }
+
+    /**
+     * Returns how many instances have to report if the primary is one of them.
      *
-     * @return all but one, at least two unless there is only one and none was removed recently
+     * @return all registered ones but one, at least two unless there is only one and none is absent
      */
     public int size() {
-        boolean single = members.size() <= 1 && lastRemovedAt.isEmpty();
+        boolean single = members.size() <= 1 && absentSince.isEmpty();
         return single ? members.size() : Math.max(MIN_SIZE, members.size() - 1);
     }
 
+    /**
+     * Returns how many instances have to report if the primary is not one of them.
+     *
+     * @return all but one of the registered and the absent ones, at least {@link #size}
+     */
+    public int sizeWithoutPrimary() {
+        return Math.max(size(), members.size() + absentSince.size() - 1);
+    }
+
     /**
      * Returns whether the report of a primary needs no confirmation.
      *
@@ -107,10 +136,10 @@
         if (member == null || member.isNewerThan(requestedAt)) {
             return;
         }
-        lastRemovedAt =
-                lastRemovedAt.filter(at -> at.age(requestedAt).compareTo(REMOVED_TIMEOUT) < 0);
+        absentSince.values().removeIf(at -> at.age(requestedAt).compareTo(ABSENCE_TIMEOUT) >= 0);
         member.received = Optional.of(received);
         member.requestedAt = Optional.of(requestedAt);
+        member.primary = primary;
         if (primary) {
             primaryPosition = Optional.of(new ObservedPosition(received, requestedAt));
             member.caughtUp = true;
@@ -186,19 +215,36 @@
                 members.values().stream()
                         .filter(m -> m.caughtUp)
                         .sorted(Comparator.comparingLong(Member::requestedNanos).reversed())
-                        .limit(size())
                         .toList();
-        if (latest.isEmpty() || latest.size() < size()) {
-            return Optional.empty();
-        }
+        return IntStream.rangeClosed(Math.max(1, size()), latest.size())
+                .mapToObj(count -> latest.subList(0, count))
+                .filter(this::isQuorum)
+                .findFirst()
+                .map(PositionQuorum::newestOf);
+    }
+
+    private boolean isQuorum(List<Member> reporting) {
+        return reporting.size() >= sizeWithoutPrimary()
+                || reporting.stream().anyMatch(m -> m.primary && isOfNewestTerm(m));
+    }
+
+    private boolean isOfNewestTerm(Member member) {
+        Term term = member.received.orElseThrow().term();
+        return members.values().stream()
+                .flatMap(m -> m.received.stream())
+                .noneMatch(received -> received.term().isAfter(term));
+    }
+
+    private static ObservedPosition newestOf(List<Member> reporting) {
         LogPosition position =
-                latest.stream()
+                reporting.stream()
                         .map(m -> m.received.orElseThrow())
                         .reduce(LogPosition.empty(), LogPosition::max);
-        return latest.stream()
+        return reporting.stream()
                 .map(m -> m.requestedAt.orElseThrow())
                 .reduce(ClockReading::earlier)
-                .map(requestedAt -> new ObservedPosition(position, requestedAt));
+                .map(requestedAt -> new ObservedPosition(position, requestedAt))
+                .orElseThrow();
     }
 
     private static final class Member {
@@ -208,6 +254,7 @@
         private Optional<ClockReading> requestedAt = Optional.empty();
         private Optional<ClockReading> stoppedAt = Optional.empty();
         private Optional<LogPosition> stoppedBefore = Optional.empty();
+        private boolean primary;
         private boolean caughtUp;
 
         private Member(ClockReading knownSince) {
--- a/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
@@ -111,8 +111,10 @@
     }
 
     private int requiredReports() {
-        boolean primarySuffices = quorum.isPrimarySufficient() && instances.primary().isPresent();
-        return primarySuffices ? 1 : quorum.size();
+        if (instances.primary().isEmpty()) {
+            return quorum.sizeWithoutPrimary();
+        }
+        return quorum.isPrimarySufficient() ? 1 : quorum.size();
     }
 
     private void queryRemaining(Round round) {
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -206,6 +207,15 @@
         leader.remove(id);
     }
 
+    /**
+     * Sets which instances without an entry may hold commits that the registered ones lack.
+     *
+     * @param ids the instances, also those that this process has never seen
+     */
+    public void setAbsent(Collection<InstanceId> ids) {
+        leader.quorum().setAbsent(ids, ClockReading.now(context.clock()));
+    }
+
     /**
      * Sets how many connections this process may have to each instance.
      *
--- a/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
+++ b/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.carobstage.freshness.PrimaryPositionHistory.ObservedPosition;
 import org.carobstage.model.InstanceId;
@@ -12,6 +13,7 @@
     private static final InstanceId A = InstanceId.of("a");
     private static final InstanceId B = InstanceId.of("b");
     private static final InstanceId C = InstanceId.of("c");
+    private static final InstanceId D = InstanceId.of("d");
 
     private final PositionQuorum quorum = groupOfThree();
 
@@ -86,6 +88,71 @@
         assertThat(quorum.newest()).map(ObservedPosition::requestedAt).contains(at(31_000));
     }
 
+    // While an instance is replaced, a service has four. Without the primary's entry, two replicas
+    // confirmed a position that lacked what the third one alone had received.
+    @Test
+    void shouldNotConfirmPositionOfTwoReplicasWhenThirdOneAndRemovedPrimaryDoNotReport() {
+        catchUpFour();
+        quorum.remove(A, at(20));
+        quorum.report(B, LogPosition.of(1, 81), at(30), false);
+        quorum.report(D, LogPosition.of(1, 81), at(30), false);
+        assertThat(quorum.newest()).map(ObservedPosition::requestedAt).contains(at(10));
+
+        quorum.report(C, LogPosition.of(1, 90), at(40), false);
+
+        assertThat(quorum.newest()).contains(new ObservedPosition(LogPosition.of(1, 90), at(30)));
+    }
+
+    // A replica that has left may have taken the last commits of the primary with it.
+    @Test
+    void shouldNotConfirmPositionWithoutPrimaryWhenReplicaHasLeft() {
+        catchUpFour();
+        quorum.remove(C, at(20));
+        quorum.report(B, LogPosition.of(1, 81), at(30), false);
+        quorum.report(D, LogPosition.of(1, 81), at(30), false);
+
+        assertThat(quorum.newest()).map(ObservedPosition::requestedAt).contains(at(10));
+    }
+
+    // A process that started later has never seen the entry of a replica that still receives.
+    @Test
+    void shouldNotConfirmPositionWithoutPrimaryWhenReplicaWasNeverSeen() {
+        catchUpAll();
+        quorum.setAbsent(Set.of(D), at(15));
+        quorum.report(B, LogPosition.of(1, 81), at(20), false);
+        quorum.report(C, LogPosition.of(1, 81), at(20), false);
+        assertThat(quorum.newest()).map(ObservedPosition::requestedAt).contains(at(10));
+
+        quorum.setAbsent(Set.of(), at(25));
+
+        assertThat(quorum.newest()).map(ObservedPosition::requestedAt).contains(at(20));
+    }
+
+    // Reads stop after a promotion for as long as the instances that were lost count.
+    @Test
+    void shouldConfirmPositionOfNewPrimaryWhenTwoInstancesHaveLeft() {
+        catchUpFour();
+        quorum.remove(A, at(20));
+        quorum.remove(C, at(20));
+        quorum.report(B, LogPosition.of(2, 82), at(30), true);
+        quorum.report(D, LogPosition.of(2, 82), at(30), false);
+
+        assertThat(quorum.newest()).contains(new ObservedPosition(LogPosition.of(2, 82), at(30)));
+    }
+
+    // A former primary and its replica confirm what they have, although a later term is known.
+    @Test
+    void shouldNotConfirmPositionOfFormerPrimaryWhenLaterTermIsKnown() {
+        catchUpFour();
+        quorum.report(A, LogPosition.of(1, 81), at(20), true);
+        quorum.add(C, at(21));
+        quorum.report(C, LogPosition.of(2, 85), at(22), false);
+        quorum.remove(D, at(25));
+        quorum.report(B, LogPosition.of(1, 81), at(30), false);
+
+        assertThat(quorum.newest()).isEmpty();
+    }
+
     @Test
     void shouldIgnoreReportThatIsOlderThanTheLatest() {
         catchUpAll();
@@ -102,6 +169,12 @@
         quorum.report(C, LogPosition.of(1, 81), at(10), false);
     }
 
+    private void catchUpFour() {
+        quorum.add(D, at(0));
+        catchUpAll();
+        quorum.report(D, LogPosition.of(1, 81), at(10), false);
+    }
+
     private static PositionQuorum groupOfThree() {
         PositionQuorum quorum = PositionQuorum.of(false);
         quorum.add(A, at(0));
