Confirm nothing without the primary while the store does not respond

A process that the store turns away doesn't see an instance that joins.

Change: while the last call of the watch has failed, a position is confirmed only by a quorum with the primary; without one, reads are rejected at once, so that the client's next attempt reaches a process that the store serves.

ReplacedInstanceTest.shouldNotReadWithoutPrimaryWhenInstanceMayHaveJoinedUnseen covers the three kinds of routes.

What it costs: where the store is away for all and a primary is lost at the same time, reads of that service wait for either. Ruled out: a bound on the time since the last response, since an instance may join at any moment of it.

ServiceGroup hands out its quorum in place of a method for each question.

--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.event.EventCode;
+import org.carobstage.freshness.ClockReading;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
 import org.carobstage.model.ServiceName;
@@ -186,7 +187,8 @@
     private void tick(ServiceGroup group, Set<VmId> members, Optional<LeaseId> lease) {
         State state = state(group.name());
         state.replicas.observe(group.instances(), storeReachable);
-        group.setAbsent(state.replicas.absent());
+        group.quorum().setAbsent(state.replicas.absent(), ClockReading.now(context.clock()));
+        group.quorum().setRegistryCurrent(storeReachable);
         state.drainedReplicas.query(group, ranks.isFirst(group.name()));
         state.replicas.update(lease.isPresent() && ranks.isFirst(group.name()));
         Optional<InstanceId> primary = findPrimary(group).or(() -> expiredPrimary(group, state));
--- a/carobstage/src/main/java/org/carobstage/failover/ReplicaLogs.java
+++ b/carobstage/src/main/java/org/carobstage/failover/ReplicaLogs.java
@@ -90,7 +90,12 @@
                                                 candidates.stream()
                                                         .noneMatch(c -> c.id().equals(id))),
                         absentReplicas.stream())
-                .allMatch(id -> group.stoppedBefore(id).filter(longest::isAtLeast).isPresent());
+                .allMatch(
+                        id ->
+                                group.quorum()
+                                        .stoppedBefore(id)
+                                        .filter(longest::isAtLeast)
+                                        .isPresent());
     }
 
     private Optional<LogPosition> position(InstanceId id, Optional<InstanceId> receivingReplica) {
--- a/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
@@ -41,6 +41,7 @@
 
     private final boolean primarySuffices;
     private Optional<ObservedPosition> primaryPosition = Optional.empty();
+    private boolean registryCurrent = true;
 
     private PositionQuorum(boolean primarySuffices) {
         this.primarySuffices = primarySuffices;
@@ -94,6 +95,25 @@
                 .forEach(id -> absentSince.putIfAbsent(id, now));
     }
 
+    /**
+     * Sets whether the entries of the instances are current. While they are not, an instance may
+     * have joined that alone confirms commits, so nothing is confirmed without the primary.
+     *
+     * @param current whether the store responds; true initially
+     */
+    public void setRegistryCurrent(boolean current) {
+        registryCurrent = current;
+    }
+
+    /**
+     * Returns whether the entries of the instances are current.
+     *
+     * @return false while a position is confirmed only by the primary and others
+     */
+    public boolean isRegistryCurrent() {
+        return registryCurrent;
+    }
+
     /**
      * Returns how many instances have to report if the primary is one of them.
      *
@@ -224,7 +244,7 @@
     }
 
     private boolean isQuorum(List<Member> reporting) {
-        return reporting.size() >= sizeWithoutPrimary()
+        return registryCurrent && reporting.size() >= sizeWithoutPrimary()
                 || reporting.stream().anyMatch(m -> m.primary && isOfNewestTerm(m));
     }
 
--- a/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
@@ -69,7 +69,7 @@
 
     /** Starts a round, unless one is in flight, to keep the known positions recent. */
     void refresh() {
-        if (currentRound.isEmpty() && instances.byPreference().size() >= requiredReports()) {
+        if (currentRound.isEmpty() && findObstacle(instances.byPreference().size()).isEmpty()) {
             needsPrimaryQuery = true;
             startRound();
         }
@@ -87,13 +87,11 @@
 
     private void startRound() {
         List<InstanceId> targets = instances.byPreference();
-        if (targets.size() < requiredReports()) {
+        Optional<String> obstacle = findObstacle(targets.size());
+        if (obstacle.isPresent()) {
             reads.failAll(
-                    "only "
-                            + targets.size()
-                            + " instances respond, "
-                            + requiredReports()
-                            + " have to confirm the position, retry after "
+                    obstacle.get()
+                            + ", retry after "
                             + PrimaryRecoveryEstimate.PROMOTION_TIME.toMillis()
                             + " ms");
             return;
@@ -110,6 +108,22 @@
                 .forEach(round::query);
     }
 
+    /** Returns what prevents that a position is confirmed by the instances that respond. */
+    private Optional<String> findObstacle(int respondingCount) {
+        if (instances.primary().isEmpty() && !quorum.isRegistryCurrent()) {
+            return Optional.of("no primary responds, and an instance may have joined unseen");
+        }
+        return Optional.of(requiredReports())
+                .filter(required -> respondingCount < required)
+                .map(
+                        required ->
+                                "only "
+                                        + respondingCount
+                                        + " instances respond, "
+                                        + required
+                                        + " have to confirm the position");
+    }
+
     private int requiredReports() {
         if (instances.primary().isEmpty()) {
             return quorum.sizeWithoutPrimary();
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -11,6 +10,7 @@
 import org.carobstage.event.EventCode;
 import org.carobstage.event.EventScope;
 import org.carobstage.freshness.ClockReading;
+import org.carobstage.freshness.PositionQuorum;
 import org.carobstage.freshness.PrimaryPositionHistory;
 import org.carobstage.model.GroupId;
 import org.carobstage.model.InstanceId;
@@ -144,13 +144,12 @@
     }
 
     /**
-     * Returns a position that a stopped replica has not passed.
+     * Returns the positions that the instances report and what they confirm.
      *
-     * @param id the instance
-     * @return the position, or empty if the replica may have received any commit
+     * @return the quorum
      */
-    public Optional<LogPosition> stoppedBefore(InstanceId id) {
-        return leader.quorum().stoppedBefore(id);
+    public PositionQuorum quorum() {
+        return leader.quorum();
     }
 
     /**
@@ -207,15 +206,6 @@
         leader.remove(id);
     }
 
-    /**
-     * Sets which instances without an entry may hold commits that the registered ones lack.
-     *
-     * @param ids the instances, also those that this process has never seen
-     */
-    public void setAbsent(Collection<InstanceId> ids) {
-        leader.quorum().setAbsent(ids, ClockReading.now(context.clock()));
-    }
-
     /**
      * Sets how many connections this process may have to each instance.
      *
--- a/carobstage/src/test/java/org/carobstage/front/ReplacedInstanceTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ReplacedInstanceTest.java
@@ -4,7 +4,9 @@
 
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
+import org.carobstage.sql.FailureCode;
 import org.carobstage.sql.Statement;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -36,6 +38,38 @@
         assertThat(fixture.executedAt("d", read)).isFalse();
     }
 
+    // A process that the store turned away confirmed positions without the instance that had joined
+    // meanwhile, which alone held the last commits of the primary.
+    @ParameterizedTest
+    @ValueSource(strings = {"primary", "bounded", "own"})
+    void shouldNotReadWithoutPrimaryWhenInstanceMayHaveJoinedUnseen(String database) {
+        ClientSession session = fixture.openSession(database, channel);
+        fixture.group.quorum().setRegistryCurrent(false);
+        fixture.service.instance("a").crash();
+        fixture.advanceMillis(2_000);
+        String read = fixture.send(session, READ);
+        fixture.advanceMillis(1);
+        assertThat(channel.lastResult().hasFailureCode(FailureCode.BUSY)).isTrue();
+        assertThat(fixture.executionCount(read)).isZero();
+
+        fixture.group.quorum().setRegistryCurrent(true);
+        fixture.send(session, READ);
+        fixture.advanceMillis(200);
+
+        assertThat(channel.lastResult().isSuccessful()).isTrue();
+    }
+
+    // The primary is proof by itself, whoever has joined.
+    @Test
+    void shouldReadWithPrimaryWhenStoreDoesNotRespond() {
+        ClientSession session = fixture.openSession("primary", channel);
+        fixture.group.quorum().setRegistryCurrent(false);
+        fixture.send(session, READ);
+        fixture.advanceMillis(200);
+
+        assertThat(channel.lastResult().isSuccessful()).isTrue();
+    }
+
     // Reads have to go on without the primary if all replicas respond.
     @ParameterizedTest
     @ValueSource(strings = {"primary", "bounded", "own"})
