--- a/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
+++ b/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
@@ -153,6 +153,20 @@
         assertThat(quorum.newest()).isEmpty();
     }
 
+    // The replica that has just lost its entry may still receive from the primary.
+    @Test
+    void shouldNotConfirmPositionOfSingleReplicaWhenOtherOneWasRemovedRecently() {
+        PositionQuorum pair = PositionQuorum.of(false);
+        pair.add(A, at(0));
+        pair.add(B, at(0));
+        pair.report(A, LogPosition.of(1, 81), at(10), true);
+        pair.report(B, LogPosition.of(1, 81), at(10), false);
+        pair.remove(A, at(15));
+        pair.report(B, LogPosition.of(1, 81), at(20), false);
+
+        assertThat(pair.newest()).isEmpty();
+    }
+
     @Test
     void shouldIgnoreReportThatIsOlderThanTheLatest() {
         catchUpAll();
