Make a replica whose log came back shorter catch up anew

Cause: an instance that starts again under its id is added anew only once its registry entry shows the new start. Its status may arrive earlier, for instance while the store is away. PositionQuorum then replaced the position by the lower one, and the replica still counted as one that has caught up.

Change: ReportedLogs keeps the longest log that each instance has reported in a term. An instance that reports less to a later request has to catch up like one that has joined, until it reports as much as before and has reached a position of the primary. Reports that overlap are not compared, since responses may overtake each other, and a promotion may roll a log back. Where no primary is known and every instance has reported, a position can't be confirmed before a promotion, so that reads are rejected at once rather than at their timeout.

Not covered: a replica that has received more than it last reported by the time of its next report, but less than it had acknowledged.

--- a/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
@@ -11,6 +11,7 @@
 import org.carobstage.freshness.PositionQuorum;
 import org.carobstage.freshness.PrimaryPositionHistory;
 import org.carobstage.freshness.PrimaryPositionHistory.ObservedPosition;
+import org.carobstage.freshness.ReportedLogs;
 import org.carobstage.model.GroupId;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
@@ -27,6 +28,7 @@
     private final Runnable onChange;
     private final PrimaryPositionHistory primaryPositions = PrimaryPositionHistory.empty();
     private final PositionQuorum quorum;
+    private final ReportedLogs logs = ReportedLogs.empty();
     private final Map<InstanceId, InstanceStatus> statuses = new TreeMap<>();
     private final PrimaryRecoveryEstimate recoveryEstimate;
     private final AcknowledgedCommits acknowledgedCommits;
@@ -94,6 +96,9 @@
     /** Records the status that an instance reported. */
     void onStatus(InstanceId id, InstanceStatus status, ClockReading requestedAt) {
         recordChange(id, Optional.ofNullable(statuses.put(id, status)), status, requestedAt);
+        ClockReading now = ClockReading.now(context.clock());
+        boolean shortened =
+                logs.report(id, status.term(), status.receivedPosition(), requestedAt, now);
         if (status.isPrimary()) {
             updateLeadership(
                     leadership.withLeader(id, status.term()),
@@ -103,6 +108,9 @@
                     leadership.withFollower(id, status.term()),
                     "the instance reported that it is a replica");
         }
+        if (shortened) {
+            quorum.add(id, now);
+        }
         reportPosition(id, status.receivedPosition(), requestedAt);
         if (status.isPrimary() && leadership.isLeader(id)) {
             acknowledgedCommits.onPrimaryReported(status.receivedPosition(), requestedAt);
@@ -125,11 +133,13 @@
 
     /** Adds an instance, or adds it anew after a restart. */
     void add(InstanceId id) {
+        logs.remove(id);
         quorum.add(id, ClockReading.now(context.clock()));
     }
 
     void remove(InstanceId id) {
         statuses.remove(id);
+        logs.remove(id);
         quorum.remove(id, ClockReading.now(context.clock()));
         updateLeadership(leadership.withoutLeader(id), "the instance was removed");
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
@@ -89,11 +89,7 @@
         List<InstanceId> targets = instances.byPreference();
         Optional<String> obstacle = findObstacle(targets.size());
         if (obstacle.isPresent()) {
-            reads.failAll(
-                    obstacle.get()
-                            + ", retry after "
-                            + PrimaryRecoveryEstimate.PROMOTION_TIME.toMillis()
-                            + " ms");
+            rejectAll(obstacle.get());
             return;
         }
         Round round = new Round(targets);
@@ -124,6 +120,14 @@
                                         + " have to confirm the position");
     }
 
+    private void rejectAll(String reason) {
+        reads.failAll(
+                reason
+                        + ", retry after "
+                        + PrimaryRecoveryEstimate.PROMOTION_TIME.toMillis()
+                        + " ms");
+    }
+
     private int requiredReports() {
         if (instances.primary().isEmpty()) {
             return quorum.sizeWithoutPrimary();
@@ -222,6 +226,16 @@
                 queryRemaining();
             }
             if (isCurrent(this) && pending == 0 && queried.size() == targets.size()) {
+                onAllEnded();
+            }
+        }
+
+        /** Replicas catch up with a primary, so without one, further reports confirm no more. */
+        private void onAllEnded() {
+            if (instances.primary().isEmpty() && targets.stream().allMatch(this::hasReported)) {
+                endRound(this);
+                rejectAll("the reports of " + targets.size() + " replicas confirm no position");
+            } else {
                 clock.schedule(() -> restart(this), RETRY_DELAY);
             }
         }
--- a/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
@@ -200,6 +200,16 @@
         }
     }
 
+    /** Starts again as a replica that knows nothing of before, and receives what it can. */
+    public void restartWithoutLog() {
+        crash();
+        primary = false;
+        term = Term.ZERO;
+        newestTerm = Term.ZERO;
+        receivedPosition = LogPosition.empty();
+        recover();
+    }
+
     public void setReplicationBlocked(boolean blocked) {
         replicationBlocked = blocked;
         service.catchUp(this);
--- /dev/null
+++ b/carobstage/src/test/java/org/carobstage/front/RestartedInstanceTest.java
@@ -0,0 +1,77 @@
+package org.carobstage.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.carobstage.model.LogPosition;
+import org.carobstage.sql.FailureCode;
+import org.carobstage.sql.Statement;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Restarts instances with a shorter log while their entries are unchanged, as if the metadata store
+ * were down. Instance b never receives the commit that a and c hold.
+ */
+class RestartedInstanceTest {
+    private static final Statement READ = new Statement.Read("k");
+    private static final LogPosition COMMIT = LogPosition.of(1, 9);
+
+    private final SessionFixture fixture = new SessionFixture();
+    private final RecordingChannel channel = new RecordingChannel();
+
+    @BeforeEach
+    void blockReplicationToOneReplica() {
+        fixture.service.instance("b").setReplicationBlocked(true);
+    }
+
+    // Guards against reads without a commit that only the lost primary and a replica that has
+    // restarted without its log had received.
+    @ParameterizedTest
+    @ValueSource(strings = {"primary", "bounded", "own"})
+    void shouldRejectReadWhenReplicaHasRestartedWithoutLogAndPrimaryIsLost(String database) {
+        commitByOtherProcess(fixture);
+        fixture.service.instance("a").crash();
+        fixture.service.instance("c").restartWithoutLog();
+        fixture.advanceMillis(2_600);
+        String read = fixture.send(fixture.openSession(database, channel), READ);
+        fixture.advanceMillis(200);
+
+        assertThat(fixture.executionCount(read)).isZero();
+        assertThat(channel.lastResult().hasFailureCode(FailureCode.BUSY)).isTrue();
+    }
+
+    // Guards against a rejection of all reads while the primary is lost, after a replica has
+    // received again what it had lost.
+    @ParameterizedTest
+    @ValueSource(strings = {"primary", "bounded", "own"})
+    void shouldReadAtReplicasWhenRestartedReplicaCaughtUpBeforePrimaryWasLost(String database) {
+        commitByOtherProcess(fixture);
+        fixture.service.instance("c").setReplicationBlocked(true);
+        fixture.service.instance("c").restartWithoutLog();
+        fixture.advanceMillis(100);
+        reportAll(fixture);
+        fixture.service.instance("c").setReplicationBlocked(false);
+        fixture.service.instance("c").receive(COMMIT);
+        reportAll(fixture);
+        fixture.service.instance("a").crash();
+        fixture.advanceMillis(2_600);
+        String read = fixture.send(fixture.openSession(database, channel), READ);
+        fixture.advanceMillis(200);
+
+        assertThat(channel.lastResult().isSuccessful()).isTrue();
+        assertThat(fixture.executedAt("c", read)).isTrue();
+    }
+
+    /** Adds a commit of which this process knows only what the instances report. */
+    private static void commitByOtherProcess(SessionFixture fixture) {
+        List.of("a", "c").forEach(id -> fixture.service.instance(id).receive(COMMIT));
+        reportAll(fixture);
+    }
+
+    private static void reportAll(SessionFixture fixture) {
+        fixture.group.requestAllStatuses();
+        fixture.advanceMillis(50);
+    }
+}
