Take the position of a primary as proof only if it holds its log

Cause: the position of the known leader counted as the primary's whatever role it reported. A leader that restarts without its log reports that it is a replica of a lower term, which Leadership takes for a report from before its promotion; its empty position then let every read run anywhere. The same held for a leader that goes on in its term with a shorter log.

Change: a position is the primary's only if the instance reports that it is primary and holds what it has reported in its term. A leader that reports, to a later request, that it is a replica with a shorter log leads no more, so that the search for the primary begins at once. The end of such a log doesn't cover commits without a result either, which a failover has to keep.

--- a/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
@@ -84,7 +84,7 @@
         updateLeadership(
                 leadership.withLeader(id, position.term()),
                 "the instance executed a statement as primary");
-        reportPosition(id, position, requestedAt);
+        reportPosition(id, position, requestedAt, true);
     }
 
     /** Records that an instance rejected a statement because it is a replica. */
@@ -104,15 +104,16 @@
                     leadership.withLeader(id, status.term()),
                     "the instance reported that it is primary");
         } else {
+            Leadership next = leadership.withFollower(id, status.term());
             updateLeadership(
-                    leadership.withFollower(id, status.term()),
+                    shortened ? next.withoutLeader(id) : next,
                     "the instance reported that it is a replica");
         }
         if (shortened) {
             quorum.add(id, now);
         }
-        reportPosition(id, status.receivedPosition(), requestedAt);
-        if (status.isPrimary() && leadership.isLeader(id)) {
+        reportPosition(id, status.receivedPosition(), requestedAt, status.isPrimary());
+        if (status.isPrimary() && leadership.isLeader(id) && logs.isComplete(id)) {
             acknowledgedCommits.onPrimaryReported(status.receivedPosition(), requestedAt);
         }
     }
@@ -144,11 +145,13 @@
         updateLeadership(leadership.withoutLeader(id), "the instance was removed");
     }
 
-    private void reportPosition(InstanceId id, LogPosition position, ClockReading requestedAt) {
+    private void reportPosition(
+            InstanceId id, LogPosition position, ClockReading requestedAt, boolean asPrimary) {
         ClockReading now = ClockReading.now(context.clock());
+        boolean primary = asPrimary && leadership.isLeader(id) && logs.isComplete(id);
         Optional<ObservedPosition> before = quorum.newest();
-        quorum.report(id, position, requestedAt, leadership.isLeader(id));
-        if (leadership.isLeader(id)) {
+        quorum.report(id, position, requestedAt, primary);
+        if (primary) {
             primaryPositions.add(position, requestedAt, now);
         }
         quorum.newest()
--- a/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
+++ b/carobstage/src/test/java/org/carobstage/fake/FakeInstance.java
@@ -210,6 +210,13 @@
         recover();
     }
 
+    /** Starts again in its role and term with a log that ends earlier. */
+    public void restartWithLog(LogPosition end) {
+        crash();
+        receivedPosition = end;
+        crashed = false;
+    }
+
     public void setReplicationBlocked(boolean blocked) {
         replicationBlocked = blocked;
         service.catchUp(this);
--- a/carobstage/src/test/java/org/carobstage/front/RestartedInstanceTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/RestartedInstanceTest.java
@@ -64,6 +64,44 @@
         assertThat(fixture.executedAt("c", read)).isTrue();
     }
 
+    // Guards against a known primary whose log is gone but whose report is proof by itself.
+    @ParameterizedTest
+    @ValueSource(strings = {"primary", "bounded", "own"})
+    void shouldReadCommitAtReplicaWhenPrimaryHasRestartedWithoutLog(String database) {
+        SessionFixture fenced = fencedFixture();
+        commitByOtherProcess(fenced);
+        fenced.service.instance("a").restartWithoutLog();
+        fenced.advanceMillis(2_600);
+        String read = fenced.send(fenced.openSession(database, channel), READ);
+        fenced.advanceMillis(400);
+
+        assertThat(channel.lastResult().isSuccessful()).isTrue();
+        assertThat(fenced.executedAt("c", read)).isTrue();
+        assertThat(fenced.executionCount(read)).isEqualTo(1);
+    }
+
+    // Guards against a primary that leads its term with less than it has acknowledged in it.
+    @ParameterizedTest
+    @ValueSource(strings = {"primary", "bounded", "own"})
+    void shouldNotReadWithoutCommitWhenPrimaryHasRestartedWithShorterLog(String database) {
+        SessionFixture fenced = fencedFixture();
+        commitByOtherProcess(fenced);
+        fenced.service.instance("a").restartWithLog(LogPosition.of(1, 1));
+        fenced.advanceMillis(2_600);
+        String read = fenced.send(fenced.openSession(database, channel), READ);
+        fenced.advanceMillis(800);
+
+        assertThat(fenced.executedAt("a", read)).isFalse();
+        assertThat(fenced.executedAt("b", read)).isFalse();
+        assertThat(channel.results).isNotEmpty();
+    }
+
+    private static SessionFixture fencedFixture() {
+        SessionFixture fenced = new SessionFixture(true);
+        fenced.service.instance("b").setReplicationBlocked(true);
+        return fenced;
+    }
+
     /** Adds a commit of which this process knows only what the instances report. */
     private static void commitByOtherProcess(SessionFixture fixture) {
         List.of("a", "c").forEach(id -> fixture.service.instance(id).receive(COMMIT));
