Confirm no position below what the primary and a replica have held

Cause: the positions that instances report were not compared with what the process knows.

Change: PositionFloor keeps the newest position that the primary and a replica are known to have held in the newest term: that of a commit that this process has acknowledged, or one that a replica reported. A lower position that was requested later is not confirmed. The end of the primary's log is not included: what no replica has received is not acknowledged, and reads go on without it when the primary is lost. A new term removes the floor, since the promotion may have rolled the log back.

Open: the position that comes with the result of a commit is taken for that of the commit. If an instance reports the end of its log instead, commits in flight of other processes raise the floor too far, and this process rejects reads of the service from a crash of the primary until a promotion.

--- a/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
@@ -40,6 +40,7 @@
     private final Map<InstanceId, ClockReading> absentSince = new TreeMap<>();
 
     private final boolean primarySuffices;
+    private final PositionFloor floor = PositionFloor.none();
     private Optional<ObservedPosition> primaryPosition = Optional.empty();
     private boolean registryCurrent = true;
 
@@ -142,6 +143,15 @@
         return primarySuffices;
     }
 
+    /**
+     * Returns the position below which none is confirmed.
+     *
+     * @return the floor
+     */
+    public PositionFloor floor() {
+        return floor;
+    }
+
     /**
      * Records the position that an instance reported.
      *
@@ -223,11 +233,11 @@
      *     or empty if too few instances have reported
      */
     public Optional<ObservedPosition> newest() {
-        Optional<ObservedPosition> confirmed = newestOfQuorum();
-        return primarySuffices
-                ? Stream.concat(confirmed.stream(), primaryPosition.stream())
-                        .max(Comparator.comparingLong(p -> p.requestedAt().monotonicNanos()))
-                : confirmed;
+        return Stream.concat(
+                        newestOfQuorum().stream(),
+                        primaryPosition.filter(p -> primarySuffices).stream())
+                .filter(floor::permits)
+                .max(Comparator.comparingLong(p -> p.requestedAt().monotonicNanos()));
     }
 
     private Optional<ObservedPosition> newestOfQuorum() {
--- a/carobstage/src/main/java/org/carobstage/upstream/AcknowledgedCommits.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/AcknowledgedCommits.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import org.carobstage.freshness.ClockReading;
 import org.carobstage.model.LogPosition;
 import org.carobstage.runtime.Clock;
@@ -21,16 +22,23 @@
  */
 final class AcknowledgedCommits {
     private final Clock clock;
+    private final BiConsumer<LogPosition, ClockReading> listener;
     private final Set<TrackedCommit> inFlight = new HashSet<>();
     private LogPosition newest = LogPosition.empty();
     private Optional<ClockReading> unknownSince = Optional.empty();
 
-    private AcknowledgedCommits(Clock clock) {
+    private AcknowledgedCommits(Clock clock, BiConsumer<LogPosition, ClockReading> listener) {
         this.clock = requireNonNull(clock, "clock is null");
+        this.listener = requireNonNull(listener, "listener is null");
     }
 
-    static AcknowledgedCommits of(Clock clock) {
-        return new AcknowledgedCommits(clock);
+    /**
+     * Creates the commits of a process that has sent none.
+     *
+     * @param listener receives the position of each acknowledged commit and when it was known
+     */
+    static AcknowledgedCommits of(Clock clock, BiConsumer<LogPosition, ClockReading> listener) {
+        return new AcknowledgedCommits(clock, listener);
     }
 
     /**
@@ -75,7 +83,7 @@
             result.filter(StatementResult::isSuccessful)
                     .flatMap(StatementResult::logPosition)
                     .ifPresentOrElse(
-                            this::record,
+                            this::onAcknowledged,
                             () -> unknownSince = Optional.of(ClockReading.now(clock)));
         }
     }
@@ -93,6 +101,11 @@
         }
     }
 
+    private void onAcknowledged(LogPosition position) {
+        record(position);
+        listener.accept(position, ClockReading.now(clock));
+    }
+
     private static boolean isRejection(FailureCode code) {
         return code.isNotExecuted() || code.isSafeToRetry();
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
@@ -40,7 +40,7 @@
         this.context = requireNonNull(context, "context is null");
         this.onChange = requireNonNull(onChange, "onChange is null");
         this.quorum = PositionQuorum.of(context.fencingEnforced());
-        this.acknowledgedCommits = AcknowledgedCommits.of(context.clock());
+        this.acknowledgedCommits = AcknowledgedCommits.of(context.clock(), quorum.floor()::raise);
         this.recoveryEstimate = PrimaryRecoveryEstimate.atStart(context.clock().nanoTime());
     }
 
@@ -112,6 +112,10 @@
         if (shortened) {
             quorum.add(id, now);
         }
+        quorum.floor().enterTerm(leadership.term());
+        if (!status.isPrimary()) {
+            quorum.floor().raise(status.receivedPosition(), now);
+        }
         reportPosition(id, status.receivedPosition(), requestedAt, status.isPrimary());
         if (status.isPrimary() && leadership.isLeader(id) && logs.isComplete(id)) {
             acknowledgedCommits.onPrimaryReported(status.receivedPosition(), requestedAt);
--- a/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
+++ b/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
@@ -177,6 +177,20 @@
         assertThat(quorum.newest().map(ObservedPosition::position)).contains(LogPosition.of(2, 85));
     }
 
+    // Guards against a position that contradicts what the primary and a replica held before.
+    @Test
+    void shouldNotConfirmPositionBelowFloor() {
+        catchUpAll();
+        quorum.floor().raise(LogPosition.of(1, 90), at(20));
+        quorum.report(B, LogPosition.of(1, 81), at(30), false);
+        quorum.report(C, LogPosition.of(1, 81), at(30), false);
+        assertThat(quorum.newest()).isEmpty();
+
+        quorum.report(C, LogPosition.of(1, 90), at(40), false);
+
+        assertThat(quorum.newest()).contains(new ObservedPosition(LogPosition.of(1, 90), at(30)));
+    }
+
     private void catchUpAll() {
         quorum.report(A, LogPosition.of(1, 81), at(10), true);
         quorum.report(B, LogPosition.of(1, 81), at(10), false);
--- a/carobstage/src/test/java/org/carobstage/front/RestartedInstanceTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/RestartedInstanceTest.java
@@ -16,6 +16,7 @@
  */
 class RestartedInstanceTest {
     private static final Statement READ = new Statement.Read("k");
+    private static final Statement WRITE = new Statement.Write("k", "data");
     private static final LogPosition COMMIT = LogPosition.of(1, 9);
 
     private final SessionFixture fixture = new SessionFixture();
@@ -96,6 +97,43 @@
         assertThat(channel.results).isNotEmpty();
     }
 
+    // Guards against the same where the replica has restarted with as much as it had last reported.
+    @ParameterizedTest
+    @ValueSource(strings = {"primary", "bounded", "own"})
+    void shouldRejectReadBelowAcknowledgedCommitWhenReplicaHasLostIt(String database) {
+        fixture.send(fixture.openSession("primary", new RecordingChannel()), WRITE);
+        fixture.advanceMillis(100);
+        fixture.service.instance("a").crash();
+        fixture.service.instance("c").restartWithLog(LogPosition.of(1, 0));
+        fixture.advanceMillis(2_600);
+        String read = fixture.send(fixture.openSession(database, channel), READ);
+        fixture.advanceMillis(200);
+
+        assertThat(fixture.service.instance("a").receivedPosition())
+                .isEqualTo(LogPosition.of(1, 1));
+        assertThat(fixture.executionCount(read)).isZero();
+        assertThat(channel.lastResult().hasFailureCode(FailureCode.BUSY)).isTrue();
+    }
+
+    // Guards against a rejection of all reads after a crash of the primary with commits that no
+    // replica has received.
+    @ParameterizedTest
+    @ValueSource(strings = {"primary", "bounded", "own"})
+    void shouldReadAtReplicasWhenLostPrimaryHadUnacknowledgedCommits(String database) {
+        fixture.service.instance("c").setReplicationBlocked(true);
+        fixture.send(fixture.openSession("primary", new RecordingChannel()), WRITE);
+        fixture.advanceMillis(100);
+        reportAll(fixture);
+        fixture.service.instance("a").crash();
+        fixture.advanceMillis(2_600);
+        fixture.send(fixture.openSession(database, channel), READ);
+        fixture.advanceMillis(200);
+
+        assertThat(fixture.service.instance("a").receivedPosition())
+                .isEqualTo(LogPosition.of(1, 1));
+        assertThat(channel.lastResult().isSuccessful()).isTrue();
+    }
+
     private static SessionFixture fencedFixture() {
         SessionFixture fenced = new SessionFixture(true);
         fenced.service.instance("b").setReplicationBlocked(true);
--- a/carobstage/src/test/java/org/carobstage/upstream/AcknowledgedCommitsTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/AcknowledgedCommitsTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.carobstage.freshness.ClockReading;
@@ -21,7 +22,9 @@
     private static final LogPosition LOG_END = LogPosition.of(1, 9);
 
     private final ManualClock clock = ManualClock.of(Instant.EPOCH);
-    private final AcknowledgedCommits commits = AcknowledgedCommits.of(clock);
+    private final List<LogPosition> acknowledged = new ArrayList<>();
+    private final AcknowledgedCommits commits =
+            AcknowledgedCommits.of(clock, (position, now) -> acknowledged.add(position));
     private final TrackedCommit commit = track();
 
     @Test
@@ -95,6 +98,18 @@
         assertThat(commits.newest()).isEqualTo(LogPosition.of(1, 3));
     }
 
+    // Guards against a rejection of reads below what only the primary holds.
+    @Test
+    void shouldReportOnlyPositionsThatArriveWithResults() {
+        commit.complete(Optional.of(success(Optional.of(LogPosition.of(1, 3)))));
+        track().complete(Optional.empty());
+        clock.advance(Duration.ofMillis(1));
+        commits.onPrimaryReported(LOG_END, ClockReading.now(clock));
+
+        assertThat(commits.newest()).isEqualTo(LOG_END);
+        assertThat(acknowledged).containsExactly(LogPosition.of(1, 3));
+    }
+
     // Guards against a success whose position is taken for the lowest one.
     @Test
     void shouldNotKnowPositionWhenSuccessReportsNone() {
