Require a quorum while the primary may be being replaced

Cause: where fencing is enforced, the report of a primary was proof by itself. A process that reaches the former primary, but has not learned of its successor, confirmed positions, reads on its connection and transactions by that report.

Change: the report is proof only since a quorum has confirmed a position and while nothing indicates a replacement (LeadershipProof, PrimaryCertainty): no vote against the primary, no promotion of another instance and no recent restore in the store, its entry neither missing nor draining, no other instance registered as primary, no suspicion; and only while the process has observed the store within 1.5 s (ObservedStore: the request of the last call that was answered, membership renewals being sent every second; between two watches at most the end of the last one). After each doubt a quorum confirms once more. In doubt, reads are handled as where fencing is not enforced, so that they go on at replicas during a failover.

Why it works: the first trace of a failover is in the store before the replicas are paused and the promotion, of 600 ms or more, is requested. A process that is cut off from the store together with the primary stops relying on it 1.5 s after the last answered request; the others suspect a silent primary only after 300 ms and two openings of 400 ms, so that the promotion takes effect 1.7 s after the cut or later. It is not certain where the primary resets the connections of the others at that moment, or where the store holds back a watch and answers renewals.

--- a/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverCoordinator.java
@@ -49,6 +49,7 @@
     private final FailoverContext context;
     private final Map<ServiceName, State> states = new TreeMap<>();
     private final FailoverVotes votes = FailoverVotes.empty();
+    private final StoredReplacement replacement;
     private final ObservedLeases leases;
     private final Set<ServiceName> servicesToQuery = new HashSet<>();
     private final MemberRanks ranks;
@@ -60,6 +61,7 @@
 
     private FailoverCoordinator(FailoverContext context) {
         this.context = context;
+        this.replacement = new StoredReplacement(context.clock(), votes);
         this.leases = new ObservedLeases(context);
         this.ranks = MemberRanks.of(context.vm());
         this.membersStableSinceNanos = context.clock().nanoTime();
@@ -97,6 +99,7 @@
                     ServiceName.of(entry.key().substring(FailoverKeys.PROMOTION_PREFIX.length()));
             recordObserved(service, entry);
             state(service).promotion.onStoreChange(entry);
+            indicateReplacement(state(service));
         } else if (entry.key().startsWith(FailoverKeys.VOTE_PREFIX)) {
             applyVote(entry);
         } else if (entry.key().startsWith(FailoverKeys.REPLICAS_PREFIX)) {
@@ -126,6 +129,7 @@
         State state = state(group.name());
         state.group = Optional.of(group);
         group.fence(state.vote.fencedPrimary());
+        indicateReplacement(state);
     }
 
     /**
@@ -170,6 +174,7 @@
     private void onStoreRestored(long era) {
         long nowNanos = context.clock().nanoTime();
         membersStableSinceNanos = nowNanos;
+        replacement.onStoreRestored();
         states.values()
                 .forEach(
                         state -> {
@@ -186,6 +191,7 @@
 
     private void tick(ServiceGroup group, Set<VmId> members, Optional<LeaseId> lease) {
         State state = state(group.name());
+        indicateReplacement(state);
         state.replicas.observe(group.instances(), storeReachable);
         group.quorum().setAbsent(state.replicas.absent(), ClockReading.now(context.clock()));
         group.quorum().setRegistryCurrent(storeReachable);
@@ -360,6 +366,11 @@
                 service,
                 "vm=" + vm + " vote=" + entry.value().orElse("none") + " at=" + entry.revision());
         votes.record(service, vm, entry.value().flatMap(Vote::parse));
+        indicateReplacement(state(service));
+    }
+
+    private void indicateReplacement(State state) {
+        state.group.ifPresent(group -> replacement.indicate(group, state.promotion));
     }
 
     private long leaseAttemptDelay(ServiceName service) {
--- a/carobstage/src/main/java/org/carobstage/failover/FailoverVotes.java
+++ b/carobstage/src/main/java/org/carobstage/failover/FailoverVotes.java
@@ -66,6 +66,11 @@
                 : Optional.empty();
     }
 
+    /** Returns whether any process voted to replace a primary. */
+    boolean contains(ServiceName service, InstanceId primary) {
+        return of(service).values().stream().anyMatch(v -> v.primary().equals(primary));
+    }
+
     /** Returns whether every member voted to replace a primary. */
     boolean haveAllVoted(ServiceName service, InstanceId primary, Set<VmId> members) {
         Map<VmId, Vote> serviceVotes = of(service);
--- a/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.carobstage.freshness.PrimaryPositionHistory.ObservedPosition;
@@ -39,24 +40,24 @@
     private final Map<InstanceId, Member> members = new TreeMap<>();
     private final Map<InstanceId, ClockReading> absentSince = new TreeMap<>();
 
-    private final boolean primarySuffices;
+    private final Predicate<Optional<ObservedPosition>> primarySuffices;
     private final PositionFloor floor = PositionFloor.none();
     private Optional<ObservedPosition> primaryPosition = Optional.empty();
     private boolean registryCurrent = true;
 
-    private PositionQuorum(boolean primarySuffices) {
+    private PositionQuorum(Predicate<Optional<ObservedPosition>> primarySuffices) {
         this.primarySuffices = primarySuffices;
     }
 
     /**
      * Creates the quorum of a group without instances.
      *
-     * @param primarySuffices whether a promotion ends the leadership of the former primary at once,
-     *     so that the report of a primary needs no confirmation
+     * @param primarySuffices whether the report of a primary needs no confirmation, from the newest
+     *     position that a quorum has confirmed
      * @return the quorum
      */
-    public static PositionQuorum of(boolean primarySuffices) {
-        return new PositionQuorum(primarySuffices);
+    public static PositionQuorum of(Predicate<Optional<ObservedPosition>> primarySuffices) {
+        return new PositionQuorum(requireNonNull(primarySuffices, "primarySuffices is null"));
     }
 
     /**
@@ -137,10 +138,10 @@
     /**
      * Returns whether the report of a primary needs no confirmation.
      *
-     * @return true if a promotion ends the leadership of the former primary at once
+     * @return true if the primary is certain not to have been replaced
      */
     public boolean isPrimarySufficient() {
-        return primarySuffices;
+        return primarySuffices.test(newestOfQuorum());
     }
 
     /**
@@ -233,10 +234,10 @@
      *     or empty if too few instances have reported
      */
     public Optional<ObservedPosition> newest() {
-        return Stream.concat(
-                        newestOfQuorum().stream(),
-                        primaryPosition.filter(p -> primarySuffices).stream())
-                .filter(floor::permits)
+        Optional<ObservedPosition> confirmed = newestOfQuorum();
+        Optional<ObservedPosition> ofPrimary =
+                primaryPosition.filter(p -> primarySuffices.test(confirmed)).filter(floor::permits);
+        return Stream.concat(confirmed.stream(), ofPrimary.stream())
                 .max(Comparator.comparingLong(p -> p.requestedAt().monotonicNanos()));
     }
 
@@ -250,7 +251,8 @@
                 .mapToObj(count -> latest.subList(0, count))
                 .filter(this::isQuorum)
                 .findFirst()
-                .map(PositionQuorum::newestOf);
+                .map(PositionQuorum::newestOf)
+                .filter(floor::permits);
     }
 
     private boolean isQuorum(List<Member> reporting) {
--- a/carobstage/src/main/java/org/carobstage/front/PrimaryConfirmation.java
+++ b/carobstage/src/main/java/org/carobstage/front/PrimaryConfirmation.java
@@ -54,7 +54,7 @@
             Consumer<String> onRejected) {
         begunPosition = Optional.empty();
         confirmedPosition = confirmedPosition.or(() -> recentPosition);
-        if (group.isFencingEnforced()) {
+        if (group.primaryCertainty().isCertain()) {
             confirmedPosition = Optional.of(LogPosition.empty());
         }
         if (confirmedPosition.isPresent()) {
--- a/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyServer.java
@@ -28,6 +28,7 @@
 import org.carobstage.runtime.BuildInfo;
 import org.carobstage.runtime.Clock;
 import org.carobstage.runtime.FailureIsolation;
+import org.carobstage.store.ObservedStore;
 import org.carobstage.store.StoreEntry;
 import org.carobstage.store.StoreWatcher;
 import org.carobstage.upstream.ConnectionQuota;
@@ -51,6 +52,7 @@
     private final ClusterMembership membership;
     private final Optional<QuotaService> quota;
     private final FailoverCoordinator failoverCoordinator;
+    private final ObservedStore store;
     private final StoreWatcher storeWatcher;
     private final InstanceRegistry instanceRegistry = InstanceRegistry.empty();
     private final UnnamedInstances unnamedInstances = UnnamedInstances.empty();
@@ -75,6 +77,7 @@
     private ProxyServer(ProxyServerSettings settings, PlatformAdapter adapter) {
         this.adapter = adapter;
         this.clock = adapter.clock();
+        this.store = ObservedStore.of(adapter.metadataStore(), clock);
         this.shutdownTimeout = settings.shutdownTimeout();
         this.events = EventLog.of(settings.vm(), clock, MAX_RETAINED_EVENTS);
         this.isolation = FailureIsolation.of(this::recordTaskFailure);
@@ -104,7 +107,7 @@
                 new ClusterMembership(
                         settings.vm(),
                         settings.failureDomain(),
-                        adapter.metadataStore(),
+                        store,
                         clock,
                         events,
                         this::onMemberRestarted);
@@ -113,13 +116,13 @@
                         new FailoverContext(
                                 settings.vm(),
                                 clock,
-                                adapter.metadataStore(),
+                                store,
                                 adapter.promotionClient(),
                                 events,
                                 settings.fencingEnforced()));
         this.storeWatcher =
                 StoreWatcher.of(
-                        adapter.metadataStore(),
+                        store,
                         clock,
                         events,
                         StoreWatcher.Listener.of(
@@ -187,7 +190,7 @@
         return QuotaService.of(
                 quotaSettings,
                 events,
-                adapter.metadataStore(),
+                store,
                 clock,
                 adapter.peerTransport(),
                 () -> routeTable.accounts());
@@ -348,6 +351,11 @@
         List<ServiceGroup> all = List.copyOf(groups.values());
         isolation.run("expiring instances", this::expireInstances);
         isolation.run("updating connection limits", this::updateConnectionLimits);
+        store.observedAt()
+                .ifPresent(
+                        at ->
+                                all.forEach(
+                                        group -> group.primaryCertainty().setStoreObservedAt(at)));
         all.forEach(group -> isolation.run("tick of " + group.name(), group::tick));
         isolation.run("tick of failovers", () -> tickFailovers(all));
         isolation.run("updating quota members", this::updateQuotaMembers);
--- a/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
@@ -215,7 +215,8 @@
     }
 
     private boolean mayConfirmOnConnection() {
-        return route.consistency() == Consistency.PRIMARY && group.confirmsPrimaryOnConnection();
+        return route.consistency() == Consistency.PRIMARY
+                && group.primaryCertainty().confirmsOnConnection();
     }
 
     /** Sends a read without a required position once the instance has confirmed that it leads. */
@@ -225,7 +226,8 @@
                 response -> {
                     boolean leads =
                             response.status().filter(InstanceStatus::isPrimary).isPresent()
-                                    && group.leadership().isLeader(instance);
+                                    && group.leadership().isLeader(instance)
+                                    && group.primaryCertainty().isCertain();
                     if (completed || !leads) {
                         connection.release();
                         retry(
--- a/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/InstanceConnectionPool.java
@@ -431,7 +431,7 @@
             return;
         }
         detector.recordResponse(entry);
-        if (group.hasNoLeader()) {
+        if (group.leadership().leader().isEmpty()) {
             pooled.markBusy(nowNanos);
             pooled.requestStatus(() -> {});
         } else {
--- a/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
@@ -8,6 +8,7 @@
 import org.carobstage.event.EventCode;
 import org.carobstage.event.EventScope;
 import org.carobstage.freshness.ClockReading;
+import org.carobstage.freshness.LeadershipProof;
 import org.carobstage.freshness.PositionQuorum;
 import org.carobstage.freshness.PrimaryPositionHistory;
 import org.carobstage.freshness.PrimaryPositionHistory.ObservedPosition;
@@ -27,6 +28,7 @@
     private final UpstreamContext context;
     private final Runnable onChange;
     private final PrimaryPositionHistory primaryPositions = PrimaryPositionHistory.empty();
+    private final LeadershipProof leadershipProof;
     private final PositionQuorum quorum;
     private final ReportedLogs logs = ReportedLogs.empty();
     private final Map<InstanceId, InstanceStatus> statuses = new TreeMap<>();
@@ -39,7 +41,8 @@
         this.service = requireNonNull(service, "service is null");
         this.context = requireNonNull(context, "context is null");
         this.onChange = requireNonNull(onChange, "onChange is null");
-        this.quorum = PositionQuorum.of(context.fencingEnforced());
+        this.leadershipProof = LeadershipProof.of(context.clock(), context.fencingEnforced());
+        this.quorum = PositionQuorum.of(leadershipProof::holds);
         this.acknowledgedCommits = AcknowledgedCommits.of(context.clock(), quorum.floor()::raise);
         this.recoveryEstimate = PrimaryRecoveryEstimate.atStart(context.clock().nanoTime());
     }
@@ -56,6 +59,10 @@
         return quorum;
     }
 
+    LeadershipProof leadershipProof() {
+        return leadershipProof;
+    }
+
     CommitCircuitBreaker commitCircuitBreaker() {
         return commitCircuitBreaker;
     }
@@ -193,6 +200,7 @@
 
     private void updateLeadership(Leadership next, String reason) {
         boolean changed = !next.leader().equals(leadership.leader());
+        next.leader().ifPresent(id -> leadershipProof.setLeader(id, next.term()));
         leadership = next;
         if (!changed) {
             return;
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -28,6 +28,7 @@
     private final LeaderTracker leader;
     private final ConnectionDispatcher connections;
     private final StandbyConnections standby;
+    private final PrimaryCertainty certainty;
     private long lastRequestNanos;
     private final StepDownCommands stepDown;
     private Optional<InstanceId> fencedInstance = Optional.empty();
@@ -40,6 +41,7 @@
         this.lastRequestNanos = context.clock().nanoTime();
         this.stepDown = StepDownCommands.of(this, context);
         this.leader = new LeaderTracker(name, context, this::onLeadershipChanged);
+        this.certainty = new PrimaryCertainty(leader, pools, this::primaryPool);
         this.standby = StandbyConnections.of(pools, context.domain());
         this.schedule = new StatusSchedule(leader, pools);
         this.connections =
@@ -181,6 +183,7 @@
         if (known.isEmpty()) {
             leader.add(entry.id());
             pools.add(new InstanceConnectionPool(this, context, entry)).openWarmConnection();
+            certainty.update();
             return;
         }
         InstanceConnectionPool pool = known.get();
@@ -189,6 +192,7 @@
         }
         boolean roleChanged = pool.entry().primary() != entry.primary();
         pool.update(entry);
+        certainty.update();
         if (roleChanged) {
             pool.trySendControlCommand(new Statement.QueryStatus(), response -> {});
         }
@@ -204,6 +208,7 @@
         standby.onChange();
         pools.remove(id);
         leader.remove(id);
+        certainty.update();
     }
 
     /**
@@ -252,23 +257,12 @@
     }
 
     /**
-     * Returns whether an instance that acts as primary is certain to be the current one.
+     * Returns whether the known primary is certain not to have been replaced.
      *
-     * @return true if a promotion ends the leadership of the former primary at once
+     * @return the certainty
      */
-    public boolean isFencingEnforced() {
-        return context.fencingEnforced();
-    }
-
-    /**
-     * Returns whether a read of a primary route runs on the connection on which the primary
-     * confirms that it leads. Where connections are opened on demand, a status query and the read
-     * that waits for it would open one each.
-     *
-     * @return false if such a read waits for a read index
-     */
-    public boolean confirmsPrimaryOnConnection() {
-        return pools.quota().belowOne() && context.fencingEnforced() && hasUsablePrimary();
+    public PrimaryCertainty primaryCertainty() {
+        return certainty;
     }
 
     /**
@@ -318,6 +312,7 @@
     /** Opens connections, queries statuses and probes silent instances; called by a timer. */
     public void tick() {
         long nowNanos = context.clock().nanoTime();
+        certainty.update();
         standby.update(leadership().leader());
         for (InstanceConnectionPool pool : pools.all()) {
             pool.tick(nowNanos);
@@ -448,12 +443,9 @@
         readIndex.completeReads();
     }
 
-    boolean hasNoLeader() {
-        return leadership().leader().isEmpty();
-    }
-
     void onSuspicionChanged(InstanceEntry entry, boolean suspected, String reason) {
         leader.onSuspected(entry.id());
+        certainty.update();
         record(
                 suspected ? EventCode.INSTANCE_SUSPECTED : EventCode.INSTANCE_TRUSTED,
                 "instance=" + entry.id() + " reason=" + reason);
@@ -478,6 +470,7 @@
     }
 
     private void onLeadershipChanged() {
+        certainty.update();
         standby.onChange();
         dispatch();
     }
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.event.EventLog;
@@ -17,15 +18,17 @@
 import org.carobstage.fake.FakeProcess;
 import org.carobstage.fake.FakeService;
 import org.carobstage.fake.MessageFilter;
+import org.carobstage.freshness.ClockReading;
 import org.carobstage.model.FailureDomain;
 import org.carobstage.model.InstanceId;
+import org.carobstage.model.LogPosition;
 import org.carobstage.model.VmId;
 import org.carobstage.runtime.Clock;
 import org.carobstage.runtime.ManualClock;
 import org.carobstage.sql.Statement;
 import org.carobstage.sql.StatementResult;
 import org.carobstage.store.LeaseId;
-import org.carobstage.store.MetadataStore;
+import org.carobstage.store.ObservedStore;
 import org.carobstage.store.StoreResponse;
 import org.carobstage.store.StoreWatcher;
 import org.carobstage.upstream.ConnectionRequest;
@@ -163,7 +166,8 @@
         private final FailoverCoordinator coordinator;
         private final StoreWatcher storeWatcher;
         private final FakeProcess process = FakeProcess.of(clock);
-        private final MetadataStore reachedStore = process.store(storeClient);
+        private final ObservedStore reachedStore =
+                ObservedStore.of(process.store(storeClient), process);
         private Optional<LeaseId> lease = Optional.empty();
 
         private Process(String name) {
@@ -264,6 +268,23 @@
                             reason -> {}));
         }
 
+        /** Renews the lease of the membership, as a process does every second. */
+        void renewMembership() {
+            process.run(() -> lease.ifPresent(id -> reachedStore.renewLease(id, response -> {})));
+        }
+
+        /** Requests a position that covers what is acknowledged by now. */
+        void requestReadIndex(Consumer<LogPosition> onPosition) {
+            process.run(
+                    () ->
+                            group.requestReadIndex(
+                                    ClockReading.now(process),
+                                    process.nanoTime() + WRITE_TIMEOUT.toNanos(),
+                                    false,
+                                    onPosition,
+                                    reason -> {}));
+        }
+
         /** Suspends the process; its monotonic clock may or may not count that time. */
         void suspend(Duration length, boolean counted) {
             process.suspend(length, counted);
@@ -320,6 +341,7 @@
             if (ended) {
                 return;
             }
+            reachedStore.observedAt().ifPresent(group.primaryCertainty()::setStoreObservedAt);
             group.tick();
             Set<VmId> members =
                     processes.stream()
--- a/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
+++ b/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
@@ -156,7 +156,7 @@
     // The replica that has just lost its entry may still receive from the primary.
     @Test
     void shouldNotConfirmPositionOfSingleReplicaWhenOtherOneWasRemovedRecently() {
-        PositionQuorum pair = PositionQuorum.of(false);
+        PositionQuorum pair = PositionQuorum.of(confirmed -> false);
         pair.add(A, at(0));
         pair.add(B, at(0));
         pair.report(A, LogPosition.of(1, 81), at(10), true);
@@ -204,7 +204,7 @@
     }
 
     private static PositionQuorum groupOfThree() {
-        PositionQuorum quorum = PositionQuorum.of(false);
+        PositionQuorum quorum = PositionQuorum.of(confirmed -> false);
         quorum.add(A, at(0));
         quorum.add(B, at(0));
         quorum.add(C, at(0));
--- a/carobstage/src/test/java/org/carobstage/front/ManyProcessesTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ManyProcessesTest.java
@@ -15,6 +15,7 @@
 import org.carobstage.event.EventLog;
 import org.carobstage.fake.FakeService;
 import org.carobstage.fake.SlottedConnector;
+import org.carobstage.freshness.ClockReading;
 import org.carobstage.model.FailureDomain;
 import org.carobstage.model.VmId;
 import org.carobstage.quota.OperationLimiter;
@@ -168,6 +169,7 @@
         }
 
         private void tick() {
+            group.primaryCertainty().setStoreObservedAt(ClockReading.now(clock));
             group.tick();
             clock.schedule(this::tick, Duration.ofMillis(50));
         }
--- a/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
+++ b/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
@@ -13,6 +13,7 @@
 import org.carobstage.account.ClientAccount;
 import org.carobstage.event.EventLog;
 import org.carobstage.fake.FakeService;
+import org.carobstage.freshness.ClockReading;
 import org.carobstage.model.AccountName;
 import org.carobstage.model.FailureDomain;
 import org.carobstage.model.VmId;
@@ -31,6 +32,7 @@
     final FakeService service = FakeService.of(clock);
     final ProxyMetrics metrics = ProxyMetrics.empty();
     final ServiceGroup group;
+    boolean storeObserved = true;
     OperationLimiter limiter = OperationLimiter.unlimited();
     RouteTable routeTable =
             new RouteTable(
@@ -160,6 +162,9 @@
     }
 
     private void tick() {
+        if (storeObserved) {
+            group.primaryCertainty().setStoreObservedAt(ClockReading.now(clock));
+        }
         group.tick();
         clock.schedule(this::tick, Duration.ofMillis(50));
     }
--- a/carobstage/src/test/java/org/carobstage/upstream/ReadIndexServiceTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/ReadIndexServiceTest.java
@@ -21,7 +21,7 @@
     private static final InstanceId C = InstanceId.of("c");
 
     private final ManualClock clock = ManualClock.of(Instant.EPOCH);
-    private final PositionQuorum quorum = PositionQuorum.of(false);
+    private final PositionQuorum quorum = PositionQuorum.of(confirmed -> false);
     private final FakeInstances instances = new FakeInstances();
     private final ReadIndexService service = new ReadIndexService(clock, quorum, instances);
     private final List<LogPosition> positions = new ArrayList<>();
