Log what confirmed positions of a service rest on

Change: four events. READ_EVIDENCE_CHANGED gives the basis (a primary alone, a quorum with it, replicas without it, none), the reports with position and age, the required number, the absent and the recently removed instances; INSTANCE_LOG_DECREASED a log that came back shorter, with its entry's start time; READ_EVIDENCE_DECREASED a position below an earlier one, and READ_EVIDENCE_CONTRADICTED one that lacks what two instances had or what this process had acknowledged before the evidence was requested. Lines are limited to four a second for each service and kind, or instance; nothing is logged for a read. Lines of reads name the basis; two counters are new. A position carries its basis, so the read index passes the position as observed.

Ruled out: to log each change between a primary alone and a quorum with it, which alternate where the primary suffices.

--- a/carobstage/src/main/java/org/carobstage/event/EventCode.java
+++ b/carobstage/src/main/java/org/carobstage/event/EventCode.java
@@ -100,6 +100,14 @@
     FAILOVER_KEY_OBSERVED(3029, Level.INFO),
     /** What happened to the connections to instances since the last such line. */
     CONNECTION_COUNTS(3030, Level.INFO),
+    /** The reports that confirm the newest position of a service are of another kind. */
+    READ_EVIDENCE_CHANGED(3031, Level.INFO),
+    /** The log of an instance is shorter than it reported before. */
+    INSTANCE_LOG_DECREASED(3032, Level.INFO),
+    /** A confirmed position is below an earlier one. */
+    READ_EVIDENCE_DECREASED(3033, Level.INFO),
+    /** A confirmed position does not cover commits that may have been acknowledged before. */
+    READ_EVIDENCE_CONTRADICTED(3034, Level.WARNING),
     /** The store responds again. */
     STORE_REGAINED(2020, Level.INFO),
     /** The store does not respond or rejects calls. */
--- a/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
@@ -172,7 +172,8 @@
         member.requestedAt = Optional.of(requestedAt);
         member.primary = primary;
         if (primary) {
-            primaryPosition = Optional.of(new ObservedPosition(received, requestedAt));
+            primaryPosition =
+                    Optional.of(new ObservedPosition(received, requestedAt, EvidenceBasis.PRIMARY));
             member.caughtUp = true;
             members.values().forEach(m -> m.onPrimaryPosition(received, requestedAt));
         }
@@ -241,7 +242,32 @@
                 .max(Comparator.comparingLong(p -> p.requestedAt().monotonicNanos()));
     }
 
+    /**
+     * Returns the instances without an entry that may hold commits that the others lack.
+     *
+     * @return the instances in the order of their ids
+     */
+    public List<InstanceId> absent() {
+        return List.copyOf(absentSince.keySet());
+    }
+
+    /**
+     * Returns the last report of each instance.
+     *
+     * @return the reports in the order of the instances' ids
+     */
+    public List<InstanceReport> reports() {
+        List<Member> used = latestOfQuorum().orElse(List.of());
+        return members.entrySet().stream()
+                .map(e -> e.getValue().toReport(e.getKey(), used.contains(e.getValue())))
+                .toList();
+    }
+
     private Optional<ObservedPosition> newestOfQuorum() {
+        return latestOfQuorum().map(this::newestOf).filter(floor::permits);
+    }
+
+    private Optional<List<Member>> latestOfQuorum() {
         List<Member> latest =
                 members.values().stream()
                         .filter(m -> m.caughtUp)
@@ -250,14 +276,16 @@
         return IntStream.rangeClosed(Math.max(1, size()), latest.size())
                 .mapToObj(count -> latest.subList(0, count))
                 .filter(this::isQuorum)
-                .findFirst()
-                .map(PositionQuorum::newestOf)
-                .filter(floor::permits);
+                .findFirst();
     }
 
     private boolean isQuorum(List<Member> reporting) {
         return registryCurrent && reporting.size() >= sizeWithoutPrimary()
-                || reporting.stream().anyMatch(m -> m.primary && isOfNewestTerm(m));
+                || includesPrimary(reporting);
+    }
+
+    private boolean includesPrimary(List<Member> reporting) {
+        return reporting.stream().anyMatch(m -> m.primary && isOfNewestTerm(m));
     }
 
     private boolean isOfNewestTerm(Member member) {
@@ -267,7 +295,7 @@
                 .noneMatch(received -> received.term().isAfter(term));
     }
 
-    private static ObservedPosition newestOf(List<Member> reporting) {
+    private ObservedPosition newestOf(List<Member> reporting) {
         LogPosition position =
                 reporting.stream()
                         .map(m -> m.received.orElseThrow())
@@ -275,10 +303,14 @@
         return reporting.stream()
                 .map(m -> m.requestedAt.orElseThrow())
                 .reduce(ClockReading::earlier)
-                .map(requestedAt -> new ObservedPosition(position, requestedAt))
+                .map(requestedAt -> new ObservedPosition(position, requestedAt, basisOf(reporting)))
                 .orElseThrow();
     }
 
+    private EvidenceBasis basisOf(List<Member> reporting) {
+        return includesPrimary(reporting) ? EvidenceBasis.QUORUM : EvidenceBasis.REPLICAS;
+    }
+
     private static final class Member {
         private final ClockReading knownSince;
         private Optional<LogPosition> target = Optional.empty();
@@ -293,6 +325,10 @@
             this.knownSince = knownSince;
         }
 
+        private InstanceReport toReport(InstanceId id, boolean used) {
+            return new InstanceReport(id, received, requestedAt, primary, caughtUp, used);
+        }
+
         private boolean isNewerThan(ClockReading other) {
             return requestedAt
                     .filter(r -> r.monotonicNanos() - other.monotonicNanos() > 0)
--- a/carobstage/src/main/java/org/carobstage/freshness/PrimaryPositionHistory.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PrimaryPositionHistory.java
@@ -64,7 +64,7 @@
         unconfirmed.stream()
                 .filter(p -> p.position().term().equals(evidence.position().term()))
                 .filter(p -> p.requestedAt().monotonicNanos() - confirmedNanos <= 0)
-                .forEach(p -> addSpaced(confirmed, p));
+                .forEach(p -> addSpaced(confirmed, p.withBasis(evidence.basis())));
         unconfirmed.removeIf(p -> p.requestedAt().monotonicNanos() - confirmedNanos <= 0);
         addSpaced(confirmed, evidence);
     }
@@ -104,8 +104,30 @@
      *
      * @param position the last position of the primary's log
      * @param requestedAt when the request was sent
+     * @param basis the kind of reports that confirm it, which equality disregards
      */
-    public record ObservedPosition(LogPosition position, ClockReading requestedAt) {
+    public record ObservedPosition(
+            LogPosition position, ClockReading requestedAt, EvidenceBasis basis) {
+        /**
+         * Creates a position that is not confirmed.
+         *
+         * @param position the last position of the primary's log
+         * @param requestedAt when the request was sent
+         */
+        public ObservedPosition(LogPosition position, ClockReading requestedAt) {
+            this(position, requestedAt, EvidenceBasis.NONE);
+        }
+
+        /**
+         * Returns the position with the kind of reports that confirm it.
+         *
+         * @param newBasis the kind of reports
+         * @return the confirmed position
+         */
+        public ObservedPosition withBasis(EvidenceBasis newBasis) {
+            return new ObservedPosition(position, requestedAt, newBasis);
+        }
+
         @Override
         public boolean equals(Object other) {
             return other instanceof ObservedPosition that
--- a/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
+++ b/carobstage/src/main/java/org/carobstage/front/ClientTransaction.java
@@ -190,6 +190,7 @@
                     () -> sendWhenConfirmed(prepared),
                     reason -> {
                         connectionRequest.ifPresent(group::cancel);
+                        context.metrics().recordMissingEvidence(route.consistency().name());
                         fail(FailureCode.BUSY, reason);
                     });
         }
--- a/carobstage/src/main/java/org/carobstage/front/PrimaryConfirmation.java
+++ b/carobstage/src/main/java/org/carobstage/front/PrimaryConfirmation.java
@@ -64,8 +64,8 @@
                 receivedAt,
                 receivedAt.monotonicNanos() + route.timeout().toNanos(),
                 true,
-                position -> {
-                    confirmedPosition = Optional.of(position);
+                evidence -> {
+                    confirmedPosition = Optional.of(evidence.position());
                     onConfirmed.run();
                 },
                 reason -> {
--- a/carobstage/src/main/java/org/carobstage/front/ProxyMetrics.java
+++ b/carobstage/src/main/java/org/carobstage/front/ProxyMetrics.java
@@ -36,6 +36,11 @@
         increment("account_rejections_total{cause=\"" + cause.label + "\"}");
     }
 
+    /** Counts a read that was rejected since no position could be confirmed. */
+    void recordMissingEvidence(String consistency) {
+        increment("reads_without_evidence_total{consistency=\"" + consistency + "\"}");
+    }
+
     AccountMetrics accounts() {
         return accounts;
     }
--- a/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
+++ b/carobstage/src/main/java/org/carobstage/front/StatementExecution.java
@@ -135,7 +135,7 @@
             acquire(Optional.empty());
         } else {
             group.requestReadIndex(
-                    receivedAt, deadlineNanos, false, this::onReadIndex, this::reject);
+                    receivedAt, deadlineNanos, false, this::onReadIndex, this::onNoEvidence);
         }
     }
 
@@ -145,15 +145,22 @@
                 + " age_ms="
                 + observed.requestedAt().age(receivedAt).toMillis()
                 + " own="
-                + session.lastWritePosition();
+                + session.lastWritePosition()
+                + " basis="
+                + observed.basis().label();
     }
 
-    private void onReadIndex(LogPosition position) {
-        positionSource = "proved=" + position;
-        readIndex = Optional.of(position.max(session.lastWritePosition()));
+    private void onReadIndex(ObservedPosition observed) {
+        positionSource = "proved=" + observed.position() + " basis=" + observed.basis().label();
+        readIndex = Optional.of(observed.position().max(session.lastWritePosition()));
         acquire(readIndex);
     }
 
+    private void onNoEvidence(String reason) {
+        context.metrics().recordMissingEvidence(route.consistency().name());
+        reject(reason);
+    }
+
     private void acquire(Optional<LogPosition> requiredPosition) {
         if (completed) {
             return;
--- a/carobstage/src/main/java/org/carobstage/upstream/AcknowledgedCommits.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/AcknowledgedCommits.java
@@ -25,6 +25,7 @@
     private final BiConsumer<LogPosition, ClockReading> listener;
     private final Set<TrackedCommit> inFlight = new HashSet<>();
     private LogPosition newest = LogPosition.empty();
+    private LogPosition newestWithResult = LogPosition.empty();
     private Optional<ClockReading> unknownSince = Optional.empty();
 
     private AcknowledgedCommits(Clock clock, BiConsumer<LogPosition, ClockReading> listener) {
@@ -49,6 +50,11 @@
         return newest;
     }
 
+    /** Returns the newest position of a commit with a result, which was certainly acknowledged. */
+    LogPosition newestWithResult() {
+        return newestWithResult;
+    }
+
     /** Returns whether a commit that is not covered by the newest position may be acknowledged. */
     boolean isIncomplete() {
         return !inFlight.isEmpty() || isOutcomeUnknown();
@@ -102,6 +108,7 @@
     }
 
     private void onAcknowledged(LogPosition position) {
+        newestWithResult = newestWithResult.max(position);
         record(position);
         listener.accept(position, ClockReading.now(clock));
     }
--- a/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/LeaderTracker.java
@@ -5,18 +5,22 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.carobstage.discovery.InstanceEntry;
 import org.carobstage.event.EventCode;
 import org.carobstage.event.EventScope;
 import org.carobstage.freshness.ClockReading;
 import org.carobstage.freshness.LeadershipProof;
+import org.carobstage.freshness.LogDecreaseDetector;
 import org.carobstage.freshness.PositionQuorum;
 import org.carobstage.freshness.PrimaryPositionHistory;
 import org.carobstage.freshness.PrimaryPositionHistory.ObservedPosition;
+import org.carobstage.freshness.ReadEvidenceLog;
 import org.carobstage.freshness.ReportedLogs;
 import org.carobstage.model.GroupId;
 import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
 import org.carobstage.model.ServiceName;
+import org.carobstage.model.Term;
 import org.carobstage.sql.InstanceStatus;
 
 /**
@@ -31,6 +35,8 @@
     private final LeadershipProof leadershipProof;
     private final PositionQuorum quorum;
     private final ReportedLogs logs = ReportedLogs.empty();
+    private final ReadEvidenceLog evidenceLog;
+    private final LogDecreaseDetector logDecreases;
     private final Map<InstanceId, InstanceStatus> statuses = new TreeMap<>();
     private final PrimaryRecoveryEstimate recoveryEstimate;
     private final AcknowledgedCommits acknowledgedCommits;
@@ -43,6 +49,10 @@
         this.onChange = requireNonNull(onChange, "onChange is null");
         this.leadershipProof = LeadershipProof.of(context.clock(), context.fencingEnforced());
         this.quorum = PositionQuorum.of(leadershipProof::holds);
+        EventScope scope = EventScope.of(GroupId.of(service.value()));
+        this.evidenceLog =
+                ReadEvidenceLog.of(context.events(), scope, context.metrics(), quorum, now());
+        this.logDecreases = LogDecreaseDetector.of(context.events(), scope);
         this.acknowledgedCommits = AcknowledgedCommits.of(context.clock(), quorum.floor()::raise);
         this.recoveryEstimate = PrimaryRecoveryEstimate.atStart(context.clock().nanoTime());
     }
@@ -91,6 +101,8 @@
         updateLeadership(
                 leadership.withLeader(id, position.term()),
                 "the instance executed a statement as primary");
+        Term term = status(id).map(InstanceStatus::term).orElse(position.term());
+        logDecreases.onReport(id, position, term, true, requestedAt, now());
         reportPosition(id, position, requestedAt, true);
     }
 
@@ -103,7 +115,9 @@
     /** Records the status that an instance reported. */
     void onStatus(InstanceId id, InstanceStatus status, ClockReading requestedAt) {
         recordChange(id, Optional.ofNullable(statuses.put(id, status)), status, requestedAt);
-        ClockReading now = ClockReading.now(context.clock());
+        ClockReading now = now();
+        logDecreases.onReport(
+                id, status.receivedPosition(), status.term(), status.isPrimary(), requestedAt, now);
         boolean shortened =
                 logs.report(id, status.term(), status.receivedPosition(), requestedAt, now);
         if (status.isPrimary()) {
@@ -144,21 +158,26 @@
     }
 
     /** Adds an instance, or adds it anew after a restart. */
-    void add(InstanceId id) {
-        logs.remove(id);
-        quorum.add(id, ClockReading.now(context.clock()));
+    void add(InstanceEntry entry) {
+        logs.remove(entry.id());
+        quorum.add(entry.id(), now());
+        logDecreases.onAdded(entry.id(), entry.bornMillis());
+        evidenceLog.onAdded(entry.id());
+        updateEvidence();
     }
 
     void remove(InstanceId id) {
         statuses.remove(id);
         logs.remove(id);
-        quorum.remove(id, ClockReading.now(context.clock()));
+        evidenceLog.onRemoving(id, now());
+        quorum.remove(id, now());
         updateLeadership(leadership.withoutLeader(id), "the instance was removed");
+        updateEvidence();
     }
 
     private void reportPosition(
             InstanceId id, LogPosition position, ClockReading requestedAt, boolean asPrimary) {
-        ClockReading now = ClockReading.now(context.clock());
+        ClockReading now = now();
         boolean primary = asPrimary && leadership.isLeader(id) && logs.isComplete(id);
         Optional<ObservedPosition> before = quorum.newest();
         quorum.report(id, position, requestedAt, primary);
@@ -168,6 +187,15 @@
         quorum.newest()
                 .filter(newest -> !before.equals(Optional.of(newest)))
                 .ifPresent(newest -> primaryPositions.confirm(newest, now));
+        updateEvidence();
+    }
+
+    private void updateEvidence() {
+        evidenceLog.update(leadership.leader(), acknowledgedCommits.newestWithResult(), now());
+    }
+
+    private ClockReading now() {
+        return ClockReading.now(context.clock());
     }
 
     private void recordChange(
--- a/carobstage/src/main/java/org/carobstage/upstream/ReadIndexQueue.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ReadIndexQueue.java
@@ -6,7 +6,6 @@
 import java.util.function.Consumer;
 import org.carobstage.freshness.ClockReading;
 import org.carobstage.freshness.PrimaryPositionHistory.ObservedPosition;
-import org.carobstage.model.LogPosition;
 
 /** Reads that wait for a confirmed position that was requested after they arrived. */
 final class ReadIndexQueue {
@@ -21,7 +20,7 @@
     void add(
             ClockReading since,
             long deadlineNanos,
-            Consumer<LogPosition> onPosition,
+            Consumer<ObservedPosition> onPosition,
             Consumer<String> onRejected) {
         waiting.add(new WaitingRead(since, deadlineNanos, onPosition, onRejected));
     }
@@ -42,7 +41,7 @@
                 waiting.stream().filter(p -> newest.filter(p::isCoveredBy).isPresent()).toList();
         waiting.removeAll(ready);
         waiting.removeIf(p -> nowNanos - p.deadlineNanos() >= 0);
-        ready.forEach(p -> p.onPosition().accept(newest.orElseThrow().position()));
+        ready.forEach(p -> p.onPosition().accept(newest.orElseThrow()));
     }
 
     /** Rejects all waiting reads, because no position can be confirmed in time. */
@@ -55,7 +54,7 @@
     private record WaitingRead(
             ClockReading since,
             long deadlineNanos,
-            Consumer<LogPosition> onPosition,
+            Consumer<ObservedPosition> onPosition,
             Consumer<String> onRejected) {
         private boolean isCoveredBy(ObservedPosition observed) {
             return observed.requestedAt().monotonicNanos() - since.monotonicNanos() >= 0
--- a/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
@@ -13,7 +13,6 @@
 import org.carobstage.freshness.PositionQuorum;
 import org.carobstage.freshness.PrimaryPositionHistory.ObservedPosition;
 import org.carobstage.model.InstanceId;
-import org.carobstage.model.LogPosition;
 import org.carobstage.runtime.Clock;
 
 /**
@@ -57,7 +56,7 @@
             ClockReading since,
             long deadlineNanos,
             boolean primaryQueried,
-            Consumer<LogPosition> onPosition,
+            Consumer<ObservedPosition> onPosition,
             Consumer<String> onRejected) {
         reads.add(since, deadlineNanos, onPosition, onRejected);
         if (!primaryQueried) {
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -181,14 +181,14 @@
         standby.onChange();
         Optional<InstanceConnectionPool> known = pools.find(entry.id());
         if (known.isEmpty()) {
-            leader.add(entry.id());
+            leader.add(entry);
             pools.add(new InstanceConnectionPool(this, context, entry)).openWarmConnection();
             certainty.update();
             return;
         }
         InstanceConnectionPool pool = known.get();
         if (pool.entry().bornMillis() != entry.bornMillis()) {
-            leader.add(entry.id());
+            leader.add(entry);
         }
         boolean roleChanged = pool.entry().primary() != entry.primary();
         pool.update(entry);
@@ -279,7 +279,7 @@
             ClockReading since,
             long deadlineNanos,
             boolean primaryQueried,
-            Consumer<LogPosition> onPosition,
+            Consumer<PrimaryPositionHistory.ObservedPosition> onPosition,
             Consumer<String> onRejected) {
         lastRequestNanos = context.clock().nanoTime();
         readIndex.request(since, deadlineNanos, primaryQueried, onPosition, onRejected);
--- a/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FailoverFixture.java
@@ -281,7 +281,7 @@
                                     ClockReading.now(process),
                                     process.nanoTime() + WRITE_TIMEOUT.toNanos(),
                                     false,
-                                    onPosition,
+                                    observed -> onPosition.accept(observed.position()),
                                     reason -> {}));
         }
 
--- a/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
+++ b/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
@@ -31,6 +31,7 @@
     final ManualClock clock = ManualClock.of(Instant.EPOCH);
     final FakeService service = FakeService.of(clock);
     final ProxyMetrics metrics = ProxyMetrics.empty();
+    final EventLog events = EventLog.of(VmId.of("vm"), clock, 1_000);
     final ServiceGroup group;
     boolean storeObserved = true;
     OperationLimiter limiter = OperationLimiter.unlimited();
@@ -53,7 +54,6 @@
     }
 
     SessionFixture(boolean fencingEnforced) {
-        EventLog events = EventLog.of(VmId.of("vm"), clock, 100);
         group =
                 ServiceGroup.of(
                         FakeService.NAME,
--- a/carobstage/src/test/java/org/carobstage/upstream/ReadIndexQueueTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/ReadIndexQueueTest.java
@@ -50,7 +50,7 @@
     }
 
     private void addRead(long since) {
-        queue.add(at(since), millis(800), positions::add, refused::add);
+        queue.add(at(since), millis(800), p -> positions.add(p.position()), refused::add);
     }
 
     private static Optional<ObservedPosition> observedAt(long requestedMillis) {
--- a/carobstage/src/test/java/org/carobstage/upstream/ReadIndexServiceTest.java
+++ b/carobstage/src/test/java/org/carobstage/upstream/ReadIndexServiceTest.java
@@ -110,7 +110,7 @@
                 now(),
                 clock.nanoTime() + Duration.ofSeconds(1).toNanos(),
                 primaryQueried,
-                positions::add,
+                observed -> positions.add(observed.position()),
                 rejections::add);
     }
 
