Test and describe which doubts require a quorum

Each new mechanism was switched off in a copy of the sources: without the votes, shouldQueryReplicasWhileVoteIsStored fails, without the bound on the age of the observation shouldNotReadAtFormerPrimaryWhenStoreIsOutOfReach, without the registered primary shouldNotConfirmPositionOfFormerPrimaryWhenAnotherIsRegistered. The test of the promotion passes without it, since a process also votes then.

--- a/carobstage/src/test/java/org/carobstage/failover/FormerPrimaryReadTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FormerPrimaryReadTest.java
@@ -79,6 +79,26 @@
         assertThat(stale).isEmpty();
     }
 
+    // The others have begun to replace the primary, which may succeed at any moment.
+    @Test
+    void shouldQueryReplicasWhileVoteIsStored() {
+        fixture.store.put("carobstage/votes/forms/vm-9", "a - -");
+        int before = replicaQueryCount();
+        advanceInUse(1_000);
+
+        assertThat(replicaQueryCount() - before).isGreaterThan(20);
+    }
+
+    // A planned failover has no votes.
+    @Test
+    void shouldQueryReplicasWhilePromotionIsStored() {
+        fixture.store.put("carobstage/promotions/forms", "b 7");
+        int before = replicaQueryCount();
+        advanceInUse(1_000);
+
+        assertThat(replicaQueryCount() - before).isGreaterThan(20);
+    }
+
     // One query for each read would cost more than the former primary is worth.
     @Test
     void shouldQueryOnlyPrimaryWhileNothingIndicatesReplacement() {
--- a/carobstage/src/test/java/org/carobstage/front/FormerPrimaryTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/FormerPrimaryTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
+import org.carobstage.freshness.ClockReading;
 import org.carobstage.model.LogPosition;
 import org.carobstage.sql.FailureCode;
 import org.carobstage.sql.Statement;
@@ -103,6 +106,44 @@
         assertThat(queryCount(fenced, "b") + queryCount(fenced, "c")).isEqualTo(before);
     }
 
+    // The platform enforces fencing, but does not reach the former primary.
+    @Test
+    void shouldNotConfirmPositionOfFormerPrimaryWhenAnotherIsRegistered() {
+        SessionFixture fenced = new SessionFixture(true);
+        List<LogPosition> positions = new ArrayList<>();
+        fenced.service.keepFormerPrimary(true);
+        fenced.service.promote("c");
+        fenced.service.instance("b").receive(LogPosition.of(2, 9));
+        fenced.service.instance("c").stopResponding();
+        fenced.group.put(fenced.service.instanceEntry("c"));
+        fenced.group.requestReadIndex(
+                ClockReading.now(fenced.clock),
+                fenced.clock.nanoTime() + 1_000_000_000L,
+                false,
+                observed -> positions.add(observed.position()),
+                reason -> {});
+        fenced.advanceMillis(400);
+
+        assertThat(positions).containsExactly(LogPosition.of(2, 9));
+    }
+
+    // A transaction that begins there would read without what was committed since.
+    @Test
+    void shouldNotBeginTransactionAtFormerPrimaryWhenStoreIndicatesReplacement() {
+        SessionFixture fenced = new SessionFixture(true);
+        ClientSession session = fenced.openSession("primary", channel);
+        fenced.service.keepFormerPrimary(true);
+        fenced.service.promote("b");
+        fenced.service.instance("b").receive(LogPosition.of(2, 9));
+        fenced.group.primaryCertainty().setReplacementIndicated(true);
+        fenced.send(session, new Statement.Begin(false));
+        String read = fenced.send(session, READ);
+        fenced.advanceMillis(400);
+
+        assertThat(channel.lastResult().isSuccessful()).isTrue();
+        assertThat(fenced.executedAt("a", read)).isFalse();
+    }
+
     @Test
     void shouldReadAtReplicasWhilePrimaryIsLost() {
         ClientSession session = fixture.openSession("primary", channel);
