Make a replica that accepted no connections catch up anew

Cause: a restart was known only by the registry entry or by a shorter log.

Change: an instance whose address refused a connection and that responds later has restarted. It counts once it has reached a position that the primary reported since.

Cost: if the primary is lost before that, reads that need a position are rejected until a promotion, also where the replica has come back with its log. Connections that are merely reset, by the instance or on the way, don't count as a restart, since the remaining replicas would then confirm nothing while the primary is lost. A restart within the interval between two openings is therefore not noticed.

The test of a primary with a shorter log no longer lets the replicas report the commit, so that it doesn't pass by the floor alone.

The tests of the quorum, the service's group, former primaries, replaced and restarted instances passed on with this change.

--- a/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
@@ -193,17 +193,16 @@
     }
 
     /**
-     * Records that an instance responds.
+     * Records that an instance responds. One that accepted no connections before has restarted,
+     * possibly without its log.
      *
      * @param id the instance
+     * @param now the current clock reading
      */
-    public void markRunning(InstanceId id) {
+    public void markRunning(InstanceId id, ClockReading now) {
         Optional.ofNullable(members.get(id))
-                .ifPresent(
-                        m -> {
-                            m.stoppedAt = Optional.empty();
-                            m.stoppedBefore = Optional.empty();
-                        });
+                .filter(m -> m.stoppedAt.isPresent())
+                .ifPresent(m -> add(id, now));
     }
 
     /**
--- a/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ServiceGroup.java
@@ -452,7 +452,7 @@
     }
 
     void onResponse(InstanceId id) {
-        leader.quorum().markRunning(id);
+        leader.quorum().markRunning(id, ClockReading.now(context.clock()));
     }
 
     void onConnectionReset(InstanceId id) {
--- a/carobstage/src/test/java/org/carobstage/front/RestartedInstanceTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/RestartedInstanceTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import org.carobstage.model.InstanceId;
 import org.carobstage.model.LogPosition;
 import org.carobstage.sql.FailureCode;
 import org.carobstage.sql.Statement;
@@ -86,7 +87,11 @@
     @ValueSource(strings = {"primary", "bounded", "own"})
     void shouldNotReadWithoutCommitWhenPrimaryHasRestartedWithShorterLog(String database) {
         SessionFixture fenced = fencedFixture();
-        commitByOtherProcess(fenced);
+        List.of("a", "c").forEach(id -> fenced.service.instance(id).receive(COMMIT));
+        // The replicas don't report, so that the floor is below the commit.
+        fenced.group.trySendControlCommand(
+                InstanceId.of("a"), new Statement.QueryStatus(), response -> {});
+        fenced.advanceMillis(50);
         fenced.service.instance("a").restartWithLog(LogPosition.of(1, 1));
         fenced.advanceMillis(2_600);
         String read = fenced.send(fenced.openSession(database, channel), READ);
@@ -134,6 +139,22 @@
         assertThat(channel.lastResult().isSuccessful()).isTrue();
     }
 
+    // Guards against the same where it has received more than it had last reported, but not all.
+    @ParameterizedTest
+    @ValueSource(strings = {"primary", "bounded", "own"})
+    void shouldRejectReadWhenReplicaHasStoppedAndPrimaryIsLost(String database) {
+        List.of("a", "c").forEach(id -> fixture.service.instance(id).receive(COMMIT));
+        List.of("a", "c").forEach(id -> fixture.service.instance(id).crash());
+        fixture.advanceMillis(600);
+        fixture.service.instance("c").restartWithLog(LogPosition.of(1, 5));
+        fixture.advanceMillis(2_000);
+        String read = fixture.send(fixture.openSession(database, channel), READ);
+        fixture.advanceMillis(200);
+
+        assertThat(fixture.executionCount(read)).isZero();
+        assertThat(channel.lastResult().hasFailureCode(FailureCode.BUSY)).isTrue();
+    }
+
     private static SessionFixture fencedFixture() {
         SessionFixture fenced = new SessionFixture(true);
         fenced.service.instance("b").setReplicationBlocked(true);
