Keep the floors of earlier requests while commits continue

While this process acknowledged commits, each of them replaced the floor by one that is later than the requests in flight, so that no floor applied to them. PositionFloor keeps the last 32 positions and compares a position with those known before its request.

PositionFloorTest.shouldNotPermitPositionBelowEarlierFloorWhenFloorWasRaisedSince failed before.

--- a/carobstage/src/main/java/org/carobstage/freshness/PositionFloor.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PositionFloor.java
@@ -2,7 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.Optional;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import org.carobstage.freshness.PrimaryPositionHistory.ObservedPosition;
 import org.carobstage.model.LogPosition;
 import org.carobstage.model.Term;
@@ -13,8 +14,11 @@
  * primary has reported may never be acknowledged and is not included.
  */
 public final class PositionFloor {
+    /** Earlier positions matter only for positions that were requested before the later ones. */
+    private static final int MAX_POSITIONS = 32;
+
+    private final Deque<ObservedPosition> positions = new ArrayDeque<>();
     private Term term = Term.ZERO;
-    private Optional<ObservedPosition> newest = Optional.empty();
 
     private PositionFloor() {}
 
@@ -35,9 +39,13 @@
      */
     public void raise(LogPosition position, ClockReading now) {
         requireNonNull(now, "now is null");
-        if (!term.isAfter(position.term())
-                && newest.filter(n -> n.position().isAtLeast(position)).isEmpty()) {
-            newest = Optional.of(new ObservedPosition(position, now));
+        ObservedPosition last = positions.peekLast();
+        if (term.isAfter(position.term()) || last != null && last.position().isAtLeast(position)) {
+            return;
+        }
+        positions.addLast(new ObservedPosition(position, now));
+        if (positions.size() > MAX_POSITIONS) {
+            positions.removeFirst();
         }
     }
 
@@ -49,7 +57,7 @@
     public void enterTerm(Term newestTerm) {
         if (newestTerm.isAfter(term)) {
             term = newestTerm;
-            newest = newest.filter(n -> !term.isAfter(n.position().term()));
+            positions.removeIf(p -> term.isAfter(p.position().term()));
         }
     }
 
@@ -60,8 +68,8 @@
      * @return false if it is below the floor, which was known before the position was requested
      */
     public boolean permits(ObservedPosition observed) {
-        return newest.filter(n -> observed.requestedAt().isSince(n.requestedAt()))
-                .filter(n -> !observed.position().isAtLeast(n.position()))
-                .isEmpty();
+        return positions.stream()
+                .filter(p -> observed.requestedAt().isSince(p.requestedAt()))
+                .allMatch(p -> observed.position().isAtLeast(p.position()));
     }
 }
--- a/carobstage/src/test/java/org/carobstage/freshness/PositionFloorTest.java
+++ b/carobstage/src/test/java/org/carobstage/freshness/PositionFloorTest.java
@@ -39,6 +39,16 @@
         assertThat(floor.permits(observed(1, 75, 30))).isTrue();
     }
 
+    // Guards against a floor that commits which continue keep out of effect.
+    @Test
+    void shouldNotPermitPositionBelowEarlierFloorWhenFloorWasRaisedSince() {
+        floor.raise(LogPosition.of(1, 90), at(10));
+        floor.raise(LogPosition.of(1, 91), at(20));
+
+        assertThat(floor.permits(observed(1, 81, 15))).isFalse();
+        assertThat(floor.permits(observed(1, 90, 15))).isTrue();
+    }
+
     // Guards against a floor that a late report lowers.
     @Test
     void shouldKeepFloorWhenLowerPositionIsReported() {
