Count absences by the monotonic clock

A step of the time of day by 30 s or more ended every absence, so that two of three replicas confirmed a position again, until the next tick had set the absent instances anew. PositionQuorumTest. shouldCountAbsentInstanceWhenTimeOfDayIsStepped failed before.

--- a/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
@@ -167,7 +167,7 @@
         if (member == null || member.isNewerThan(requestedAt)) {
             return;
         }
-        absentSince.values().removeIf(at -> at.age(requestedAt).compareTo(ABSENCE_TIMEOUT) >= 0);
+        absentSince.values().removeIf(at -> isAbsenceOver(at, requestedAt));
         member.received = Optional.of(received);
         member.requestedAt = Optional.of(requestedAt);
         member.primary = primary;
@@ -262,6 +262,11 @@
                 .toList();
     }
 
+    /** Compares monotonic times, since a step of the time of day would end every absence. */
+    private static boolean isAbsenceOver(ClockReading since, ClockReading now) {
+        return now.monotonicNanos() - since.monotonicNanos() >= ABSENCE_TIMEOUT.toNanos();
+    }
+
     private Optional<ObservedPosition> newestOfQuorum() {
         return latestOfQuorum().map(this::newestOf).filter(floor::permits);
     }
--- a/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
+++ b/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
@@ -167,6 +167,18 @@
         assertThat(pair.newest()).isEmpty();
     }
 
+    // Two of three replicas confirmed a position once the time of day was stepped.
+    @Test
+    void shouldCountAbsentInstanceWhenTimeOfDayIsStepped() {
+        catchUpFour();
+        quorum.remove(A, at(20));
+        ClockReading stepped = new ClockReading(at(30).monotonicNanos(), at(60_000).epochNanos());
+        quorum.report(B, LogPosition.of(1, 81), stepped, false);
+        quorum.report(D, LogPosition.of(1, 81), stepped, false);
+
+        assertThat(quorum.newest()).map(ObservedPosition::requestedAt).contains(at(10));
+    }
+
     @Test
     void shouldIgnoreReportThatIsOlderThanTheLatest() {
         catchUpAll();
