--- a/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
@@ -121,7 +121,7 @@
      *
      * @return all registered ones but one, at least two unless there is only one and none is absent
      */
-    public int size() {
+    public int sizeWithPrimary() {
         boolean single = members.size() <= 1 && absentSince.isEmpty();
         return single ? members.size() : Math.max(MIN_SIZE, members.size() - 1);
     }
@@ -129,10 +129,10 @@
     /**
      * Returns how many instances have to report if the primary is not one of them.
      *
-     * @return all but one of the registered and the absent ones, at least {@link #size}
+     * @return all but one of the registered and the absent ones, at least {@link #sizeWithPrimary}
      */
     public int sizeWithoutPrimary() {
-        return Math.max(size(), members.size() + absentSince.size() - 1);
+        return Math.max(sizeWithPrimary(), members.size() + absentSince.size() - 1);
     }
 
     /**
@@ -277,7 +277,7 @@
                         .filter(m -> m.caughtUp)
                         .sorted(Comparator.comparingLong(Member::requestedNanos).reversed())
                         .toList();
-        return IntStream.rangeClosed(Math.max(1, size()), latest.size())
+        return IntStream.rangeClosed(Math.max(1, sizeWithPrimary()), latest.size())
                 .mapToObj(count -> latest.subList(0, count))
                 .filter(this::isQuorum)
                 .findFirst();
--- a/carobstage/src/main/java/org/carobstage/freshness/ReadEvidence.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/ReadEvidence.java
@@ -89,7 +89,7 @@
     }
 
     private static int required(PositionQuorum quorum, Optional<ObservedPosition> newest) {
-        return basisOf(newest).isWithPrimary() ? quorum.size() : quorum.sizeWithoutPrimary();
+        return basisOf(newest).isWithPrimary() ? quorum.sizeWithPrimary() : quorum.sizeWithoutPrimary();
     }
 
     private static boolean isConfirming(InstanceReport report, ObservedPosition newest) {
--- a/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
+++ b/carobstage/src/main/java/org/carobstage/upstream/ReadIndexService.java
@@ -131,7 +131,7 @@
         if (instances.primary().isEmpty()) {
             return quorum.sizeWithoutPrimary();
         }
-        return quorum.isPrimarySufficient() ? 1 : quorum.size();
+        return quorum.isPrimarySufficient() ? 1 : quorum.sizeWithPrimary();
     }
 
     private void queryRemaining(Round round) {
--- a/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
+++ b/carobstage/src/test/java/org/carobstage/freshness/PositionQuorumTest.java
@@ -69,7 +69,7 @@
         quorum.remove(C, at(15));
         quorum.report(A, LogPosition.of(1, 99), at(20), true);
 
-        assertThat(quorum.size()).isEqualTo(2);
+        assertThat(quorum.sizeWithPrimary()).isEqualTo(2);
         assertThat(quorum.newest()).map(ObservedPosition::requestedAt).contains(at(10));
     }
 
