Check again that the primary is certain when a transaction has begun there

A transaction whose connection was requested while the primary was certain was not confirmed any more, also if the primary was replaced while the request waited. A former primary that goes on then executed its reads, on a log without the commits of the new term.

Change: PrimaryConfirmation asks again once the transaction has begun, and requests a position of a quorum if the primary is not certain then.

FormerPrimaryTest.shouldNotReadInTransactionAtPrimaryThatIsDoubtedBeforeItsBegin failed before.

--- a/carobstage/src/main/java/org/carobstage/freshness/ReadEvidence.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/ReadEvidence.java
@@ -89,7 +89,9 @@
     }
 
     private static int required(PositionQuorum quorum, Optional<ObservedPosition> newest) {
-        return basisOf(newest).isWithPrimary() ? quorum.sizeWithPrimary() : quorum.sizeWithoutPrimary();
+        return basisOf(newest).isWithPrimary()
+                ? quorum.sizeWithPrimary()
+                : quorum.sizeWithoutPrimary();
     }
 
     private static boolean isConfirming(InstanceReport report, ObservedPosition newest) {
--- a/carobstage/src/main/java/org/carobstage/front/PrimaryConfirmation.java
+++ b/carobstage/src/main/java/org/carobstage/front/PrimaryConfirmation.java
@@ -22,6 +22,8 @@
     private final ClientSession session;
     private Optional<LogPosition> confirmedPosition = Optional.empty();
     private Optional<LogPosition> begunPosition = Optional.empty();
+    private Runnable readIndexRequest = () -> {};
+    private boolean restsOnCertainty;
 
     PrimaryConfirmation(Route route, ServiceGroup group, ClientSession session) {
         this.route = requireNonNull(route, "route is null");
@@ -54,25 +56,11 @@
             Consumer<String> onRejected) {
         begunPosition = Optional.empty();
         confirmedPosition = confirmedPosition.or(() -> recentPosition);
-        if (group.primaryCertainty().isCertain()) {
-            confirmedPosition = Optional.of(LogPosition.empty());
+        readIndexRequest = () -> requestReadIndex(receivedAt, onConfirmed, onRejected);
+        restsOnCertainty = confirmedPosition.isEmpty() && group.primaryCertainty().isCertain();
+        if (confirmedPosition.isEmpty() && !restsOnCertainty) {
+            readIndexRequest.run();
         }
-        if (confirmedPosition.isPresent()) {
-            return;
-        }
-        group.requestReadIndex(
-                receivedAt,
-                receivedAt.monotonicNanos() + route.timeout().toNanos(),
-                true,
-                evidence -> {
-                    confirmedPosition = Optional.of(evidence.position());
-                    onConfirmed.run();
-                },
-                reason -> {
-                    if (confirmedPosition.isEmpty()) {
-                        onRejected.accept(reason);
-                    }
-                });
     }
 
     /** Records the log position at which the transaction began; empty if it was not reported. */
@@ -82,14 +70,47 @@
 
     /** Returns the outcome; once it is known, the next call returns {@link Outcome#PENDING}. */
     Outcome poll() {
-        if (confirmedPosition.isEmpty() || begunPosition.isEmpty()) {
+        if (begunPosition.isEmpty()) {
             return Outcome.PENDING;
         }
+        if (confirmedPosition.isEmpty()) {
+            return pollCertainty();
+        }
         boolean replaced = confirmedPosition.get().term().isAfter(begunPosition.get().term());
         begunPosition = Optional.empty();
         return replaced ? Outcome.REPLACED : Outcome.CONFIRMED;
     }
 
+    /** Requests a position if the primary is no longer certain when the transaction has begun. */
+    private Outcome pollCertainty() {
+        if (restsOnCertainty && group.primaryCertainty().isCertain()) {
+            begunPosition = Optional.empty();
+            return Outcome.CONFIRMED;
+        }
+        if (restsOnCertainty) {
+            restsOnCertainty = false;
+            readIndexRequest.run();
+        }
+        return Outcome.PENDING;
+    }
+
+    private void requestReadIndex(
+            ClockReading receivedAt, Runnable onConfirmed, Consumer<String> onRejected) {
+        group.requestReadIndex(
+                receivedAt,
+                receivedAt.monotonicNanos() + route.timeout().toNanos(),
+                true,
+                evidence -> {
+                    confirmedPosition = Optional.of(evidence.position());
+                    onConfirmed.run();
+                },
+                reason -> {
+                    if (confirmedPosition.isEmpty()) {
+                        onRejected.accept(reason);
+                    }
+                });
+    }
+
     /** What is known about the instance at which the transaction began. */
     enum Outcome {
         /** The position or the begin of the transaction has not arrived yet. */
--- a/carobstage/src/test/java/org/carobstage/front/FormerPrimaryTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/FormerPrimaryTest.java
@@ -144,6 +144,23 @@
         assertThat(fenced.executedAt("a", read)).isFalse();
     }
 
+    // The primary was certain when its connection was requested, and was replaced before the begin.
+    @Test
+    void shouldNotReadInTransactionAtPrimaryThatIsDoubtedBeforeItsBegin() {
+        SessionFixture fenced = new SessionFixture(true);
+        ClientSession session = fenced.openSession("primary", channel);
+        fenced.send(session, new Statement.Begin(false));
+        String read = fenced.send(session, READ);
+        fenced.service.keepFormerPrimary(true);
+        fenced.service.promote("b");
+        fenced.service.instance("b").receive(LogPosition.of(2, 9));
+        fenced.group.primaryCertainty().setReplacementIndicated(true);
+        fenced.advanceMillis(400);
+
+        assertThat(channel.lastResult().isSuccessful()).isTrue();
+        assertThat(fenced.executedAt("a", read)).isFalse();
+    }
+
     @Test
     void shouldReadAtReplicasWhilePrimaryIsLost() {
         ClientSession session = fixture.openSession("primary", channel);
