--- a/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/PositionQuorum.java
@@ -45,6 +45,8 @@
     private Optional<ObservedPosition> primaryPosition = Optional.empty();
     private boolean registryCurrent = true;
 
+    private Optional<List<Member>> latestOfQuorum = Optional.empty();
+
     private PositionQuorum(Predicate<Optional<ObservedPosition>> primarySuffices) {
         this.primarySuffices = primarySuffices;
     }
@@ -70,6 +72,7 @@
         members.put(
                 requireNonNull(id, "id is null"), new Member(requireNonNull(now, "now is null")));
         absentSince.remove(id);
+        latestOfQuorum = findLatestOfQuorum();
     }
 
     /**
@@ -81,6 +84,7 @@
     public void remove(InstanceId id, ClockReading now) {
         if (members.remove(id) != null) {
             absentSince.put(id, requireNonNull(now, "now is null"));
+            latestOfQuorum = findLatestOfQuorum();
         }
     }
 
@@ -95,6 +99,7 @@
         ids.stream()
                 .filter(id -> !members.containsKey(id))
                 .forEach(id -> absentSince.putIfAbsent(id, now));
+        latestOfQuorum = findLatestOfQuorum();
     }
 
     /**
@@ -105,6 +110,7 @@
      */
     public void setRegistryCurrent(boolean current) {
         registryCurrent = current;
+        latestOfQuorum = findLatestOfQuorum();
     }
 
     /**
@@ -178,6 +184,7 @@
             members.values().forEach(m -> m.onPrimaryPosition(received, requestedAt));
         }
         members.values().forEach(Member::updateCaughtUp);
+        latestOfQuorum = findLatestOfQuorum();
     }
 
     /**
@@ -256,7 +263,7 @@
      * @return the reports in the order of the instances' ids
      */
     public List<InstanceReport> reports() {
-        List<Member> used = latestOfQuorum().orElse(List.of());
+        List<Member> used = latestOfQuorum.orElse(List.of());
         return members.entrySet().stream()
                 .map(e -> e.getValue().toReport(e.getKey(), used.contains(e.getValue())))
                 .toList();
@@ -268,10 +275,10 @@
     }
 
     private Optional<ObservedPosition> newestOfQuorum() {
-        return latestOfQuorum().map(this::newestOf).filter(floor::permits);
+        return latestOfQuorum.map(this::newestOf).filter(floor::permits);
     }
 
-    private Optional<List<Member>> latestOfQuorum() {
+    private Optional<List<Member>> findLatestOfQuorum() {
         List<Member> latest =
                 members.values().stream()
                         .filter(m -> m.caughtUp)
