--- a/carobstage/src/main/java/org/carobstage/freshness/AcknowledgedFloor.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/AcknowledgedFloor.java
@@ -8,9 +8,10 @@
 import org.carobstage.model.LogPosition;
 
 /**
- * The position that commits are acknowledged up to, so all evidence requested later covers it. An
- * earlier one is kept until evidence was requested after it; while commits continue, the newest is
- * always later than the request.
+ * The position that commits are acknowledged up to, for log lines about evidence that does not
+ * cover it; {@link PositionFloor} is what keeps such a position from being confirmed. An earlier
+ * one is kept until evidence was requested after it; while commits continue, the newest is always
+ * later than the request.
  */
 final class AcknowledgedFloor {
     private Floor newest;
--- a/carobstage/src/main/java/org/carobstage/freshness/LeadershipProof.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/LeadershipProof.java
@@ -10,9 +10,10 @@
 import org.carobstage.runtime.Clock;
 
 /**
- * Decides whether the report of a primary proves its position without other instances. It does once
- * a quorum has confirmed a position, as long as nothing has indicated a replacement since then and
- * the process observes the store, which holds votes and promotions before they take effect.
+ * Decides whether the report of a primary proves its position without other instances, from the
+ * doubts that PrimaryCertainty collects. It does once a quorum has confirmed a position, as long as
+ * nothing has indicated a replacement since then and the process observes the store, which holds
+ * votes and promotions before they take effect.
  */
 public final class LeadershipProof {
     /**
--- a/carobstage/src/main/java/org/carobstage/freshness/LogDecreaseDetector.java
+++ b/carobstage/src/main/java/org/carobstage/freshness/LogDecreaseDetector.java
@@ -15,7 +15,7 @@
 
 /**
  * Logs when the log of an instance is shorter than it was: it restarted without a part of it, or a
- * promotion rolled back its last commits.
+ * promotion rolled back its last commits. {@link ReportedLogs} decides whether its reports count.
  */
 public final class LogDecreaseDetector {
     /** The shortest time between lines about an instance. */
