--- a/carobstage/src/test/java/org/carobstage/failover/FormerPrimaryReadTest.java
+++ b/carobstage/src/test/java/org/carobstage/failover/FormerPrimaryReadTest.java
@@ -11,8 +11,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards against stale reads where the platform enforces fencing and a former primary that some
- * processes reach nevertheless goes on.
+ * Guards against stale reads at a former primary that continues to serve some processes although
+ * the platform enforces fencing.
  */
 class FormerPrimaryReadTest {
     private final FailoverFixture fixture = new FailoverFixture(true);
--- a/carobstage/src/test/java/org/carobstage/front/ReplacedInstanceTest.java
+++ b/carobstage/src/test/java/org/carobstage/front/ReplacedInstanceTest.java
@@ -59,7 +59,7 @@
         assertThat(channel.lastResult().isSuccessful()).isTrue();
     }
 
-    // The primary is proof by itself, whoever has joined.
+    // Guards against a rejection of reads that the primary confirms while the store is away.
     @Test
     void shouldReadWithPrimaryWhenStoreDoesNotRespond() {
         ClientSession session = fixture.openSession("primary", channel);
--- a/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
+++ b/carobstage/src/test/java/org/carobstage/front/SessionFixture.java
@@ -33,7 +33,6 @@
     final ProxyMetrics metrics = ProxyMetrics.empty();
     final EventLog events = EventLog.of(VmId.of("vm"), clock, 1_000);
     final ServiceGroup group;
-    boolean storeObserved = true;
     OperationLimiter limiter = OperationLimiter.unlimited();
     RouteTable routeTable =
             new RouteTable(
@@ -162,9 +161,7 @@
     }
 
     private void tick() {
-        if (storeObserved) {
-            group.primaryCertainty().setStoreObservedAt(ClockReading.now(clock));
-        }
+        group.primaryCertainty().setStoreObservedAt(ClockReading.now(clock));
         group.tick();
         clock.schedule(this::tick, Duration.ofMillis(50));
     }
