--- a/review/standin-2/org/carobstage/review2/SilentStoreCase.java
+++ b/review/standin-2/org/carobstage/review2/SilentStoreCase.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.carobstage.adapter.standin.ReviewHeartbeats;
 import org.carobstage.adapter.standin.StandInObserver;
 import org.carobstage.adapter.standin.StandInPlatform;
 
@@ -23,6 +24,9 @@
     /** Allows for the time between a decision of the script and its effect on a socket. */
     private static final double MARGIN_S = 0.1;
 
+    /** The slots of an instance of the shape that is used. */
+    private static final int SLOTS = 5;
+
     private SilentStoreCase() {}
 
     public static void main(String[] args) throws Exception {
@@ -51,6 +55,7 @@
                         StandInObserver.NONE,
                         port -> port);
         platform.start();
+        loop.submit(() -> ReviewHeartbeats.start(platform, SLOTS)).syncUninterruptibly();
         loop.submit(
                         () ->
                                 platform.writeConfiguration(
