--- a/review/case-2.sh
+++ b/review/case-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs a case: case-2.sh CLASS FOLDER. Exits with 1 if the rule was broken, 0 if it held, 2 if the
+# Runs a case: case-2.sh CLASS RECORD-FILE. Exits with 1 if the rule was broken, 0 if it held, 2 if the
 # case couldn't run.
 set -uo pipefail
 cd "$(dirname "$0")/.."
--- a/review/standin-2/org/carobstage/review2/RecoverCase.java
+++ b/review/standin-2/org/carobstage/review2/RecoverCase.java
@@ -55,7 +55,7 @@
 
     public static void main(String[] args) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Report report = new Report(Path.of(args[0], "record.txt"));
+        Report report = new Report(Path.of(args[0]));
         List<Front> fronts = new ArrayList<>();
         Front.killAtExit(fronts);
         int status = 2;
--- a/review/standin-2/org/carobstage/review2/SilentStoreCase.java
+++ b/review/standin-2/org/carobstage/review2/SilentStoreCase.java
@@ -31,7 +31,7 @@
 
     public static void main(String[] args) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Report report = new Report(Path.of(args[0], "record.txt"));
+        Report report = new Report(Path.of(args[0]));
         Path work = Files.createTempDirectory("review2");
         List<Front> fronts = new ArrayList<>();
         Front.killAtExit(fronts);
--- a/review/standin-2/org/carobstage/review2/StopCase.java
+++ b/review/standin-2/org/carobstage/review2/StopCase.java
@@ -56,7 +56,7 @@
 
     public static void main(String[] args) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Report report = new Report(Path.of(args[0], "record.txt"));
+        Report report = new Report(Path.of(args[0]));
         List<Front> fronts = new ArrayList<>();
         Front.killAtExit(fronts);
         int status = 2;
@@ -144,6 +144,9 @@
             }
             if (trouble) {
                 report.say(front.name + " ended=" + front.terminate(8));
+                for (String line : front.logLines("\"SHUTDOWN_")) {
+                    report.add(front.name + " log: " + line);
+                }
                 front.start();
                 if (!front.awaitReady(20)) {
                     report.say(front.name + " did not get ready");
